Whole path as separate processes

Cause: the project starts empty; a call has to go from a caller through nodes to a target under configuration that an operator applied. Header names of aiohttp are no plain strings and did not encode; they are converted. Conclusion: the thin path stands; admission is a fixed limit, rollouts follow the clock alone, every node reads the source.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: check demo env format test
+
+env: $(STAMP)
+
+$(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    -c constraints.txt -r requirements.txt
+	touch $(STAMP)
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix --quiet --select I .
+	$(BIN)/ruff format --quiet .
+
+check: $(STAMP)
+	$(BIN)/ruff format --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/flake8
+	$(BIN)/mypy --no-error-summary \
+	    packages/core/src packages/wire/src packages/node/src \
+	    packages/client/src packages/testing/src
+
+test: check
+	$(BIN)/pytest
+
+demo: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.demo
--- /dev/null
+++ b/packages/client/src/balsamramp_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/packages/core/src/balsamramp_core/__init__.py
@@ -0,0 +1,1 @@
+"""Model and kernel shared by the node and the operators' client."""
--- /dev/null
+++ b/packages/core/src/balsamramp_core/resources/labels.py
@@ -0,0 +1,28 @@
+"""Labels: what an operator states about one target."""
+
+import attrs
+
+from balsamramp_core import resource
+
+__all__ = ["Labels"]
+
+
+@attrs.frozen(kw_only=True)
+class Labels(resource.Resource):
+    """Labels of the target called ``name``.
+
+    They go before the labels that the target announces itself. The
+    target need not exist yet.
+    """
+
+    kind = "labels"
+    aliases = ("label",)
+
+    labels: dict[str, str] = attrs.field(factory=dict)
+
+    def problems(self) -> list[str]:
+        found = super().problems()
+        for key, value in sorted(self.labels.items()):
+            found += resource.check_name("label key", key)
+            found += resource.check_name(f"label {key}", value)
+        return found
--- /dev/null
+++ b/packages/core/src/balsamramp_core/resources/route.py
@@ -0,0 +1,32 @@
+"""Route: which targets of a service answer which paths."""
+
+import attrs
+
+from balsamramp_core import resource
+
+__all__ = ["Route"]
+
+
+@attrs.frozen(kw_only=True)
+class Route(resource.Resource):
+    """Paths of ``service`` and the selector of the targets behind them.
+
+    A target matches when it carries every label of ``selector``. The
+    route with the longest matching ``path_prefix`` wins.
+    """
+
+    kind = "route"
+    aliases = ("routes",)
+
+    service: str
+    path_prefix: str = "/"
+    selector: dict[str, str] = attrs.field(factory=dict)
+
+    def dependencies(self) -> tuple[resource.ResourceKey, ...]:
+        return (resource.ResourceKey("service", self.service),)
+
+    def problems(self) -> list[str]:
+        found = super().problems()
+        if not self.path_prefix.startswith("/"):
+            found.append(f"path_prefix {self.path_prefix!r} lacks its '/'")
+        return found
--- /dev/null
+++ b/packages/node/src/balsamramp_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: one small process on each target VM."""
--- /dev/null
+++ b/packages/node/src/balsamramp_node/admission.py
@@ -0,0 +1,50 @@
+"""Admission: base class of the limits on calls in flight at a target."""
+
+import abc
+import datetime
+import enum
+import typing
+
+__all__ = ["AdmissionLimit", "Outcome"]
+
+
+class Outcome(enum.Enum):
+    """How a call ended, as far as the limit is concerned."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class AdmissionLimit(abc.ABC):
+    """Finds how many calls a target bears at once.
+
+    A subclass declares ``name``, by which settings choose it, and
+    ``doc``, one line for the operators' help.
+    """
+
+    name: typing.ClassVar[str]
+    doc: typing.ClassVar[str]
+
+    def __init__(self, initial: int) -> None:
+        self._initial = initial
+
+    @property
+    @abc.abstractmethod
+    def limit(self) -> int:
+        """Return the number of calls that may be in flight now."""
+
+    @abc.abstractmethod
+    def finish(
+        self,
+        now: datetime.timedelta,
+        latency: datetime.timedelta,
+        outcome: Outcome,
+        in_flight: int,
+    ) -> None:
+        """Learn from one call; ``in_flight`` counts it too."""
+
+    @abc.abstractmethod
+    def reset(self) -> None:
+        """Forget what was learnt: the target is fresh again."""
--- /dev/null
+++ b/packages/node/src/balsamramp_node/http_server.py
@@ -0,0 +1,84 @@
+"""HTTP server: a falcon application on uvicorn, as a kernel service."""
+
+import asyncio
+from collections import abc
+import contextlib
+import datetime
+import socket
+import typing
+
+import uvicorn
+
+from balsamramp_core import kernel
+from balsamramp_core import settings
+
+__all__ = ["HttpServer"]
+
+BACKLOG_CONNECTIONS = 1024
+START_CHECK_INTERVAL = datetime.timedelta(milliseconds=5)
+SHUTDOWN_TIMEOUT_SECONDS = 10
+
+AsgiApplication = abc.Callable[..., typing.Any]
+
+
+class _Server(uvicorn.Server):
+    """Uvicorn without its signal handlers: the node has its own."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> abc.Iterator[None]:
+        yield
+
+
+class HttpServer(kernel.Service):
+    """Serves one ASGI application on one port.
+
+    Instances differ in ``name``, which is given when they are made.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        application: AsgiApplication,
+        listen: settings.Address,
+        requires: tuple[str, ...] = (),
+    ) -> None:
+        self.name = name  # type: ignore[misc]
+        self.requires = requires  # type: ignore[misc]
+        self._application = application
+        self._listen = listen
+        self._address = listen
+        self._server: _Server | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def address(self) -> settings.Address:
+        """Return the address in use, with the port that was bound."""
+        return self._address
+
+    async def start(self) -> None:
+        bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((self._listen.host, self._listen.port))
+        bound.listen(BACKLOG_CONNECTIONS)
+        port = bound.getsockname()[1]
+        self._address = settings.Address(self._listen.host, port)
+        config = uvicorn.Config(
+            self._application,
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            http="httptools",
+            timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_SECONDS,
+        )
+        self._server = _Server(config)
+        self._task = asyncio.create_task(self._server.serve([bound]))
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+            await asyncio.sleep(START_CHECK_INTERVAL.total_seconds())
+
+    async def stop(self) -> None:
+        if self._server is None or self._task is None:
+            return
+        self._server.should_exit = True
+        await self._task
--- /dev/null
+++ b/packages/node/src/balsamramp_node/ingress.py
@@ -0,0 +1,209 @@
+"""Ingress: takes calls from callers over HTTP."""
+
+from collections import abc
+import datetime
+import math
+import typing
+
+import attrs
+import falcon
+import falcon.asgi
+import msgspec
+
+from balsamramp_core import verdict
+from balsamramp_node import calls
+from balsamramp_node import door
+from balsamramp_wire import messages
+
+__all__ = ["IngressDefaults", "make_application"]
+
+
+SERVICE_HEADER = "balsamramp-service"
+DEADLINE_HEADER = "balsamramp-deadline-ms"
+RETRIES_HEADER = "balsamramp-retries"
+DEPTH_HEADER = "balsamramp-depth"
+IDEMPOTENCY_HEADER = "idempotency-key"
+REQUEST_ID_HEADER = "balsamramp-request-id"
+VERDICT_HEADER = "balsamramp-verdict"
+REASON_HEADER = "balsamramp-reason"
+DEPTH_MAX = 16
+TIMEOUT_MAX = datetime.timedelta(minutes=10)
+
+HOP_HEADERS = frozenset(
+    [
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ]
+)
+STATUSES = {
+    verdict.Reason.BAD_REQUEST: 400,
+    verdict.Reason.UNKNOWN_SERVICE: 404,
+    verdict.Reason.DUPLICATE: 409,
+    verdict.Reason.TOO_LARGE: 413,
+    verdict.Reason.CANCELLED: 499,
+    verdict.Reason.CONNECTION_LOST: 502,
+    verdict.Reason.TARGET_FAILED: 502,
+    verdict.Reason.TRUNCATED: 502,
+    verdict.Reason.DEADLINE: 504,
+}
+STATUS_UNAVAILABLE = 503
+
+
+@attrs.frozen
+class IngressDefaults:
+    """What applies to a call that does not say otherwise."""
+
+    timeout: datetime.timedelta
+    retries: int
+    body_max_bytes: int
+
+
+class _CallError(Exception):
+    """The call's headers or body are not acceptable."""
+
+
+class _Ingress:
+    def __init__(
+        self, service: calls.Calls, defaults: IngressDefaults
+    ) -> None:
+        self._calls = service
+        self._defaults = defaults
+
+    async def __call__(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response | None,
+        **parameters: typing.Any,
+    ) -> None:
+        assert resp is not None
+        try:
+            request = await self._read(req)
+        except _CallError as error:
+            failure = verdict.Failure(
+                verdict.Verdict.NOT_RUN,
+                verdict.Reason.BAD_REQUEST,
+                str(error),
+            )
+            _write_failure(resp, "", failure)
+            return
+        reply = await self._calls.call(request)
+        _write(resp, reply)
+
+    async def _read(self, req: falcon.asgi.Request) -> calls.CallerRequest:
+        host = req.get_header("host") or ""
+        service = req.get_header(SERVICE_HEADER) or host.partition(":")[0]
+        if not service:
+            raise _CallError(f"neither {SERVICE_HEADER} nor host is given")
+        query = f"?{req.query_string}" if req.query_string else ""
+        return calls.CallerRequest(
+            service=service,
+            method=req.method,
+            path=req.path + query,
+            headers=_end_to_end(req.headers),
+            body=await self._body(req),
+            timeout=self._timeout(req),
+            retries=self._retries(req),
+            depth=_number(req, DEPTH_HEADER, 0, DEPTH_MAX),
+            idempotency_key=req.get_header(IDEMPOTENCY_HEADER) or "",
+        )
+
+    async def _body(self, req: falcon.asgi.Request) -> bytes:
+        limit = self._defaults.body_max_bytes
+        if (req.content_length or 0) > limit:
+            raise _CallError(f"body is over {limit} bytes")
+        body = await req.bounded_stream.read(limit + 1)
+        if len(body) > limit:
+            raise _CallError(f"body is over {limit} bytes")
+        return bytes(body)
+
+    def _timeout(self, req: falcon.asgi.Request) -> datetime.timedelta:
+        given = req.get_header(DEADLINE_HEADER)
+        if given is None:
+            return self._defaults.timeout
+        try:
+            number = float(given)
+        except ValueError as error:
+            raise _CallError(f"{DEADLINE_HEADER} is {given!r}") from error
+        if not math.isfinite(number) or number <= 0:
+            raise _CallError(f"{DEADLINE_HEADER} is {given!r}")
+        if number > TIMEOUT_MAX.total_seconds() * 1000:
+            return TIMEOUT_MAX
+        return datetime.timedelta(milliseconds=number)
+
+    def _retries(self, req: falcon.asgi.Request) -> int:
+        default = self._defaults.retries
+        given = _number(req, RETRIES_HEADER, default, None)
+        return min(given, default)
+
+
+def make_application(
+    service: calls.Calls, defaults: IngressDefaults
+) -> falcon.asgi.App:
+    """Return the ASGI application for callers."""
+    application = falcon.asgi.App()
+    application.add_sink(_Ingress(service, defaults), prefix="/")
+    return application
+
+
+def _number(
+    req: falcon.asgi.Request, header: str, default: int, high: int | None
+) -> int:
+    given = req.get_header(header)
+    if given is None:
+        return default
+    if not given.isascii() or not given.isdigit():
+        raise _CallError(f"{header} is {given!r}, expected a number")
+    if high is not None and int(given) > high:
+        raise _CallError(f"{header} is {given}, at most {high} allowed")
+    return int(given)
+
+
+def _end_to_end(headers: abc.Mapping[str, str]) -> messages.Headers:
+    kept = []
+    for name, value in headers.items():
+        lower = name.lower()
+        if lower in HOP_HEADERS:
+            continue
+        kept.append((lower, value))
+    return tuple(kept)
+
+
+def _write(resp: falcon.asgi.Response, reply: door.Reply) -> None:
+    if isinstance(reply, messages.CallFailure):
+        _write_failure(resp, reply.call_id, reply.failure)
+        return
+    resp.status = reply.status
+    for name, value in reply.headers:
+        if name.lower() in HOP_HEADERS:
+            continue
+        if name.lower() == "set-cookie":
+            resp.append_header(name, value)
+            continue
+        resp.set_header(name, value)
+    resp.set_header(REQUEST_ID_HEADER, reply.call_id)
+    resp.set_header(VERDICT_HEADER, verdict.Verdict.RAN.value)
+    resp.data = reply.body
+
+
+def _write_failure(
+    resp: falcon.asgi.Response, call_id: str, failure: verdict.Failure
+) -> None:
+    resp.status = STATUSES.get(failure.reason, STATUS_UNAVAILABLE)
+    resp.content_type = falcon.MEDIA_JSON
+    resp.set_header(REQUEST_ID_HEADER, call_id)
+    resp.set_header(VERDICT_HEADER, failure.verdict.value)
+    resp.set_header(REASON_HEADER, failure.reason.value)
+    resp.data = msgspec.json.encode(
+        {
+            "request_id": call_id,
+            "verdict": failure.verdict,
+            "reason": failure.reason,
+            "message": failure.message,
+        }
+    )
--- /dev/null
+++ b/packages/node/src/balsamramp_node/pickers/__init__.py
@@ -0,0 +1,26 @@
+"""The target pickers, looked up by name."""
+
+from balsamramp_node import picker
+from balsamramp_node.pickers import least_of_two
+from balsamramp_node.pickers import round_robin
+
+__all__ = ["PICKERS", "PickerNotFoundError", "find_picker"]
+
+PICKERS: dict[str, type[picker.TargetPicker]] = {
+    item.name: item
+    for item in (least_of_two.LeastOfTwo, round_robin.RoundRobin)
+}
+
+
+class PickerNotFoundError(LookupError):
+    """No target picker has the given name."""
+
+
+def find_picker(name: str) -> type[picker.TargetPicker]:
+    """Return the target picker called ``name``."""
+    if name not in PICKERS:
+        known = ", ".join(sorted(PICKERS))
+        raise PickerNotFoundError(
+            f"no target picker {name!r}; known pickers: {known}"
+        )
+    return PICKERS[name]
--- /dev/null
+++ b/packages/node/src/balsamramp_node/pickers/least_of_two.py
@@ -0,0 +1,24 @@
+"""Least of two: the less loaded of two targets taken at random."""
+
+from collections import abc
+
+from balsamramp_node import picker
+
+__all__ = ["LeastOfTwo"]
+
+
+class LeastOfTwo(picker.TargetPicker):
+    """Of two random targets takes the one with fewer calls in flight."""
+
+    name = "least-of-two"
+    doc = "least in flight of two random matching targets"
+
+    def pick(
+        self, candidates: abc.Sequence[picker.Candidate]
+    ) -> picker.Candidate:
+        if len(candidates) == 1:
+            return candidates[0]
+        first, second = self._random.sample(candidates, 2)
+        if second.stats.in_flight < first.stats.in_flight:
+            return second
+        return first
--- /dev/null
+++ b/packages/node/src/balsamramp_node/pickers/round_robin.py
@@ -0,0 +1,25 @@
+"""Round robin: each target in turn."""
+
+from collections import abc
+import random
+
+from balsamramp_node import picker
+
+__all__ = ["RoundRobin"]
+
+
+class RoundRobin(picker.TargetPicker):
+    """Takes the targets in turn, whatever their load."""
+
+    name = "round-robin"
+    doc = "each matching target in turn"
+
+    def __init__(self, zone: str, choice: random.Random) -> None:
+        super().__init__(zone, choice)
+        self._next = 0
+
+    def pick(
+        self, candidates: abc.Sequence[picker.Candidate]
+    ) -> picker.Candidate:
+        self._next += 1
+        return candidates[self._next % len(candidates)]
--- /dev/null
+++ b/packages/node/src/balsamramp_node/platform_client.py
@@ -0,0 +1,165 @@
+"""Platform client: the platform's table and object store over HTTP."""
+
+import base64
+import datetime
+import typing
+
+import aiohttp
+import msgspec
+from returns import result
+
+from balsamramp_core import kernel
+from balsamramp_core import platform
+
+__all__ = ["HttpObjectStore", "HttpTable", "PlatformClient"]
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+
+
+class PlatformClient(kernel.Service):
+    """HTTP session with the platform, shared by table and object store."""
+
+    name = "platform"
+
+    def __init__(self, url: str, timeout: datetime.timedelta) -> None:
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(timeout.total_seconds())
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        self._session = aiohttp.ClientSession(timeout=self._timeout)
+
+    async def stop(self) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def request(
+        self, method: str, path: str, **arguments: typing.Any
+    ) -> result.Result[tuple[int, bytes], platform.PlatformError]:
+        """Send a request; return the status and the body of the answer.
+
+        A request that could not be sent is UNAVAILABLE; one whose answer
+        did not arrive is OUTCOME_UNKNOWN.
+        """
+        assert self._session is not None
+        unavailable = platform.PlatformErrorKind.UNAVAILABLE
+        unknown = platform.PlatformErrorKind.OUTCOME_UNKNOWN
+        try:
+            async with self._session.request(
+                method, self._url + path, **arguments
+            ) as response:
+                body = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return result.Failure(
+                platform.PlatformError(unavailable, str(error))
+            )
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return result.Failure(
+                platform.PlatformError(unknown, f"no answer: {error!r}")
+            )
+        if response.status >= 500:
+            text = f"status {response.status}"
+            return result.Failure(platform.PlatformError(unavailable, text))
+        return result.Success((response.status, body))
+
+
+class HttpTable(platform.Table):
+    """The table service over HTTP."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def read(
+        self, key: str
+    ) -> result.Result[platform.Row | None, platform.PlatformError]:
+        answer = await self._client.request(
+            "GET", "/table/row", params={"key": key}
+        )
+        if isinstance(answer, result.Failure):
+            return answer
+        status, body = answer.unwrap()
+        if status == STATUS_NOT_FOUND:
+            return result.Success(None)
+        return result.Success(_row(msgspec.json.decode(body)))
+
+    async def scan(
+        self, prefix: str, after: str, limit: int
+    ) -> result.Result[list[platform.Row], platform.PlatformError]:
+        parameters = {"prefix": prefix, "after": after, "limit": str(limit)}
+        answer = await self._client.request(
+            "GET", "/table/rows", params=parameters
+        )
+        if isinstance(answer, result.Failure):
+            return answer
+        _, body = answer.unwrap()
+        rows = msgspec.json.decode(body)["rows"]
+        return result.Success([_row(row) for row in rows])
+
+    async def commit(
+        self, transaction: platform.Transaction
+    ) -> result.Result[None, platform.PlatformError]:
+        answer = await self._client.request(
+            "POST",
+            "/table/transactions",
+            data=msgspec.json.encode(transaction),
+        )
+        if isinstance(answer, result.Failure):
+            return answer
+        status, body = answer.unwrap()
+        if status == STATUS_OK:
+            return result.Success(None)
+        kind = platform.PlatformErrorKind.CONFLICT
+        text = body.decode(errors="replace")
+        return result.Failure(platform.PlatformError(kind, text))
+
+
+class HttpObjectStore(platform.ObjectStore):
+    """The object store over HTTP."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def put(
+        self, key: str, value: bytes
+    ) -> result.Result[None, platform.PlatformError]:
+        answer = await self._client.request(
+            "PUT", "/object", params={"key": key}, data=value
+        )
+        return answer.map(lambda _: None)
+
+    async def get(
+        self, key: str
+    ) -> result.Result[bytes | None, platform.PlatformError]:
+        answer = await self._client.request(
+            "GET", "/object", params={"key": key}
+        )
+        if isinstance(answer, result.Failure):
+            return answer
+        status, body = answer.unwrap()
+        return result.Success(None if status == STATUS_NOT_FOUND else body)
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[list[str], platform.PlatformError]:
+        answer = await self._client.request(
+            "GET", "/objects", params={"prefix": prefix}
+        )
+        if isinstance(answer, result.Failure):
+            return answer
+        _, body = answer.unwrap()
+        return result.Success(msgspec.json.decode(body)["keys"])
+
+    async def delete(
+        self, key: str
+    ) -> result.Result[None, platform.PlatformError]:
+        answer = await self._client.request(
+            "DELETE", "/object", params={"key": key}
+        )
+        return answer.map(lambda _: None)
+
+
+def _row(document: dict[str, typing.Any]) -> platform.Row:
+    value = base64.b64decode(document["value"])
+    return platform.Row(document["key"], value, document["revision"])
--- /dev/null
+++ b/packages/node/src/balsamramp_node/policies/__init__.py
@@ -0,0 +1,24 @@
+"""The rollout policies, looked up by name."""
+
+from balsamramp_node import rollout_policy
+from balsamramp_node.policies import by_time
+
+__all__ = ["POLICIES", "PolicyNotFoundError", "find_policy"]
+
+POLICIES: dict[str, type[rollout_policy.RolloutPolicy]] = {
+    item.name: item for item in (by_time.ByTime,)
+}
+
+
+class PolicyNotFoundError(LookupError):
+    """No rollout policy has the given name."""
+
+
+def find_policy(name: str) -> type[rollout_policy.RolloutPolicy]:
+    """Return the rollout policy called ``name``."""
+    if name not in POLICIES:
+        known = ", ".join(sorted(POLICIES))
+        raise PolicyNotFoundError(
+            f"no rollout policy {name!r}; known policies: {known}"
+        )
+    return POLICIES[name]
--- /dev/null
+++ b/packages/node/src/balsamramp_node/targets.py
@@ -0,0 +1,180 @@
+"""Targets: what the targets of this VM announced to the node."""
+
+import asyncio
+from collections import abc
+import datetime
+import typing
+
+from absl import logging
+import attrs
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import metrics
+from balsamramp_core import resource
+from balsamramp_node import membership
+from balsamramp_wire import messages
+
+__all__ = ["Announcement", "LocalTarget", "LocalTargets"]
+
+EXPIRY_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
+
+
+@attrs.frozen(kw_only=True)
+class Announcement:
+    """A target's statement that it serves ``service`` at ``url``.
+
+    ``instance`` differs for each start of the target, so that a restart
+    is seen even when the target comes back within its lease.
+    """
+
+    target: str
+    service: str
+    url: str
+    instance: str = ""
+    labels: dict[str, str] = attrs.field(factory=dict)
+
+    def problems(self) -> list[str]:
+        """Return what is wrong with the announcement."""
+        found = resource.check_name("target", self.target)
+        found += resource.check_name("service", self.service)
+        if not self.url.startswith("http://"):
+            found.append(f"url {self.url!r} does not start with http://")
+        for key, value in sorted(self.labels.items()):
+            found += resource.check_name("label key", key)
+            found += resource.check_name(f"label {key}", value)
+        return found
+
+
+@attrs.define
+class LocalTarget:
+    """A target of this VM and until when its announcement holds."""
+
+    announcement: Announcement
+    state: messages.TargetState
+    expires_at: datetime.timedelta
+
+    def record(self) -> messages.TargetRecord:
+        """Return what other nodes are told of this target."""
+        return messages.TargetRecord(
+            target=self.announcement.target,
+            service=self.announcement.service,
+            labels=self.announcement.labels,
+            state=self.state,
+        )
+
+
+class LocalTargets(kernel.Service):
+    """The targets of this VM, kept while they renew their announcement."""
+
+    name = "targets"
+    requires = ("membership",)
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+        lease: datetime.timedelta,
+    ) -> None:
+        self._members = members
+        self._clock = time
+        self._metrics = counters
+        self._lease = lease
+        self._targets: dict[str, LocalTarget] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def lease(self) -> datetime.timedelta:
+        """Return how long an announcement holds."""
+        return self._lease
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self._expire())
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def announce(
+        self, announcement: Announcement
+    ) -> result.Result[LocalTarget, str]:
+        """Take in a new or renewed announcement."""
+        found = announcement.problems()
+        if found:
+            return result.Failure("; ".join(found))
+        expires_at = self._clock.monotonic() + self._lease
+        known = self._targets.get(announcement.target)
+        if known is None or known.announcement.instance != (
+            announcement.instance
+        ):
+            known = LocalTarget(
+                announcement, messages.TargetState.READY, expires_at
+            )
+            self._targets[announcement.target] = known
+            logging.info("target %s announced", announcement.target)
+        known.announcement = announcement
+        known.expires_at = expires_at
+        self._publish()
+        return result.Success(known)
+
+    def drain(self, target: str) -> bool:
+        """Take no new work for ``target``; False if it is unknown."""
+        known = self._targets.get(target)
+        if known is None:
+            return False
+        known.state = messages.TargetState.DRAINING
+        logging.info("target %s is draining", target)
+        self._publish()
+        return True
+
+    def drain_all(self) -> None:
+        """Take no new work for any target of this VM."""
+        for target in list(self._targets):
+            self.drain(target)
+
+    def withdraw(self, target: str) -> bool:
+        """Forget ``target``; False if it is unknown."""
+        known = self._targets.pop(target, None)
+        if known is None:
+            return False
+        logging.info("target %s withdrew", target)
+        self._publish()
+        return True
+
+    def find(self, target: str) -> LocalTarget | None:
+        """Return the target, or None if its announcement does not hold."""
+        known = self._targets.get(target)
+        if known is None or known.expires_at <= self._clock.monotonic():
+            return None
+        return known
+
+    def dump(self) -> abc.Mapping[str, typing.Any]:
+        return {
+            target: {
+                "service": known.announcement.service,
+                "url": known.announcement.url,
+                "labels": known.announcement.labels,
+                "state": known.state.value,
+            }
+            for target, known in sorted(self._targets.items())
+        }
+
+    def _publish(self) -> None:
+        names = sorted(self._targets)
+        records = tuple(self._targets[name].record() for name in names)
+        self._members.set_targets(records)
+
+    async def _expire(self) -> None:
+        while True:
+            await self._clock.sleep(EXPIRY_CHECK_INTERVAL)
+            now = self._clock.monotonic()
+            for target, known in list(self._targets.items()):
+                if known.expires_at > now:
+                    continue
+                del self._targets[target]
+                self._metrics.count("targets_expired_total")
+                logging.info("target %s did not renew", target)
+                self._publish()
--- /dev/null
+++ b/packages/testing/src/balsamramp_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, fakes and the scenario language; products never import it."""
--- /dev/null
+++ b/packages/testing/src/balsamramp_testing/memory_platform.py
@@ -0,0 +1,173 @@
+"""Memory platform: table and object store in memory, with faults."""
+
+import datetime
+import enum
+import typing
+
+import attrs
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import platform
+
+__all__ = ["Faults", "MemoryObjectStore", "MemoryTable"]
+
+ValueT = typing.TypeVar("ValueT")
+
+
+class WriteFault(enum.Enum):
+    """What happens to the next write."""
+
+    LOST_AFTER = "lost-after"
+    LOST_BEFORE = "lost-before"
+
+
+@attrs.define
+class Faults:
+    """Faults in force; tests change the fields as they go.
+
+    ``down`` fails everything, ``delay`` slows everything, and
+    ``write_faults`` lists what happens to the next writes.
+    """
+
+    down: bool = False
+    delay: datetime.timedelta = datetime.timedelta()
+    write_faults: list[WriteFault] = attrs.field(factory=list)
+
+
+class _Faulty:
+    def __init__(self, faults: Faults, time: clock.Clock) -> None:
+        self._faults = faults
+        self._clock = time
+
+    async def _before(self) -> platform.PlatformError | None:
+        if self._faults.delay:
+            await self._clock.sleep(self._faults.delay)
+        if not self._faults.down:
+            return None
+        kind = platform.PlatformErrorKind.UNAVAILABLE
+        return platform.PlatformError(kind, "the platform is down")
+
+    def _next_write_fault(self) -> WriteFault | None:
+        if self._faults.write_faults:
+            return self._faults.write_faults.pop(0)
+        return None
+
+
+class MemoryTable(_Faulty, platform.Table):
+    """A transactional table in memory."""
+
+    def __init__(self, faults: Faults, time: clock.Clock) -> None:
+        super().__init__(faults, time)
+        self._rows: dict[str, platform.Row] = {}
+        self._revision = 0
+        self.reads = 0
+        self.writes = 0
+
+    async def read(
+        self, key: str
+    ) -> result.Result[platform.Row | None, platform.PlatformError]:
+        error = await self._before()
+        if error is not None:
+            return result.Failure(error)
+        self.reads += 1
+        return result.Success(self._rows.get(key))
+
+    async def scan(
+        self, prefix: str, after: str, limit: int
+    ) -> result.Result[list[platform.Row], platform.PlatformError]:
+        error = await self._before()
+        if error is not None:
+            return result.Failure(error)
+        self.reads += 1
+        found: list[platform.Row] = []
+        for key in sorted(self._rows):
+            if not key.startswith(prefix) or key <= after:
+                continue
+            if len(found) >= limit:
+                break
+            found.append(self._rows[key])
+        return result.Success(found)
+
+    async def commit(
+        self, transaction: platform.Transaction
+    ) -> result.Result[None, platform.PlatformError]:
+        error = await self._before()
+        if error is not None:
+            return result.Failure(error)
+        fault = self._next_write_fault()
+        if fault is WriteFault.LOST_BEFORE:
+            return result.Failure(_lost())
+        for condition in transaction.conditions:
+            row = self._rows.get(condition.key)
+            if (row.revision if row else 0) == condition.revision:
+                continue
+            kind = platform.PlatformErrorKind.CONFLICT
+            text = f"{condition.key} has changed"
+            return result.Failure(platform.PlatformError(kind, text))
+        self._apply(transaction)
+        if fault is WriteFault.LOST_AFTER:
+            return result.Failure(_lost())
+        return result.Success(None)
+
+    def _apply(self, transaction: platform.Transaction) -> None:
+        self._revision += 1
+        self.writes += 1
+        for write in transaction.writes:
+            if write.value is None:
+                self._rows.pop(write.key, None)
+                continue
+            row = platform.Row(write.key, write.value, self._revision)
+            self._rows[write.key] = row
+
+
+class MemoryObjectStore(_Faulty, platform.ObjectStore):
+    """An object store in memory."""
+
+    def __init__(self, faults: Faults, time: clock.Clock) -> None:
+        super().__init__(faults, time)
+        self._objects: dict[str, bytes] = {}
+
+    async def put(
+        self, key: str, value: bytes
+    ) -> result.Result[None, platform.PlatformError]:
+        error = await self._before()
+        if error is not None:
+            return result.Failure(error)
+        fault = self._next_write_fault()
+        if fault is not WriteFault.LOST_BEFORE:
+            self._objects[key] = value
+        if fault is not None:
+            return result.Failure(_lost())
+        return result.Success(None)
+
+    async def get(
+        self, key: str
+    ) -> result.Result[bytes | None, platform.PlatformError]:
+        error = await self._before()
+        if error is not None:
+            return result.Failure(error)
+        return result.Success(self._objects.get(key))
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[list[str], platform.PlatformError]:
+        error = await self._before()
+        if error is not None:
+            return result.Failure(error)
+        found = [key for key in self._objects if key.startswith(prefix)]
+        return result.Success(sorted(found))
+
+    async def delete(
+        self, key: str
+    ) -> result.Result[None, platform.PlatformError]:
+        error = await self._before()
+        if error is not None:
+            return result.Failure(error)
+        self._objects.pop(key, None)
+        return result.Success(None)
+
+
+def _lost() -> platform.PlatformError:
+    kind = platform.PlatformErrorKind.OUTCOME_UNKNOWN
+    return platform.PlatformError(kind, "the answer was lost")
--- /dev/null
+++ b/packages/testing/src/balsamramp_testing/platform_server.py
@@ -0,0 +1,170 @@
+"""Platform server: the memory platform over HTTP, as a process.
+
+``PUT /faults`` sets faults while it runs, for example
+``{"down": true}`` or ``{"write_faults": ["lost-after"]}``.
+"""
+
+import base64
+import typing
+
+import falcon
+import falcon.asgi
+import msgspec
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import platform
+from balsamramp_testing import memory_platform
+from balsamramp_testing import serving
+
+__all__ = ["main", "make_application"]
+
+SCAN_MAX_ROWS = 1000
+
+STATUSES = {
+    platform.PlatformErrorKind.CONFLICT: 409,
+    platform.PlatformErrorKind.UNAVAILABLE: 503,
+}
+
+
+class _Row:
+    def __init__(self, table: memory_platform.MemoryTable) -> None:
+        self._table = table
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        row = _unwrap(await self._table.read(_key(req)), resp)
+        if row is None:
+            resp.status = falcon.HTTP_NOT_FOUND
+            return
+        resp.media = _row(row)
+
+
+class _Rows:
+    def __init__(self, table: memory_platform.MemoryTable) -> None:
+        self._table = table
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        prefix = req.get_param("prefix") or ""
+        after = req.get_param("after") or ""
+        limit = req.get_param_as_int("limit") or SCAN_MAX_ROWS
+        rows = _unwrap(await self._table.scan(prefix, after, limit), resp)
+        resp.media = {"rows": [_row(row) for row in rows]}
+
+
+class _Transactions:
+    def __init__(self, table: memory_platform.MemoryTable) -> None:
+        self._table = table
+
+    async def on_post(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        body = await req.bounded_stream.read()
+        transaction = msgspec.json.decode(body, type=platform.Transaction)
+        _unwrap(await self._table.commit(transaction), resp)
+        resp.media = {}
+
+
+class _Object:
+    def __init__(self, objects: memory_platform.MemoryObjectStore) -> None:
+        self._objects = objects
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        value = _unwrap(await self._objects.get(_key(req)), resp)
+        if value is None:
+            resp.status = falcon.HTTP_NOT_FOUND
+            return
+        resp.data = value
+
+    async def on_put(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        body = await req.bounded_stream.read()
+        _unwrap(await self._objects.put(_key(req), body), resp)
+
+    async def on_delete(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        _unwrap(await self._objects.delete(_key(req)), resp)
+
+
+class _Objects:
+    def __init__(self, objects: memory_platform.MemoryObjectStore) -> None:
+        self._objects = objects
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        prefix = req.get_param("prefix") or ""
+        keys = _unwrap(await self._objects.list(prefix), resp)
+        resp.media = {"keys": keys}
+
+
+class _FaultsResource:
+    def __init__(self, faults: memory_platform.Faults) -> None:
+        self._faults = faults
+
+    async def on_put(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        body = await req.bounded_stream.read()
+        given = msgspec.json.decode(body, type=memory_platform.Faults)
+        self._faults.down = given.down
+        self._faults.delay = given.delay
+        self._faults.write_faults = given.write_faults
+
+
+def make_application() -> falcon.asgi.App:
+    """Return a platform with an empty table and object store."""
+    faults = memory_platform.Faults()
+    time = clock.SystemClock()
+    table = memory_platform.MemoryTable(faults, time)
+    objects = memory_platform.MemoryObjectStore(faults, time)
+    application = falcon.asgi.App()
+    application.add_route("/table/rows", _Rows(table))
+    application.add_route("/table/row", _Row(table))
+    application.add_route("/table/transactions", _Transactions(table))
+    application.add_route("/objects", _Objects(objects))
+    application.add_route("/object", _Object(objects))
+    application.add_route("/faults", _FaultsResource(faults))
+    return application
+
+
+def main() -> None:
+    """Serve the platform stand-in until told to stop."""
+    parser = serving.parser("Stand-in of the platform.")
+    parsed = parser.parse_args()
+    serving.run(make_application(), parsed.port, parsed.addresses)
+
+
+def _key(req: falcon.asgi.Request) -> str:
+    return req.get_param("key", required=True)
+
+
+def _unwrap(
+    outcome: result.Result[typing.Any, platform.PlatformError],
+    resp: falcon.asgi.Response,
+) -> typing.Any:
+    if isinstance(outcome, result.Success):
+        return outcome.unwrap()
+    error = outcome.failure()
+    if error.kind is platform.PlatformErrorKind.OUTCOME_UNKNOWN:
+        raise serving.CutConnectionError(error.message)
+    raise falcon.HTTPError(STATUSES[error.kind], title=error.message)
+
+
+def _row(row: platform.Row) -> dict[str, typing.Any]:
+    return {
+        "key": row.key,
+        "value": base64.b64encode(row.value).decode(),
+        "revision": row.revision,
+    }
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/wire/src/balsamramp_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between nodes: messages, frames and control methods."""
--- /dev/null
+++ b/packages/wire/src/balsamramp_wire/control.py
@@ -0,0 +1,144 @@
+"""Control: requests between nodes, over gRPC.
+
+Each subclass of ``messages.ControlRequest`` is one unary method of the
+gRPC service ``balsamramp.Control``; messages are MessagePack.
+"""
+
+import abc
+from collections import abc as collections_abc
+import datetime
+import typing
+
+import grpc
+import grpc.aio
+import msgspec
+from returns import result
+
+from balsamramp_core import settings
+from balsamramp_core import verdict
+from balsamramp_wire import messages
+
+__all__ = ["GrpcTransport", "Handler", "PeerTransport"]
+
+SERVICE = "balsamramp.Control"
+MESSAGE_MAX_BYTES = 64 * 1024 * 1024
+STOP_GRACE = datetime.timedelta(milliseconds=200)
+
+Handler = collections_abc.Callable[
+    [typing.Any], collections_abc.Awaitable[typing.Any]
+]
+
+
+class PeerTransport(abc.ABC):
+    """Carries control requests to other nodes and serves theirs."""
+
+    @abc.abstractmethod
+    def handle(
+        self, request_type: type[messages.ControlRequest], handler: Handler
+    ) -> None:
+        """Serve requests of ``request_type`` with ``handler``."""
+
+    @abc.abstractmethod
+    async def send(
+        self,
+        peer: settings.Address,
+        request: messages.ControlRequest,
+        timeout: datetime.timedelta,
+    ) -> result.Result[typing.Any, verdict.Failure]:
+        """Send ``request`` and return its reply."""
+
+
+class GrpcTransport(PeerTransport):
+    """Control requests over gRPC, one channel a peer."""
+
+    def __init__(self, listen: settings.Address) -> None:
+        self._listen = listen
+        self._handlers: dict[str, grpc.RpcMethodHandler] = {}
+        self._channels: dict[settings.Address, grpc.aio.Channel] = {}
+        self._server: grpc.aio.Server | None = None
+        self._address = listen
+
+    @property
+    def address(self) -> settings.Address:
+        """Return the address in use, with the port that was bound."""
+        return self._address
+
+    def handle(
+        self, request_type: type[messages.ControlRequest], handler: Handler
+    ) -> None:
+        async def serve(
+            request: typing.Any, context: grpc.aio.ServicerContext
+        ) -> typing.Any:
+            return await handler(request)
+
+        decoder = msgspec.msgpack.Decoder(request_type)
+        method = grpc.unary_unary_rpc_method_handler(
+            serve,
+            request_deserializer=decoder.decode,
+            response_serializer=msgspec.msgpack.encode,
+        )
+        self._handlers[request_type.method] = method
+
+    async def start(self) -> None:
+        """Bind the port and serve the registered handlers."""
+        server = grpc.aio.server(options=_options())
+        generic = grpc.method_handlers_generic_handler(SERVICE, self._handlers)
+        server.add_generic_rpc_handlers((generic,))
+        port = server.add_insecure_port(str(self._listen))
+        self._address = settings.Address(self._listen.host, port)
+        await server.start()
+        self._server = server
+
+    async def stop(self) -> None:
+        """Stop serving and close the channels."""
+        for channel in self._channels.values():
+            await channel.close()
+        self._channels.clear()
+        if self._server is not None:
+            await self._server.stop(STOP_GRACE.total_seconds())
+            self._server = None
+
+    async def send(
+        self,
+        peer: settings.Address,
+        request: messages.ControlRequest,
+        timeout: datetime.timedelta,
+    ) -> result.Result[typing.Any, verdict.Failure]:
+        channel = self._channels.get(peer)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(str(peer), _options())
+            self._channels[peer] = channel
+        decoder: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
+            request.reply
+        )
+        call = channel.unary_unary(
+            f"/{SERVICE}/{request.method}",
+            request_serializer=msgspec.msgpack.encode,
+            response_deserializer=decoder.decode,
+        )
+        try:
+            reply = await call(request, timeout=timeout.total_seconds())
+        except grpc.aio.AioRpcError as error:
+            return result.Failure(_failure(peer, error))
+        return result.Success(reply)
+
+
+def _options() -> list[tuple[str, int]]:
+    return [
+        ("grpc.so_reuseport", 0),
+        ("grpc.max_receive_message_length", MESSAGE_MAX_BYTES),
+        ("grpc.max_send_message_length", MESSAGE_MAX_BYTES),
+        ("grpc.use_local_subchannel_pool", 1),
+        ("grpc.initial_reconnect_backoff_ms", 100),
+        ("grpc.max_reconnect_backoff_ms", 1000),
+    ]
+
+
+def _failure(
+    peer: settings.Address, error: grpc.aio.AioRpcError
+) -> verdict.Failure:
+    return verdict.Failure(
+        verdict.Verdict.MAY_HAVE_RUN,
+        verdict.Reason.CONNECTION_LOST,
+        f"control request to {peer} failed: {error.code().name}",
+    )
