Whole nodes in memory, in virtual time

Cause: failures have to be tried on whole nodes with the same verdict on every run, which sockets and the machine's clock do not give. Change: what a node reaches the outside with lies behind interfaces (parts), the services without ports are put together in one place (core), and the testing package has a network, a target and a world in memory. Ruled out: fakes below asyncio streams; they would test the fakes' framing.

--- /dev/null
+++ b/packages/node/src/balsamramp_node/call_transport.py
@@ -0,0 +1,24 @@
+"""Call transport: base class of what hands a call to another node."""
+
+import abc
+
+from balsamramp_core import settings
+from balsamramp_wire import messages
+
+__all__ = ["CallTransport", "Reply"]
+
+Reply = messages.CallAnswer | messages.CallFailure
+
+
+class CallTransport(abc.ABC):
+    """Hands calls to the nodes of other targets."""
+
+    @abc.abstractmethod
+    async def call(
+        self, peer: settings.Address, request: messages.CallRequest
+    ) -> Reply:
+        """Hand ``request`` to the node at ``peer`` and await its reply.
+
+        When the caller of this method is cancelled, the cancellation is
+        passed on to the peer.
+        """
--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls.py
@@ -10,10 +10,10 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import verdict
+from balsamramp_node import call_transport
 from balsamramp_node import door
 from balsamramp_node import picker
 from balsamramp_node import router
-from balsamramp_node import stream_client
 from balsamramp_wire import messages
 
 __all__ = ["CallerRequest", "Calls"]
@@ -38,7 +38,7 @@
     """Picks a target, hands the call to its node, and tries again."""
 
     name = "calls"
-    requires = ("door", "router", "stream-client")
+    requires = ("door", "router")
 
     def __init__(
         self,
@@ -46,7 +46,7 @@
         routes: router.Router,
         targets: picker.TargetPicker,
         local_door: door.Door,
-        streams: stream_client.StreamClient,
+        streams: call_transport.CallTransport,
         time: clock.Clock,
         counters: metrics.Metrics,
     ) -> None:
@@ -58,14 +58,16 @@
         self._clock = time
         self._metrics = counters
 
-    async def call(self, request: CallerRequest) -> door.Reply:
+    async def call(self, request: CallerRequest) -> call_transport.Reply:
         """Return the answer of a target, or a failure with a verdict."""
         call_id = uuid.uuid4().hex
         reply = await self._call(call_id, request)
         self._metrics.count("calls_total", verdict=_verdict_of(reply).value)
         return reply
 
-    async def _call(self, call_id: str, request: CallerRequest) -> door.Reply:
+    async def _call(
+        self, call_id: str, request: CallerRequest
+    ) -> call_transport.Reply:
         resolved = self._router.resolve(request.service, request.path)
         match resolved.value_or(None):
             case None:
@@ -76,7 +78,7 @@
         idempotent = request.method in found.service.idempotent_methods
         tried: set[str] = set()
         retries = request.retries
-        reply: door.Reply | None = None
+        reply: call_transport.Reply | None = None
         while True:
             candidates = [
                 candidate
@@ -101,7 +103,7 @@
 
     async def _attempt(
         self, chosen: picker.Candidate, message: messages.CallRequest
-    ) -> door.Reply:
+    ) -> call_transport.Reply:
         chosen.stats.in_flight += 1
         try:
             async with asyncio.timeout(message.timeout.total_seconds()):
@@ -174,7 +176,7 @@
     )
 
 
-def _verdict_of(reply: door.Reply) -> verdict.Verdict:
+def _verdict_of(reply: call_transport.Reply) -> verdict.Verdict:
     if isinstance(reply, messages.CallAnswer):
         return verdict.Verdict.RAN
     return reply.failure.verdict
--- /dev/null
+++ b/packages/node/src/balsamramp_node/core.py
@@ -0,0 +1,183 @@
+"""Core: the services of a node that need no port of their own."""
+
+import random
+
+import attrs
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import metrics
+from balsamramp_core import settings
+from balsamramp_node import acceptance
+from balsamramp_node import admission
+from balsamramp_node import admissions
+from balsamramp_node import calls
+from balsamramp_node import distribution
+from balsamramp_node import door
+from balsamramp_node import membership
+from balsamramp_node import operations
+from balsamramp_node import parts
+from balsamramp_node import pickers
+from balsamramp_node import policies
+from balsamramp_node import rollouts
+from balsamramp_node import router
+from balsamramp_node import source
+from balsamramp_node import store
+from balsamramp_node import targets
+from balsamramp_wire import messages
+
+__all__ = ["Core", "Identity", "parse_address"]
+
+
+@attrs.frozen
+class Identity:
+    """Which node this is, and which of its starts."""
+
+    node: str
+    zone: str
+    region: str
+    incarnation: int
+
+
+class Core:
+    """Makes the services from settings and parts and registers them.
+
+    The services are attributes, so that the ports of the process, or a
+    test, can use them directly.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        checked: settings.Settings,
+        outside: parts.Parts,
+        now: clock.Clock,
+        counters: metrics.Metrics,
+        choice: random.Random,
+    ) -> None:
+        self.identity = identity
+        self.kernel = kernel.Kernel()
+        self._settings = checked
+        self._outside = outside
+        self._clock = now
+        self._metrics = counters
+        self._random = choice
+        for service in outside.services:
+            self.kernel.add(service)
+        self._add_configuration()
+        self._add_membership()
+        self._add_routing()
+        self._add_calls()
+        self.operations = operations.Operations(
+            self.kernel,
+            identity.node,
+            acceptance.Acceptor(outside.table, now),
+        )
+
+    def _add_configuration(self) -> None:
+        self.store = store.ConfigurationStore(self._metrics)
+        self.source = source.ConfigurationSource(
+            self._outside.table,
+            self.store,
+            self._clock,
+            self._metrics,
+            self._settings.duration("platform", "poll_interval"),
+        )
+        self.distribution = distribution.Distribution(
+            self._outside.control, self.store, self._metrics
+        )
+        self.kernel.add(self.store)
+        self.kernel.add(self.source)
+        self.kernel.add(self.distribution)
+
+    def _add_membership(self) -> None:
+        seeds = self._settings.items("membership", "seeds")
+        self.membership = membership.Membership(
+            self._own_record(),
+            [parse_address(item) for item in seeds],
+            self._outside.control,
+            self.store,
+            self.distribution,
+            self._clock,
+            self._metrics,
+            self._settings.duration("membership", "interval"),
+            self._random,
+        )
+        self.kernel.add(self.membership)
+
+    def _own_record(self) -> messages.Member:
+        return messages.Member(
+            node=self.identity.node,
+            zone=self.identity.zone,
+            region=self.identity.region,
+            stream=self._listen("stream_port"),
+            control=self._listen("control_port"),
+            admin=self._listen("admin_port"),
+            incarnation=self.identity.incarnation,
+            sequence=0,
+            state=messages.MemberState.ALIVE,
+        )
+
+    def _listen(self, option: str) -> settings.Address:
+        host = self._settings.text("listen", "host")
+        return settings.Address(host, self._settings.integer("listen", option))
+
+    def _add_routing(self) -> None:
+        self.rollouts = rollouts.Rollouts(
+            self.store,
+            policies.find_policy("by-time")(),
+            self._clock,
+            self._metrics,
+        )
+        self.router = router.Router(
+            self.store, self.membership, self.rollouts, self._metrics
+        )
+        self.targets = targets.LocalTargets(
+            self.membership,
+            self._clock,
+            self._metrics,
+            self._settings.duration("targets", "lease"),
+        )
+        self.kernel.add(self.rollouts)
+        self.kernel.add(self.router)
+        self.kernel.add(self.targets)
+
+    def _add_calls(self) -> None:
+        self.door = door.Door(
+            self.identity.incarnation,
+            self.targets,
+            self._make_limit,
+            self._clock,
+            self._metrics,
+            self._outside.targets,
+            self._is_zone_out,
+        )
+        picker_type = pickers.find_picker(
+            self._settings.text("calls", "picker")
+        )
+        self.calls = calls.Calls(
+            self.identity.node,
+            self.router,
+            picker_type(self.identity.zone, self._random),
+            self.door,
+            self._outside.calls,
+            self._clock,
+            self._metrics,
+        )
+        self.kernel.add(self.door)
+        self.kernel.add(self.calls)
+
+    def _is_zone_out(self) -> bool:
+        return self.identity.zone in self.router.zones_out
+
+    def _make_limit(self) -> admission.AdmissionLimit:
+        limit_type = admissions.find_limit(
+            self._settings.text("targets", "admission")
+        )
+        return limit_type(self._settings.integer("targets", "initial_limit"))
+
+
+def parse_address(text: str) -> settings.Address:
+    """Return the address written as ``host:port``."""
+    host, _, port = text.rpartition(":")
+    return settings.Address(host, int(port))
--- a/packages/node/src/balsamramp_node/door.py
+++ b/packages/node/src/balsamramp_node/door.py
@@ -5,33 +5,33 @@
 import datetime
 import typing
 
-import aiohttp
 import attrs
+from returns import result
 
 from balsamramp_core import clock
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import verdict
 from balsamramp_node import admission
+from balsamramp_node import call_transport
+from balsamramp_node import target_client
 from balsamramp_node import targets
 from balsamramp_wire import messages
 
-__all__ = ["Door", "Reply"]
+__all__ = ["Door"]
 
 JOURNAL_RETENTION = datetime.timedelta(seconds=60)
 JOURNAL_MAX_CALLS = 100_000
 DRAIN_CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
 DRAIN_TIMEOUT = datetime.timedelta(seconds=10)
 SHED_STATUSES = frozenset([429, 503])
-CONNECTIONS_MAX = 100
 
-Reply = messages.CallAnswer | messages.CallFailure
 LimitMaker = abc.Callable[[], admission.AdmissionLimit]
 
 
 @attrs.define(eq=False)
 class _Admitted:
-    task: asyncio.Task[Reply]
+    task: asyncio.Task[call_transport.Reply]
     kept_until: datetime.timedelta
 
 
@@ -60,7 +60,7 @@
         make_limit: LimitMaker,
         time: clock.Clock,
         counters: metrics.Metrics,
-        body_max_bytes: int,
+        client: target_client.TargetClient,
         is_zone_out: abc.Callable[[], bool],
     ) -> None:
         self._incarnation = incarnation
@@ -68,25 +68,18 @@
         self._make_limit = make_limit
         self._clock = time
         self._metrics = counters
-        self._body_max_bytes = body_max_bytes
+        self._client = client
         self._is_zone_out = is_zone_out
         self._admitted: dict[str, _Admitted] = {}
         self._gates: dict[str, _Gate] = {}
-        self._session: aiohttp.ClientSession | None = None
-
-    async def start(self) -> None:
-        connector = aiohttp.TCPConnector(limit=CONNECTIONS_MAX)
-        self._session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False
-        )
 
     async def stop(self) -> None:
         self._targets.drain_all()
         await self._wait_until_idle()
-        if self._session is not None:
-            await self._session.close()
 
-    async def submit(self, request: messages.CallRequest) -> Reply:
+    async def submit(
+        self, request: messages.CallRequest
+    ) -> call_transport.Reply:
         """Run the call, or attach to its run if it was submitted before."""
         known = self._admitted.get(request.call_id)
         if known is not None:
@@ -166,7 +159,9 @@
             return messages.Load(0, 0)
         return messages.Load(gate.in_flight, gate.limit.limit)
 
-    async def _run(self, request: messages.CallRequest) -> Reply:
+    async def _run(
+        self, request: messages.CallRequest
+    ) -> call_transport.Reply:
         target = self._targets.find(request.target)
         assert target is not None
         gate = self._gate(target)
@@ -184,52 +179,23 @@
 
     async def _call_target(
         self, request: messages.CallRequest, target: targets.LocalTarget
-    ) -> tuple[Reply, admission.Outcome]:
-        assert self._session is not None
-        timeout = aiohttp.ClientTimeout(request.timeout.total_seconds())
-        try:
-            async with self._session.request(
-                request.method,
-                target.announcement.url + request.path,
-                headers=list(request.headers),
-                data=request.body or None,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
-                body = await response.content.read(self._body_max_bytes + 1)
-                rest = await response.content.read()
-        except aiohttp.ClientConnectorError as error:
-            failure = _not_run(
-                verdict.Reason.TARGET_FAILED, f"cannot connect: {error}"
-            )
-            return self._failed(request, failure), admission.Outcome.FAILED
-        except TimeoutError:
-            failure = _may_have_run(
-                verdict.Reason.DEADLINE, "no answer within the deadline"
-            )
-            return self._failed(request, failure), admission.Outcome.FAILED
-        except aiohttp.ClientError as error:
-            failure = _may_have_run(
-                verdict.Reason.TARGET_FAILED, f"answer cut: {error!r}"
-            )
-            return self._failed(request, failure), admission.Outcome.FAILED
-        if rest or len(body) > self._body_max_bytes:
-            failure = verdict.Failure(
-                verdict.Verdict.RAN,
-                verdict.Reason.TOO_LARGE,
-                f"answer is over {self._body_max_bytes} bytes",
-            )
-            return self._failed(request, failure), admission.Outcome.ANSWERED
+    ) -> tuple[call_transport.Reply, admission.Outcome]:
+        called = await self._client.call(target.announcement, request)
+        if isinstance(called, result.Failure):
+            failure = called.failure()
+            outcome = admission.Outcome.FAILED
+            if failure.verdict is verdict.Verdict.RAN:
+                outcome = admission.Outcome.ANSWERED
+            return self._failed(request, failure), outcome
+        found = called.unwrap()
         outcome = admission.Outcome.ANSWERED
-        if response.status in SHED_STATUSES:
+        if found.status in SHED_STATUSES:
             outcome = admission.Outcome.SHED
         answer = messages.CallAnswer(
             call_id=request.call_id,
-            status=response.status,
-            headers=tuple(
-                (str(name), value) for name, value in response.headers.items()
-            ),
-            body=body,
+            status=found.status,
+            headers=found.headers,
+            body=found.body,
             load=self._load(request.target),
         )
         return answer, outcome
@@ -261,7 +227,3 @@
 
 def _not_run(reason: verdict.Reason, message: str) -> verdict.Failure:
     return verdict.Failure(verdict.Verdict.NOT_RUN, reason, message)
-
-
-def _may_have_run(reason: verdict.Reason, message: str) -> verdict.Failure:
-    return verdict.Failure(verdict.Verdict.MAY_HAVE_RUN, reason, message)
--- a/packages/node/src/balsamramp_node/ingress.py
+++ b/packages/node/src/balsamramp_node/ingress.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from balsamramp_core import verdict
+from balsamramp_node import call_transport
 from balsamramp_node import calls
-from balsamramp_node import door
 from balsamramp_wire import messages
 
 __all__ = ["IngressDefaults", "make_application"]
@@ -174,7 +174,7 @@
     return tuple(kept)
 
 
-def _write(resp: falcon.asgi.Response, reply: door.Reply) -> None:
+def _write(resp: falcon.asgi.Response, reply: call_transport.Reply) -> None:
     if isinstance(reply, messages.CallFailure):
         _write_failure(resp, reply.call_id, reply.failure)
         return
--- a/packages/node/src/balsamramp_node/membership.py
+++ b/packages/node/src/balsamramp_node/membership.py
@@ -44,7 +44,7 @@
     """List of members, kept alike on all nodes by pairwise exchanges."""
 
     name = "membership"
-    requires = ("configuration", "distribution", "transport")
+    requires = ("configuration", "distribution")
 
     def __init__(
         self,
--- a/packages/node/src/balsamramp_node/operator_api.py
+++ b/packages/node/src/balsamramp_node/operator_api.py
@@ -9,111 +9,26 @@
 import msgspec
 from returns import result
 
-from balsamramp_core import configuration
-from balsamramp_core import kernel
 from balsamramp_core import resource
 from balsamramp_core import resources
 from balsamramp_node import acceptance
-from balsamramp_node import membership
-from balsamramp_node import rollouts
-from balsamramp_node import router
-from balsamramp_node import source
-from balsamramp_node import store
+from balsamramp_node import operations
 from balsamramp_node import target_api
 
-__all__ = ["Operations", "add_routes"]
-
-ACCEPT_ATTEMPTS = 8
-
-
-class Operations:
-    """What operators can do through a node, apart from HTTP."""
-
-    def __init__(self, services: kernel.Kernel, node: str) -> None:
-        self._kernel = services
-        self._node = node
-
-    async def submit(
-        self,
-        submission: acceptance.Submission,
-        acceptor: acceptance.Acceptor,
-    ) -> result.Result[configuration.Change, acceptance.Rejection]:
-        """Accept ``submission`` behind the latest version."""
-        configurations = self._kernel.find(store.ConfigurationStore)
-        reader = self._kernel.find(source.ConfigurationSource)
-        accepted: result.Result[configuration.Change, acceptance.Rejection] = (
-            result.Failure(acceptance.Rejection("not attempted"))
-        )
-        for _ in range(ACCEPT_ATTEMPTS):
-            read = await reader.read_now()
-            if isinstance(read, result.Failure):
-                text = f"platform: {read.failure().message}"
-                return result.Failure(acceptance.Rejection(text))
-            base = configurations.current
-            refused = _check_base(base, submission)
-            if refused is not None:
-                return result.Failure(refused)
-            accepted = await acceptor.accept(base, submission)
-            if isinstance(accepted, result.Success):
-                configurations.offer(accepted.unwrap())
-                return accepted
-            if not accepted.failure().conflict:
-                return accepted
-        return accepted
-
-    def status(self) -> dict[str, typing.Any]:
-        """Return what is in force here and what peers reported."""
-        current = self._kernel.find(store.ConfigurationStore).current
-        members = self._kernel.find(membership.Membership)
-        versions = members.versions
-        nodes = [
-            {
-                "node": member.node,
-                "zone": member.zone,
-                "state": member.state.value,
-                "version": versions.get(member.node),
-                "targets": msgspec.to_builtins(member.targets),
-            }
-            for member in members.members()
-        ]
-        shares = self._kernel.find(rollouts.Rollouts)
-        return {
-            "node": self._node,
-            "version": current.version,
-            "nodes": nodes,
-            "rollouts": shares.dump(),
-            "zones_out": sorted(self._kernel.find(router.Router).zones_out),
-        }
-
-    def document(self) -> list[dict[str, typing.Any]]:
-        """Return all resources in force as plain data."""
-        current = self._kernel.find(store.ConfigurationStore).current
-        keys = sorted(current.resources)
-        return [resources.encode(current.resources[key]) for key in keys]
-
-    def names(self) -> dict[str, int]:
-        """Return unknown service names and how often each was used."""
-        return dict(self._kernel.find(router.Router).unknown_names())
-
-    def dump(self) -> dict[str, typing.Any]:
-        """Return the state of every service of the process."""
-        return self._kernel.dump()
+__all__ = ["add_routes"]
 
 
 class _Changes:
     """``POST /v1/changes`` submits a change."""
 
-    def __init__(
-        self, operations: Operations, acceptor: acceptance.Acceptor
-    ) -> None:
-        self._operations = operations
-        self._acceptor = acceptor
+    def __init__(self, available: operations.Operations) -> None:
+        self._operations = available
 
     async def on_post(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
     ) -> None:
         submission = _submission(await target_api.read_json(req))
-        accepted = await self._operations.submit(submission, self._acceptor)
+        accepted = await self._operations.submit(submission)
         if isinstance(accepted, result.Success):
             change = accepted.unwrap()
             resp.media = {
@@ -147,17 +62,16 @@
 
 def add_routes(
     application: falcon.asgi.App,
-    operations: Operations,
-    acceptor: acceptance.Acceptor,
+    available: operations.Operations,
 ) -> None:
     """Add the resources for operators to the admin application."""
-    changes = _Changes(operations, acceptor)
+    changes = _Changes(available)
     application.add_route("/v1/changes", changes)
     views = {
-        "/v1/configuration": operations.document,
-        "/v1/dump": operations.dump,
-        "/v1/names": operations.names,
-        "/v1/status": operations.status,
+        "/v1/configuration": available.document,
+        "/v1/dump": available.dump,
+        "/v1/names": available.names,
+        "/v1/status": available.status,
     }
     for path, view in views.items():
         application.add_route(path, _View(view))
@@ -200,13 +114,3 @@
         now = datetime.datetime.now(datetime.UTC).isoformat()
         return {**document, "since": now}
     return document
-
-
-def _check_base(
-    base: configuration.Configuration, submission: acceptance.Submission
-) -> acceptance.Rejection | None:
-    wanted = submission.base_version
-    if wanted is None or wanted == base.version:
-        return None
-    text = f"the configuration is at version {base.version}, not {wanted}"
-    return acceptance.Rejection(text, conflict=True)
--- a/packages/node/src/balsamramp_node/stream_client.py
+++ b/packages/node/src/balsamramp_node/stream_client.py
@@ -10,7 +10,7 @@
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_core import verdict
-from balsamramp_node import door
+from balsamramp_node import call_transport
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
@@ -27,7 +27,7 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
-        self._waiting: dict[str, asyncio.Future[door.Reply]] = {}
+        self._waiting: dict[str, asyncio.Future[call_transport.Reply]] = {}
         self._closed = False
         self._task = asyncio.create_task(self._read())
 
@@ -36,10 +36,12 @@
         """Tell whether the connection can take no more calls."""
         return self._closed
 
-    async def call(self, request: messages.CallRequest) -> door.Reply:
+    async def call(
+        self, request: messages.CallRequest
+    ) -> call_transport.Reply:
         """Send ``request`` and wait for its answer."""
         loop = asyncio.get_running_loop()
-        future: asyncio.Future[door.Reply] = loop.create_future()
+        future: asyncio.Future[call_transport.Reply] = loop.create_future()
         self._waiting[request.call_id] = future
         self._writer.write(frames.encode(request))
         try:
@@ -81,7 +83,7 @@
                     future.set_result(_lost(call_id))
 
 
-class StreamClient(kernel.Service):
+class StreamClient(kernel.Service, call_transport.CallTransport):
     """Connections to other nodes, one a peer, opened when needed."""
 
     name = "stream-client"
@@ -104,7 +106,7 @@
 
     async def call(
         self, peer: settings.Address, request: messages.CallRequest
-    ) -> door.Reply:
+    ) -> call_transport.Reply:
         """Hand ``request`` to the node at ``peer``."""
         try:
             stream = await self._stream(peer)
--- /dev/null
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -0,0 +1,212 @@
+"""Memory network: carries calls and control requests between nodes.
+
+Links can be cut between zones or nodes and can delay or lose messages,
+all in the time of the clock that is passed in.
+"""
+
+import asyncio
+import datetime
+import random
+import typing
+
+import attrs
+import msgspec
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import settings
+from balsamramp_core import verdict
+from balsamramp_node import call_transport
+from balsamramp_node import door
+from balsamramp_wire import control
+from balsamramp_wire import messages
+
+__all__ = ["MemoryCalls", "MemoryControl", "MemoryNetwork"]
+
+DELAY = datetime.timedelta(microseconds=500)
+
+
+@attrs.define
+class Traffic:
+    """Control messages that one node sent, and their bytes."""
+
+    messages: int = 0
+    bytes: int = 0
+
+
+class MemoryNetwork:
+    """Knows where each node is and which links work.
+
+    ``loss_share`` of the messages are lost; a node in ``silent`` is
+    reachable but never answers.
+    """
+
+    def __init__(self, time: clock.Clock, choice: random.Random) -> None:
+        self._clock = time
+        self._random = choice
+        self._controls: dict[settings.Address, MemoryControl] = {}
+        self._doors: dict[settings.Address, door.Door] = {}
+        self._zones: dict[str, str] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self.delay = DELAY
+        self.loss_share = 0.0
+        self.down: set[str] = set()
+        self.silent: set[str] = set()
+        self.traffic: dict[str, Traffic] = {}
+
+    def add(
+        self,
+        node: str,
+        zone: str,
+        served: "MemoryControl",
+        calls: door.Door,
+    ) -> None:
+        """Connect a node, replacing an earlier one of the same name."""
+        self._zones[node] = zone
+        self._controls[settings.Address(node, 1)] = served
+        self._doors[settings.Address(node, 2)] = calls
+        self.down.discard(node)
+
+    def cut(self, left: str, right: str) -> None:
+        """Cut the link between two zones or nodes."""
+        self._cuts.add(frozenset((left, right)))
+
+    def heal(self, left: str, right: str) -> None:
+        """Mend the link between two zones or nodes."""
+        self._cuts.discard(frozenset((left, right)))
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Tell whether messages pass from ``sender`` to ``receiver``."""
+        if sender in self.down or receiver in self.down:
+            return False
+        ends = {sender, receiver}
+        zones = {self._zones.get(sender, ""), self._zones.get(receiver, "")}
+        return (
+            frozenset(ends) not in self._cuts
+            and frozenset(zones) not in self._cuts
+        )
+
+    def count(self, sender: str, size: int) -> None:
+        """Note that ``sender`` sent a control message of ``size`` bytes."""
+        traffic = self.traffic.setdefault(sender, Traffic())
+        traffic.messages += 1
+        traffic.bytes += size
+
+    async def carry(self, sender: str, receiver: str) -> bool:
+        """Take the time of one message; False if it was lost."""
+        await self._clock.sleep(self.delay)
+        if self._random.random() < self.loss_share:
+            return False
+        return self.reaches(sender, receiver)
+
+    def control_at(
+        self, address: settings.Address
+    ) -> typing.Optional["MemoryControl"]:
+        """Return the node's control side at ``address``, if any."""
+        return self._controls.get(address)
+
+    def door_at(self, address: settings.Address) -> door.Door | None:
+        """Return the door at ``address``, if any."""
+        return self._doors.get(address)
+
+
+class MemoryControl(control.PeerTransport):
+    """Control requests of one node over a memory network."""
+
+    def __init__(self, node: str, network: MemoryNetwork) -> None:
+        self._node = node
+        self._network = network
+        self.handlers: dict[type, control.Handler] = {}
+
+    def handle(
+        self,
+        request_type: type[messages.ControlRequest],
+        handler: control.Handler,
+    ) -> None:
+        self.handlers[request_type] = handler
+
+    async def send(
+        self,
+        peer: settings.Address,
+        request: messages.ControlRequest,
+        timeout: datetime.timedelta,
+    ) -> result.Result[typing.Any, verdict.Failure]:
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await self._send(peer, request)
+        except TimeoutError:
+            return _lost(peer)
+
+    async def _send(
+        self, peer: settings.Address, request: messages.ControlRequest
+    ) -> result.Result[typing.Any, verdict.Failure]:
+        encoded = msgspec.msgpack.encode(request)
+        self._network.count(self._node, len(encoded))
+        if not await self._network.carry(self._node, peer.host):
+            return _lost(peer)
+        served = self._network.control_at(peer)
+        if served is None or type(request) not in served.handlers:
+            return _lost(peer)
+        if peer.host in self._network.silent:
+            await asyncio.Event().wait()
+        arrived = msgspec.msgpack.decode(encoded, type=type(request))
+        reply = await served.handlers[type(request)](arrived)
+        answer = msgspec.msgpack.encode(reply)
+        self._network.count(peer.host, len(answer))
+        if not await self._network.carry(peer.host, self._node):
+            return _lost(peer)
+        return result.Success(
+            msgspec.msgpack.decode(answer, type=request.reply)
+        )
+
+
+class MemoryCalls(call_transport.CallTransport):
+    """Calls of one node to the doors of others over a memory network."""
+
+    def __init__(self, node: str, network: MemoryNetwork) -> None:
+        self._node = node
+        self._network = network
+
+    async def call(
+        self, peer: settings.Address, request: messages.CallRequest
+    ) -> call_transport.Reply:
+        reaches = self._network.reaches(self._node, peer.host)
+        served = self._network.door_at(peer)
+        if served is None or not reaches:
+            return _call_failed(request, verdict.Verdict.NOT_RUN)
+        if not await self._network.carry(self._node, peer.host):
+            return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
+        if peer.host in self._network.silent:
+            await asyncio.Event().wait()
+        try:
+            reply = await served.submit(request)
+        except asyncio.CancelledError:
+            served.cancel(request.call_id)
+            raise
+        if not await self._network.carry(peer.host, self._node):
+            return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
+        return reply
+
+
+def _lost(
+    peer: settings.Address,
+) -> result.Result[typing.Any, verdict.Failure]:
+    return result.Failure(
+        verdict.Failure(
+            verdict.Verdict.MAY_HAVE_RUN,
+            verdict.Reason.CONNECTION_LOST,
+            f"no answer from {peer}",
+        )
+    )
+
+
+def _call_failed(
+    request: messages.CallRequest, ran: verdict.Verdict
+) -> messages.CallFailure:
+    return messages.CallFailure(
+        call_id=request.call_id,
+        failure=verdict.Failure(
+            ran, verdict.Reason.CONNECTION_LOST, "connection lost"
+        ),
+        load=messages.Load(0, 0),
+    )
--- /dev/null
+++ b/packages/testing/src/balsamramp_testing/world.py
@@ -0,0 +1,186 @@
+"""World: whole nodes in one process, on fakes and in virtual time."""
+
+import datetime
+import random
+import typing
+
+import attrs
+
+from balsamramp_core import metrics
+from balsamramp_core import resources
+from balsamramp_core import settings
+from balsamramp_node import acceptance
+from balsamramp_node import call_transport
+from balsamramp_node import calls
+from balsamramp_node import core
+from balsamramp_node import options
+from balsamramp_node import parts
+from balsamramp_node import targets
+from balsamramp_testing import memory_network
+from balsamramp_testing import memory_platform
+from balsamramp_testing import memory_target
+from balsamramp_testing import virtual_time
+
+__all__ = ["World", "WorldNode"]
+
+SETTINGS = """\
+[node]
+id = {name}
+zone = {zone}
+region = {region}
+[listen]
+host = {name}
+control_port = 1
+stream_port = 2
+admin_port = 3
+[platform]
+url = http://platform
+[membership]
+seeds = {seeds}
+{extra}
+"""
+RENEW_INTERVAL = datetime.timedelta(milliseconds=500)
+
+
+@attrs.define(eq=False)
+class WorldNode:
+    """A running node and what it was made of."""
+
+    core: core.Core
+    metrics: metrics.Metrics
+    targets: memory_target.MemoryTargetClient
+
+
+class World:
+    """Nodes, a platform and a network in memory.
+
+    Example::
+
+        async def main() -> None:
+            world = World(seed=1)
+            node = await world.start_node("n1", "zone-a")
+            await world.announce("n1", "caja-1", "caja")
+            ...
+            await world.stop()
+
+        virtual_time.run(main())
+    """
+
+    def __init__(self, seed: int, region: str = "region-1") -> None:
+        self.random = random.Random(seed)
+        self.clock = virtual_time.VirtualClock()
+        self.faults = memory_platform.Faults()
+        self.table = memory_platform.MemoryTable(self.faults, self.clock)
+        self.objects = memory_platform.MemoryObjectStore(
+            self.faults, self.clock
+        )
+        self.network = memory_network.MemoryNetwork(
+            self.clock, random.Random(seed + 1)
+        )
+        self.nodes: dict[str, WorldNode] = {}
+        self._region = region
+        self._incarnation = 0
+
+    async def start_node(
+        self, name: str, zone: str, extra: str = ""
+    ) -> WorldNode:
+        """Start a node; one that was killed starts empty again."""
+        seeds = ", ".join(f"{other}:1" for other in list(self.nodes)[:3])
+        text = SETTINGS.format(
+            name=name,
+            zone=zone,
+            region=self._region,
+            seeds=seeds,
+            extra=extra,
+        )
+        checked = settings.parse(text, f"{name}.ini", options.OPTIONS).unwrap()
+        self._incarnation += 1
+        served = memory_network.MemoryControl(name, self.network)
+        client = memory_target.MemoryTargetClient(self.clock)
+        outside = parts.Parts(
+            table=self.table,
+            objects=self.objects,
+            control=served,
+            calls=memory_network.MemoryCalls(name, self.network),
+            targets=client,
+        )
+        counters = metrics.Metrics()
+        made = core.Core(
+            core.Identity(name, zone, self._region, self._incarnation),
+            checked,
+            outside,
+            self.clock,
+            counters,
+            random.Random(self.random.random()),
+        )
+        self.network.add(name, zone, served, made.door)
+        await made.kernel.start()
+        node = WorldNode(made, counters, client)
+        self.nodes[name] = node
+        return node
+
+    async def kill_node(self, name: str) -> None:
+        """End a node without any of its messages getting out."""
+        self.network.down.add(name)
+        await self.nodes.pop(name).core.kernel.stop()
+
+    async def stop(self) -> None:
+        """Stop all nodes."""
+        for name in list(self.nodes):
+            await self.kill_node(name)
+
+    def announce(
+        self,
+        node: str,
+        target: str,
+        service: str,
+        version: str = "v1",
+        instance: str = "1",
+    ) -> memory_target.MemoryTarget:
+        """Announce ``target`` at ``node`` once and return it."""
+        made = memory_target.MemoryTarget(target)
+        found = self.nodes[node]
+        known = found.targets.targets.setdefault(target, made)
+        found.core.targets.announce(
+            targets.Announcement(
+                target=target,
+                service=service,
+                url=f"http://{target}",
+                instance=instance,
+                labels={"version": version},
+            )
+        ).unwrap()
+        return known
+
+    async def apply(self, node: str, *documents: dict[str, typing.Any]) -> int:
+        """Submit resources through ``node``; return their version."""
+        puts = tuple(resources.decode(item).unwrap() for item in documents)
+        submission = acceptance.Submission(
+            change_id=f"{self.random.getrandbits(64):x}",
+            author="test",
+            puts=puts,
+        )
+        operations = self.nodes[node].core.operations
+        return (await operations.submit(submission)).unwrap().version
+
+    async def call(
+        self,
+        node: str,
+        service: str,
+        method: str = "GET",
+        path: str = "/",
+        body: bytes = b"",
+        timeout: datetime.timedelta = datetime.timedelta(seconds=2),
+    ) -> call_transport.Reply:
+        """Send a call to ``node`` as a caller would."""
+        return await self.nodes[node].core.calls.call(
+            calls.CallerRequest(
+                service=service,
+                method=method,
+                path=path,
+                headers=(),
+                body=body,
+                timeout=timeout,
+                retries=2,
+            )
+        )
