--- a/packages/node/src/balsamramp_node/admissions/__init__.py
+++ b/packages/node/src/balsamramp_node/admissions/__init__.py
@@ -1,12 +1,13 @@
 """The admission limits, looked up by name."""
 
 from balsamramp_node import admission
+from balsamramp_node.admissions import adaptive
 from balsamramp_node.admissions import fixed
 
 __all__ = ["LIMITS", "LimitNotFoundError", "find_limit"]
 
 LIMITS: dict[str, type[admission.AdmissionLimit]] = {
-    item.name: item for item in (fixed.FixedLimit,)
+    item.name: item for item in (adaptive.AdaptiveLimit, fixed.FixedLimit)
 }
 
 
--- a/packages/node/src/balsamramp_node/app.py
+++ b/packages/node/src/balsamramp_node/app.py
@@ -75,7 +75,11 @@
             identity, checked, outside, now, self._metrics, choice
         )
         self._stream_server = stream_server.StreamServer(
-            hello, self._listen("stream_port"), self._core.door, self._metrics
+            hello,
+            self._listen("stream_port"),
+            self._core.door,
+            now,
+            self._metrics,
         )
         self._core.kernel.add(self._stream_server)
         self._callers = self._caller_server()
--- a/packages/node/src/balsamramp_node/call_transport.py
+++ b/packages/node/src/balsamramp_node/call_transport.py
@@ -19,6 +19,8 @@
     ) -> Reply:
         """Hand ``request`` to the node at ``peer`` and await its reply.
 
-        When the caller of this method is cancelled, the cancellation is
-        passed on to the peer.
+        The reply comes within the request's timeout, give or take a
+        grace period for a late one; it is a failure with its verdict
+        when nothing was heard. When the caller of this method is
+        cancelled, the cancellation is passed on to the peer.
         """
--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls.py
@@ -18,6 +18,18 @@
 
 __all__ = ["CallerRequest", "Calls"]
 
+REFUSALS_MAX = 2
+FAILED_STATUS_MIN = 500
+FAILED_REASONS = frozenset(
+    [
+        verdict.Reason.CONNECTION_LOST,
+        verdict.Reason.DEADLINE,
+        verdict.Reason.STALE_INCARNATION,
+        verdict.Reason.TARGET_FAILED,
+        verdict.Reason.TRUNCATED,
+    ]
+)
+
 
 @attrs.frozen(kw_only=True)
 class CallerRequest:
@@ -74,70 +86,134 @@
                 return _failed(call_id, resolved.failure())
             case found:
                 pass
-        deadline = self._clock.monotonic() + request.timeout
-        idempotent = request.method in found.service.idempotent_methods
-        tried: set[str] = set()
-        retries = request.retries
-        reply: call_transport.Reply | None = None
+        call = _Call(
+            call_id=call_id,
+            request=request,
+            deadline=self._clock.monotonic() + request.timeout,
+            idempotent=request.method in found.service.idempotent_methods,
+            retries=request.retries,
+        )
         while True:
-            candidates = [
-                candidate
-                for candidate in self._router.candidates(found, call_id)
-                if candidate.record.target not in tried
-            ]
-            left = deadline - self._clock.monotonic()
-            if not candidates or left <= datetime.timedelta():
-                return reply or _no_target(call_id, request.service)
-            chosen = self._picker.pick(candidates)
-            tried.add(chosen.record.target)
-            message = _message(
-                call_id, request, chosen, left, retries, idempotent
-            )
-            reply = await self._attempt(chosen, message)
+            chosen = self._pick(call, found)
+            if chosen is None:
+                break
+            reply = await self._attempt(call, chosen)
             if isinstance(reply, messages.CallAnswer):
                 return reply
-            if not _may_retry(reply.failure, idempotent) or retries <= 0:
-                return reply
-            retries -= 1
+            call.note(reply)
+            if not call.may_retry(reply.failure):
+                break
             self._metrics.count("retries_total")
+        return call.worst or _no_target(call_id, request.service)
+
+    def _pick(
+        self, call: "_Call", resolved: router.Resolved
+    ) -> picker.Candidate | None:
+        now = self._clock.monotonic()
+        if call.deadline <= now:
+            return None
+        candidates = [
+            candidate
+            for candidate in self._router.candidates(resolved, call.call_id)
+            if candidate.record.target not in call.tried
+        ]
+        if not candidates:
+            return None
+        return self._picker.pick(candidates, now)
 
     async def _attempt(
-        self, chosen: picker.Candidate, message: messages.CallRequest
+        self, call: "_Call", chosen: picker.Candidate
     ) -> call_transport.Reply:
-        chosen.stats.in_flight += 1
+        call.tried.add(chosen.record.target)
+        started = self._clock.monotonic()
+        message = call.message(chosen, started)
+        stats = chosen.stats
+        stats.start(started)
         try:
-            async with asyncio.timeout(message.timeout.total_seconds()):
-                if chosen.member.node == self._node:
-                    reply = await self._door.submit(message)
-                else:
-                    reply = await self._streams.call(
-                        chosen.member.stream, message
-                    )
-        except TimeoutError:
-            return _failed(
-                message.call_id,
-                verdict.Failure(
-                    verdict.Verdict.MAY_HAVE_RUN,
-                    verdict.Reason.DEADLINE,
-                    "no answer within the deadline",
-                ),
-            )
-        finally:
-            chosen.stats.in_flight -= 1
-        chosen.stats.load = reply.load
+            if chosen.member.node == self._node:
+                reply = await self._submit_locally(message)
+            else:
+                reply = await self._streams.call(chosen.member.stream, message)
+        except asyncio.CancelledError:
+            stats.give_up()
+            raise
+        now = self._clock.monotonic()
+        stats.finish(now, now - started, _sign_of(reply), reply.load)
         return reply
 
+    async def _submit_locally(
+        self, message: messages.CallRequest
+    ) -> call_transport.Reply:
+        try:
+            return await self._door.submit(message)
+        except asyncio.CancelledError:
+            self._door.cancel(message.call_id, message.target)
+            raise
+
+
+@attrs.define(kw_only=True)
+class _Call:
+    """A call on its way: what was tried and what is left.
+
+    ``retries`` is the budget that is left. Each message to a target
+    hands half of it on, for the calls which the target makes in turn;
+    the part handed on comes back only if the target has not run. So all
+    attempts at the end of a chain are at most one and the budget.
+    """
+
+    call_id: str
+    request: CallerRequest
+    deadline: datetime.timedelta
+    idempotent: bool
+    retries: int
+    handed_on: int = 0
+    refusals: int = 0
+    tried: set[str] = attrs.field(factory=set)
+    worst: messages.CallFailure | None = None
+
+    def message(
+        self, chosen: picker.Candidate, now: datetime.timedelta
+    ) -> messages.CallRequest:
+        """Return the message for ``chosen`` and hand on retries."""
+        self.handed_on = self.retries // 2
+        self.retries -= self.handed_on
+        left = self.deadline - now
+        return _message(self, chosen, left)
+
+    def note(self, reply: messages.CallFailure) -> None:
+        """Keep the worst verdict of all attempts."""
+        worst = self.worst
+        if (
+            worst is None
+            or _RANKS[worst.failure.verdict] <= (_RANKS[reply.failure.verdict])
+        ):
+            self.worst = reply
+
+    def may_retry(self, failure: verdict.Failure) -> bool:
+        """Tell whether another target may be tried, and account for it."""
+        if failure.verdict is verdict.Verdict.NOT_RUN:
+            self.retries += self.handed_on
+            self.refusals += 1
+            return self.refusals <= REFUSALS_MAX
+        if failure.verdict is verdict.Verdict.RAN or not self.idempotent:
+            return False
+        self.retries -= 1
+        return self.retries >= 0
+
+
+_RANKS = {
+    verdict.Verdict.NOT_RUN: 0,
+    verdict.Verdict.MAY_HAVE_RUN: 1,
+    verdict.Verdict.RAN: 2,
+}
+
 
 def _message(
-    call_id: str,
-    request: CallerRequest,
-    chosen: picker.Candidate,
-    left: datetime.timedelta,
-    retries: int,
-    idempotent: bool,
+    call: _Call, chosen: picker.Candidate, left: datetime.timedelta
 ) -> messages.CallRequest:
+    request = call.request
     return messages.CallRequest(
-        call_id=call_id,
+        call_id=call.call_id,
         service=chosen.record.service,
         target=chosen.record.target,
         incarnation=chosen.member.incarnation,
@@ -145,18 +221,22 @@
         path=request.path,
         headers=request.headers,
         timeout=left,
-        idempotent=idempotent,
+        idempotent=call.idempotent,
         idempotency_key=request.idempotency_key,
-        retries=retries,
+        retries=call.handed_on,
         depth=request.depth,
         body=request.body,
     )
 
 
-def _may_retry(failure: verdict.Failure, idempotent: bool) -> bool:
-    if failure.verdict is verdict.Verdict.NOT_RUN:
-        return True
-    return idempotent and failure.verdict is verdict.Verdict.MAY_HAVE_RUN
+def _sign_of(reply: call_transport.Reply) -> picker.Sign:
+    if isinstance(reply, messages.CallAnswer):
+        if reply.status >= FAILED_STATUS_MIN:
+            return picker.Sign.FAILED
+        return picker.Sign.ANSWERED
+    if reply.failure.reason in FAILED_REASONS:
+        return picker.Sign.FAILED
+    return picker.Sign.REFUSED
 
 
 def _no_target(call_id: str, service: str) -> messages.CallFailure:
--- a/packages/node/src/balsamramp_node/door.py
+++ b/packages/node/src/balsamramp_node/door.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections import abc
 import datetime
+import functools
 import typing
 
+from absl import logging
 import attrs
 from returns import result
 
@@ -14,34 +16,23 @@
 from balsamramp_core import verdict
 from balsamramp_node import admission
 from balsamramp_node import call_transport
+from balsamramp_node import gate
+from balsamramp_node import journal
 from balsamramp_node import target_client
 from balsamramp_node import targets
 from balsamramp_wire import messages
 
 __all__ = ["Door"]
 
-JOURNAL_RETENTION = datetime.timedelta(seconds=60)
-JOURNAL_MAX_CALLS = 100_000
+CANCEL_RETENTION = datetime.timedelta(seconds=60)
 DRAIN_CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
 DRAIN_TIMEOUT = datetime.timedelta(seconds=10)
 SHED_STATUSES = frozenset([429, 503])
+NO_AGE = datetime.timedelta()
 
 LimitMaker = abc.Callable[[], admission.AdmissionLimit]
 
 
-@attrs.define(eq=False)
-class _Admitted:
-    task: asyncio.Task[call_transport.Reply]
-    kept_until: datetime.timedelta
-
-
-@attrs.define(eq=False)
-class _Gate:
-    limit: admission.AdmissionLimit
-    instance: str
-    in_flight: int = 0
-
-
 class Door(kernel.Service):
     """Admits calls to the targets of this VM, each call once.
 
@@ -70,160 +61,324 @@
         self._metrics = counters
         self._client = client
         self._is_zone_out = is_zone_out
-        self._admitted: dict[str, _Admitted] = {}
-        self._gates: dict[str, _Gate] = {}
+        self._journal = journal.Journal()
+        self._gates: dict[str, gate.Gate] = {}
+        self._running = 0
 
     async def stop(self) -> None:
         self._targets.drain_all()
-        await self._wait_until_idle()
+        await self.wait_until_idle()
 
     async def submit(
-        self, request: messages.CallRequest
+        self,
+        request: messages.CallRequest,
+        age: datetime.timedelta = NO_AGE,
     ) -> call_transport.Reply:
-        """Run the call, or attach to its run if it was submitted before."""
-        known = self._admitted.get(request.call_id)
+        """Run the call, or attach to its run if it was submitted before.
+
+        ``age`` is how long the message was on its way; what is left of
+        the call's time is its ``timeout`` less that.
+        """
+        if request.incarnation != self._incarnation:
+            return self._refuse_unrecorded(request, _stale(request))
+        self._journal.advance(self._clock.monotonic())
+        key = journal.key_of(request)
+        known = self._journal.find(key)
         if known is not None:
             self._metrics.count("repeated_calls_total")
-            return await asyncio.shield(known.task)
-        refusal = self._refusal(request)
+            if known.reply is not None:
+                return known.reply
+            assert known.task is not None
+            return await self._wait_for(key, known.task)
+        left = request.timeout - age
+        refusal = self._refusal(request, left)
         if refusal is not None:
-            self._metrics.count("refused_total", reason=refusal.reason.value)
-            return messages.CallFailure(
-                call_id=request.call_id,
-                failure=refusal,
-                load=self._load(request.target),
+            return self._refuse_and_record(request, refusal, left)
+        task = asyncio.create_task(self._run(request, left))
+        task.add_done_callback(functools.partial(self._ended, key))
+        self._journal.add(key, journal.Entry(task), left)
+        return await self._wait_for(key, task)
+
+    def cancel(self, call_id: str, target: str) -> None:
+        """Stop the call because nobody waits for its answer.
+
+        A call that is not known yet is refused when its message arrives.
+        """
+        key = (call_id, target)
+        known = self._journal.find(key)
+        if known is None:
+            failure = verdict.Failure(
+                verdict.Verdict.MAY_HAVE_RUN,
+                verdict.Reason.CANCELLED,
+                "the call was cancelled",
             )
-        task = asyncio.create_task(self._run(request))
-        kept_until = self._clock.monotonic() + JOURNAL_RETENTION
-        self._admitted[request.call_id] = _Admitted(task, kept_until)
-        self._forget_old()
-        return await asyncio.shield(task)
-
-    def cancel(self, call_id: str) -> None:
-        """Stop the call because nobody waits for its answer."""
-        known = self._admitted.get(call_id)
-        if known is not None:
+            entry = journal.Entry(reply=self._failed(call_id, target, failure))
+            self._journal.add(key, entry, CANCEL_RETENTION)
+            return
+        if known.task is not None:
             known.task.cancel()
 
     def dump(self) -> abc.Mapping[str, typing.Any]:
-        return {
-            target: {"in_flight": gate.in_flight, "limit": gate.limit.limit}
-            for target, gate in sorted(self._gates.items())
-        }
+        shown: dict[str, typing.Any] = {"remembered_calls": len(self._journal)}
+        for target, found in sorted(self._gates.items()):
+            shown[target] = {
+                "in_flight": found.in_flight,
+                "limit": found.limit.limit,
+            }
+        return shown
+
+    async def wait_until_idle(self) -> None:
+        """Wait until no call runs, at most ``DRAIN_TIMEOUT``."""
+        deadline = self._clock.monotonic() + DRAIN_TIMEOUT
+        while self._running and self._clock.monotonic() < deadline:
+            await self._clock.sleep(DRAIN_CHECK_INTERVAL)
+
+    async def _wait_for(
+        self, key: journal.JournalKey, task: asyncio.Task[call_transport.Reply]
+    ) -> call_transport.Reply:
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            entry = self._journal.find(key)
+            if not task.cancelled() or entry is None or entry.reply is None:
+                raise
+            return entry.reply
 
     def _refusal(
-        self, request: messages.CallRequest
+        self, request: messages.CallRequest, left: datetime.timedelta
     ) -> verdict.Failure | None:
-        if request.incarnation != self._incarnation:
-            return _not_run(
-                verdict.Reason.STALE_INCARNATION, "the node was restarted"
-            )
+        if left <= datetime.timedelta():
+            return _too_late(left)
         if self._is_zone_out():
             return _not_run(verdict.Reason.ZONE_OUT, "the zone is out")
         target = self._targets.find(request.target)
-        if target is None:
-            return _not_run(
-                verdict.Reason.NO_TARGET, f"no target {request.target}"
-            )
-        if target.state is not messages.TargetState.READY:
-            return _not_run(
-                verdict.Reason.DRAINING,
-                f"target {request.target} is {target.state.value}",
-            )
-        gate = self._gate(target)
-        if gate.in_flight >= gate.limit.limit:
+        failure = _unready(request.target, target)
+        if failure is not None:
+            return failure
+        assert target is not None
+        found = self._gate(target)
+        if found.full or found.wait >= left:
             return _not_run(
                 verdict.Reason.OVERLOADED,
                 f"target {request.target} has no free slot",
+                found.wait,
             )
-        if len(self._admitted) >= JOURNAL_MAX_CALLS:
+        if self._journal.full:
             return _not_run(
                 verdict.Reason.OVERLOADED, "too many calls to remember"
             )
         return None
 
-    def _gate(self, target: targets.LocalTarget) -> _Gate:
+    def _refuse_and_record(
+        self,
+        request: messages.CallRequest,
+        refusal: verdict.Failure,
+        left: datetime.timedelta,
+    ) -> call_transport.Reply:
+        self._metrics.count("refused_total", reason=refusal.reason.value)
+        if request.repeat and self._journal.full:
+            refusal = verdict.Failure(
+                verdict.Verdict.MAY_HAVE_RUN,
+                refusal.reason,
+                f"{refusal.message}; the first message may still arrive",
+            )
+        reply = self._failed(request.call_id, request.target, refusal)
+        if not self._journal.full:
+            entry = journal.Entry(reply=reply)
+            kept = max(left, datetime.timedelta())
+            self._journal.add(journal.key_of(request), entry, kept)
+        return reply
+
+    def _gate(self, target: targets.LocalTarget) -> gate.Gate:
         announcement = target.announcement
-        gate = self._gates.get(announcement.target)
-        if gate is None:
-            gate = _Gate(self._make_limit(), announcement.instance)
-            self._gates[announcement.target] = gate
-        if gate.instance != announcement.instance:
-            gate.instance = announcement.instance
-            gate.limit.reset()
-        return gate
+        found = self._gates.get(announcement.target)
+        if found is None:
+            found = gate.Gate(
+                self._make_limit(), announcement.instance, self._clock
+            )
+            self._gates[announcement.target] = found
+        if found.instance != announcement.instance:
+            found.replace_target(announcement.instance)
+        return found
 
     def _load(self, target: str) -> messages.Load:
-        gate = self._gates.get(target)
-        if gate is None:
+        found = self._gates.get(target)
+        if found is None:
             return messages.Load(0, 0)
-        return messages.Load(gate.in_flight, gate.limit.limit)
+        return messages.Load(found.in_flight, found.limit.limit)
 
     async def _run(
-        self, request: messages.CallRequest
+        self, request: messages.CallRequest, left: datetime.timedelta
     ) -> call_transport.Reply:
+        progress = _Progress()
+        self._running += 1
+        try:
+            return await self._admit(request, left, progress)
+        except asyncio.CancelledError:
+            return self._cancelled(request, progress)
+        except Exception as error:
+            logging.exception("call %s failed", request.call_id)
+            failure = verdict.Failure(
+                verdict.Verdict.MAY_HAVE_RUN,
+                verdict.Reason.TARGET_FAILED,
+                f"unexpected {error!r}",
+            )
+            return self._failed(request.call_id, request.target, failure)
+        finally:
+            self._running -= 1
+
+    async def _admit(
+        self,
+        request: messages.CallRequest,
+        left: datetime.timedelta,
+        progress: "_Progress",
+    ) -> call_transport.Reply:
+        deadline = self._clock.monotonic() + left
         target = self._targets.find(request.target)
+        failure = _unready(request.target, target)
+        if failure is not None:
+            return self._refuse_unrecorded(request, failure)
         assert target is not None
-        gate = self._gate(target)
-        gate.in_flight += 1
+        entered = self._gate(target)
+        if not await entered.enter(deadline):
+            failure = _not_run(
+                verdict.Reason.OVERLOADED,
+                f"no slot of target {request.target} came free",
+                entered.wait,
+            )
+            return self._refuse_unrecorded(request, failure)
+        target = self._targets.find(request.target)
+        failure = _unready(request.target, target)
+        if failure is not None:
+            entered.leave()
+            return self._refuse_unrecorded(request, failure)
+        assert target is not None
+        progress.sent = True
+        return await self._call_target(request, target, entered, deadline)
+
+    async def _call_target(
+        self,
+        request: messages.CallRequest,
+        target: targets.LocalTarget,
+        entered: gate.Gate,
+        deadline: datetime.timedelta,
+    ) -> call_transport.Reply:
         started = self._clock.monotonic()
         outcome = admission.Outcome.CANCELLED
         try:
-            reply, outcome = await self._call_target(request, target)
+            called = await self._client.call(
+                target.announcement, request, deadline - started
+            )
+            outcome = _outcome(called)
         finally:
-            now = self._clock.monotonic()
-            gate.limit.finish(now, now - started, outcome, gate.in_flight)
-            gate.in_flight -= 1
+            entered.finish(self._clock.monotonic() - started, outcome)
             self._metrics.count("target_calls_total", outcome=outcome.value)
-        return reply
-
-    async def _call_target(
-        self, request: messages.CallRequest, target: targets.LocalTarget
-    ) -> tuple[call_transport.Reply, admission.Outcome]:
-        called = await self._client.call(target.announcement, request)
         if isinstance(called, result.Failure):
             failure = called.failure()
-            outcome = admission.Outcome.FAILED
-            if failure.verdict is verdict.Verdict.RAN:
-                outcome = admission.Outcome.ANSWERED
-            return self._failed(request, failure), outcome
+            return self._failed(request.call_id, request.target, failure)
         found = called.unwrap()
-        outcome = admission.Outcome.ANSWERED
-        if found.status in SHED_STATUSES:
-            outcome = admission.Outcome.SHED
-        answer = messages.CallAnswer(
+        return messages.CallAnswer(
             call_id=request.call_id,
             status=found.status,
             headers=found.headers,
             body=found.body,
             load=self._load(request.target),
         )
-        return answer, outcome
 
-    def _failed(
+    def _ended(
+        self, key: journal.JournalKey, task: asyncio.Task[call_transport.Reply]
+    ) -> None:
+        if not task.cancelled():
+            self._journal.finish(key, task.result())
+            return
+        failure = _not_run(
+            verdict.Reason.CANCELLED, "cancelled before it was started"
+        )
+        self._journal.finish(key, self._failed(*key, failure))
+
+    def _refuse_unrecorded(
         self, request: messages.CallRequest, failure: verdict.Failure
+    ) -> messages.CallFailure:
+        self._metrics.count("refused_total", reason=failure.reason.value)
+        return self._failed(request.call_id, request.target, failure)
+
+    def _cancelled(
+        self, request: messages.CallRequest, progress: "_Progress"
+    ) -> messages.CallFailure:
+        self._metrics.count("cancelled_calls_total")
+        ran = verdict.Verdict.NOT_RUN
+        if progress.sent:
+            ran = verdict.Verdict.MAY_HAVE_RUN
+        failure = verdict.Failure(
+            ran, verdict.Reason.CANCELLED, "the call was cancelled"
+        )
+        return self._failed(request.call_id, request.target, failure)
+
+    def _failed(
+        self, call_id: str, target: str, failure: verdict.Failure
     ) -> messages.CallFailure:
         return messages.CallFailure(
-            call_id=request.call_id,
-            failure=failure,
-            load=self._load(request.target),
+            call_id=call_id, failure=failure, load=self._load(target)
         )
 
-    def _forget_old(self) -> None:
-        now = self._clock.monotonic()
-        for call_id, admitted in self._admitted.items():
-            if admitted.kept_until > now or not admitted.task.done():
-                return
-            del self._admitted[call_id]
-            return
 
-    async def _wait_until_idle(self) -> None:
-        deadline = self._clock.monotonic() + DRAIN_TIMEOUT
-        while self._clock.monotonic() < deadline:
-            if all(gate.in_flight == 0 for gate in self._gates.values()):
-                return
-            await self._clock.sleep(DRAIN_CHECK_INTERVAL)
+@attrs.define
+class _Progress:
+    """How far a call came: ``sent`` once its target may have seen it."""
+
+    sent: bool = False
+
+
+def _outcome(
+    called: result.Result[target_client.TargetAnswer, verdict.Failure],
+) -> admission.Outcome:
+    if isinstance(called, result.Failure):
+        failure = called.failure()
+        if failure.reason is verdict.Reason.OVERLOADED:
+            return admission.Outcome.SHED
+        if failure.verdict is verdict.Verdict.RAN:
+            return admission.Outcome.ANSWERED
+        return admission.Outcome.FAILED
+    if called.unwrap().status in SHED_STATUSES:
+        return admission.Outcome.SHED
+    return admission.Outcome.ANSWERED
+
+
+def _unready(
+    name: str, target: targets.LocalTarget | None
+) -> verdict.Failure | None:
+    if target is None:
+        return _not_run(verdict.Reason.NO_TARGET, f"no target {name}")
+    if target.state is messages.TargetState.READY:
+        return None
+    return _not_run(
+        verdict.Reason.DRAINING, f"target {name} is {target.state.value}"
+    )
+
+
+def _stale(request: messages.CallRequest) -> verdict.Failure:
+    ran = verdict.Verdict.NOT_RUN
+    if request.repeat:
+        ran = verdict.Verdict.MAY_HAVE_RUN
+    return verdict.Failure(
+        ran, verdict.Reason.STALE_INCARNATION, "the node was restarted"
+    )
+
+
+def _too_late(left: datetime.timedelta) -> verdict.Failure:
+    ran = verdict.Verdict.NOT_RUN
+    if -left >= journal.MARGIN / 2:
+        ran = verdict.Verdict.MAY_HAVE_RUN
+    return verdict.Failure(
+        ran, verdict.Reason.DEADLINE, "arrived after its deadline"
+    )
 
 
-def _not_run(reason: verdict.Reason, message: str) -> verdict.Failure:
-    return verdict.Failure(verdict.Verdict.NOT_RUN, reason, message)
+def _not_run(
+    reason: verdict.Reason,
+    message: str,
+    retry_after: datetime.timedelta | None = None,
+) -> verdict.Failure:
+    return verdict.Failure(
+        verdict.Verdict.NOT_RUN, reason, message, retry_after
+    )
--- a/packages/node/src/balsamramp_node/ingress.py
+++ b/packages/node/src/balsamramp_node/ingress.py
@@ -13,6 +13,7 @@
 from balsamramp_core import verdict
 from balsamramp_node import call_transport
 from balsamramp_node import calls
+from balsamramp_node import cancellation
 from balsamramp_wire import messages
 
 __all__ = ["IngressDefaults", "make_application"]
@@ -67,6 +68,14 @@
 class _CallError(Exception):
     """The call's headers or body are not acceptable."""
 
+    reason = verdict.Reason.BAD_REQUEST
+
+
+class _BodyTooLargeError(_CallError):
+    """The call's body is over the limit."""
+
+    reason = verdict.Reason.TOO_LARGE
+
 
 class _Ingress:
     def __init__(
@@ -86,9 +95,7 @@
             request = await self._read(req)
         except _CallError as error:
             failure = verdict.Failure(
-                verdict.Verdict.NOT_RUN,
-                verdict.Reason.BAD_REQUEST,
-                str(error),
+                verdict.Verdict.NOT_RUN, error.reason, str(error)
             )
             _write_failure(resp, "", failure)
             return
@@ -100,11 +107,10 @@
         service = req.get_header(SERVICE_HEADER) or host.partition(":")[0]
         if not service:
             raise _CallError(f"neither {SERVICE_HEADER} nor host is given")
-        query = f"?{req.query_string}" if req.query_string else ""
         return calls.CallerRequest(
             service=service,
             method=req.method,
-            path=req.path + query,
+            path=_path(req),
             headers=_end_to_end(req.headers),
             body=await self._body(req),
             timeout=self._timeout(req),
@@ -116,10 +122,10 @@
     async def _body(self, req: falcon.asgi.Request) -> bytes:
         limit = self._defaults.body_max_bytes
         if (req.content_length or 0) > limit:
-            raise _CallError(f"body is over {limit} bytes")
+            raise _BodyTooLargeError(f"body is over {limit} bytes")
         body = await req.bounded_stream.read(limit + 1)
         if len(body) > limit:
-            raise _CallError(f"body is over {limit} bytes")
+            raise _BodyTooLargeError(f"body is over {limit} bytes")
         return bytes(body)
 
     def _timeout(self, req: falcon.asgi.Request) -> datetime.timedelta:
@@ -144,11 +150,18 @@
 
 def make_application(
     service: calls.Calls, defaults: IngressDefaults
-) -> falcon.asgi.App:
+) -> cancellation.CancelOnDisconnect:
     """Return the ASGI application for callers."""
     application = falcon.asgi.App()
     application.add_sink(_Ingress(service, defaults), prefix="/")
-    return application
+    return cancellation.CancelOnDisconnect(application)
+
+
+def _path(req: falcon.asgi.Request) -> str:
+    raw = req.scope.get("raw_path") or req.path.encode()
+    path = raw.partition(b"?")[0].decode("ascii", errors="replace")
+    query = f"?{req.query_string}" if req.query_string else ""
+    return str(path) + query
 
 
 def _number(
@@ -199,6 +212,9 @@
     resp.set_header(REQUEST_ID_HEADER, call_id)
     resp.set_header(VERDICT_HEADER, failure.verdict.value)
     resp.set_header(REASON_HEADER, failure.reason.value)
+    if failure.retry_after is not None:
+        seconds = math.ceil(failure.retry_after.total_seconds())
+        resp.set_header("retry-after", str(seconds))
     resp.data = msgspec.json.encode(
         {
             "request_id": call_id,
--- /dev/null
+++ b/packages/node/src/balsamramp_node/journal.py
@@ -0,0 +1,124 @@
+"""Journal: the calls that a door took in or refused, by identifier."""
+
+import asyncio
+import datetime
+import heapq
+
+import attrs
+
+from balsamramp_core import verdict
+from balsamramp_node import call_transport
+from balsamramp_wire import messages
+
+__all__ = ["Entry", "Journal", "JournalKey", "key_of"]
+
+MARGIN = datetime.timedelta(seconds=10)
+STEP_MAX = datetime.timedelta(seconds=1)
+ENTRIES_MAX = 100_000
+ANSWERS_MAX_BYTES = 16 * 1024 * 1024
+
+JournalKey = tuple[str, str]
+
+
+def key_of(request: messages.CallRequest) -> JournalKey:
+    """Return what tells a call to a target from all others."""
+    return request.call_id, request.target
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One call: the task that runs it, then its reply."""
+
+    task: asyncio.Task[call_transport.Reply] | None = None
+    reply: call_transport.Reply | None = None
+    size: int = 0
+
+
+class Journal:
+    """Remembers calls until no copy of their message can be accepted.
+
+    All copies of a message carry the same deadline, and a copy that
+    arrives after it is refused. So an entry is kept until the call's
+    deadline and ``MARGIN`` beyond it, which covers the error in the
+    estimate of a message's age. Time during which the process was
+    stopped does not count: each step forward is at most ``STEP_MAX``,
+    because copies may have waited in the sockets meanwhile.
+
+    Replies are kept up to ``ANSWERS_MAX_BYTES`` together; beyond that
+    the oldest bodies are dropped and a repeated message gets a failure
+    that says the call ran.
+    """
+
+    def __init__(self, entries_max: int = ENTRIES_MAX) -> None:
+        self._entries_max = entries_max
+        self._entries: dict[JournalKey, Entry] = {}
+        self._expiry: list[tuple[datetime.timedelta, JournalKey]] = []
+        self._answers: dict[JournalKey, Entry] = {}
+        self._answers_bytes = 0
+        self._time = datetime.timedelta()
+        self._last = datetime.timedelta()
+
+    @property
+    def full(self) -> bool:
+        """Tell whether no further call can be remembered."""
+        return len(self._entries) >= self._entries_max
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find(self, key: JournalKey) -> Entry | None:
+        """Return the entry of ``key``, if it is remembered."""
+        return self._entries.get(key)
+
+    def add(
+        self, key: JournalKey, entry: Entry, left: datetime.timedelta
+    ) -> None:
+        """Remember a call whose deadline is in ``left``."""
+        self._entries[key] = entry
+        heapq.heappush(self._expiry, (self._time + left + MARGIN, key))
+
+    def finish(self, key: JournalKey, reply: call_transport.Reply) -> None:
+        """Keep the reply of a call that ended."""
+        entry = self._entries.get(key)
+        if entry is None:
+            return
+        entry.task = None
+        entry.reply = reply
+        if not isinstance(reply, messages.CallAnswer):
+            return
+        entry.size = len(reply.body)
+        self._answers[key] = entry
+        self._answers_bytes += entry.size
+        while self._answers_bytes > ANSWERS_MAX_BYTES:
+            oldest = next(iter(self._answers))
+            dropped = self._answers.pop(oldest)
+            self._answers_bytes -= dropped.size
+            dropped.reply = _dropped(oldest)
+
+    def advance(self, now: datetime.timedelta) -> None:
+        """Move time on to ``now`` and forget what is too old."""
+        step = now - self._last
+        self._last = now
+        self._time += min(step, STEP_MAX)
+        while self._expiry and self._expiry[0][0] <= self._time:
+            _, key = heapq.heappop(self._expiry)
+            entry = self._entries.get(key)
+            if entry is None:
+                continue
+            if entry.task is not None:
+                heapq.heappush(self._expiry, (self._time + MARGIN, key))
+                continue
+            del self._entries[key]
+            if self._answers.pop(key, None) is not None:
+                self._answers_bytes -= entry.size
+
+
+def _dropped(key: JournalKey) -> messages.CallFailure:
+    failure = verdict.Failure(
+        verdict.Verdict.RAN,
+        verdict.Reason.DUPLICATE,
+        "the call ran and its answer is no longer kept",
+    )
+    return messages.CallFailure(
+        call_id=key[0], failure=failure, load=messages.Load(0, 0)
+    )
--- /dev/null
+++ b/packages/node/src/balsamramp_node/peer_stream.py
@@ -0,0 +1,168 @@
+"""Peer stream: one connection to another node, with many calls on it."""
+
+import asyncio
+import datetime
+
+from balsamramp_core import clock
+from balsamramp_core import metrics
+from balsamramp_core import verdict
+from balsamramp_node import call_transport
+from balsamramp_wire import frames
+from balsamramp_wire import messages
+
+__all__ = ["PeerStream"]
+
+CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
+PING_AFTER = datetime.timedelta(milliseconds=50)
+SUSPECT_AFTER = datetime.timedelta(milliseconds=100)
+SILENT_AFTER = datetime.timedelta(milliseconds=300)
+REPLY_GRACE = datetime.timedelta(milliseconds=10)
+
+_Waiting = asyncio.Future[call_transport.Reply | None]
+
+
+class PeerStream:
+    """Sends calls to one node and watches that the connection lives.
+
+    While calls wait and no byte has come for ``PING_AFTER``, a ping is
+    sent. A connection that stays without a byte for ``SUSPECT_AFTER``
+    from then on takes no further calls, and after ``SILENT_AFTER`` it
+    is closed.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._clock = time
+        self._metrics = counters
+        self._waiting: dict[str, _Waiting] = {}
+        self._closed = False
+        self._heard_at = time.monotonic()
+        self._pings = 0
+        self._pinged_at: datetime.timedelta | None = None
+        self._watching: asyncio.Task[None] | None = None
+        self._reading = asyncio.create_task(self._read())
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the connection is closed."""
+        return self._closed
+
+    @property
+    def suspect(self) -> bool:
+        """Tell whether the connection may have gone silent."""
+        if self._pinged_at is None:
+            return False
+        return self._clock.monotonic() - self._pinged_at >= SUSPECT_AFTER
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether the connection takes further calls."""
+        return not self._closed and not self.suspect
+
+    async def call(
+        self, request: messages.CallRequest
+    ) -> call_transport.Reply | None:
+        """Send ``request`` and wait for its answer.
+
+        Returns None when the connection was lost before the answer.
+        """
+        frame = frames.encode(request)
+        loop = asyncio.get_running_loop()
+        future: _Waiting = loop.create_future()
+        self._waiting[request.call_id] = future
+        self._writer.write(frame)
+        self._watch()
+        wait = request.timeout + REPLY_GRACE
+        try:
+            async with asyncio.timeout(wait.total_seconds()):
+                return await future
+        except TimeoutError:
+            self._cancel(request)
+            return _late(request)
+        except asyncio.CancelledError:
+            self._cancel(request)
+            raise
+        finally:
+            self._waiting.pop(request.call_id, None)
+
+    async def close(self) -> None:
+        """Close the connection; calls on it end without an answer."""
+        self._reading.cancel()
+        await asyncio.gather(self._reading, return_exceptions=True)
+
+    def _cancel(self, request: messages.CallRequest) -> None:
+        if self._closed:
+            return
+        cancel = messages.CallCancel(request.call_id, request.target)
+        self._writer.write(frames.encode(cancel))
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                message = await frames.read(self._reader)
+                self._heard_at = self._clock.monotonic()
+                self._pinged_at = None
+                if not isinstance(
+                    message, messages.CallAnswer | messages.CallFailure
+                ):
+                    continue
+                future = self._waiting.get(message.call_id)
+                if future is not None and not future.done():
+                    future.set_result(message)
+        except (
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            frames.FrameError,
+        ):
+            return
+        finally:
+            self._end()
+
+    def _end(self) -> None:
+        self._closed = True
+        self._writer.transport.abort()
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_result(None)
+
+    def _watch(self) -> None:
+        if self._watching is None or self._watching.done():
+            self._heard_at = max(self._heard_at, self._clock.monotonic())
+            self._watching = asyncio.create_task(self._check())
+
+    async def _check(self) -> None:
+        while self._waiting and not self._closed:
+            await self._clock.sleep(CHECK_INTERVAL)
+            now = self._clock.monotonic()
+            if self._pinged_at is None:
+                if now - self._heard_at >= PING_AFTER:
+                    self._ping(now)
+                continue
+            if now - self._pinged_at >= SILENT_AFTER:
+                self._metrics.count("silent_connections_total")
+                self._reading.cancel()
+                return
+
+    def _ping(self, now: datetime.timedelta) -> None:
+        self._pings += 1
+        self._pinged_at = now
+        self._writer.write(frames.encode(messages.Ping(self._pings)))
+
+
+def _late(request: messages.CallRequest) -> messages.CallFailure:
+    return messages.CallFailure(
+        call_id=request.call_id,
+        failure=verdict.Failure(
+            verdict.Verdict.MAY_HAVE_RUN,
+            verdict.Reason.DEADLINE,
+            "no answer within the deadline",
+        ),
+        load=messages.Load(0, 0),
+    )
--- a/packages/node/src/balsamramp_node/picker.py
+++ b/packages/node/src/balsamramp_node/picker.py
@@ -2,6 +2,8 @@
 
 import abc
 from collections import abc as collections_abc
+import datetime
+import enum
 import random
 import typing
 
@@ -9,7 +11,22 @@
 
 from balsamramp_wire import messages
 
-__all__ = ["Candidate", "TargetPicker", "TargetStats"]
+__all__ = ["Candidate", "Sign", "TargetPicker", "TargetStats"]
+
+FAILURES_TO_EJECT = 5
+EJECTION_MIN = datetime.timedelta(seconds=1)
+EJECTION_DOUBLINGS_MAX = 5
+LATENCY_FLOOR = datetime.timedelta(milliseconds=1)
+LATENCY_HALF_LIFE = datetime.timedelta(seconds=5)
+LATENCY_WEIGHT = 0.2
+
+
+class Sign(enum.Enum):
+    """What the end of a call shows of its target."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
 
 
 @attrs.define
@@ -17,12 +34,73 @@
     """What this node knows of a target from its own calls to it.
 
     ``in_flight`` counts the calls of this node; ``load`` is the last
-    load that the target's node sent along with an answer.
+    load that the target's node sent along with an answer. ``latency``
+    is a mean that rises at once with a slow answer and falls slowly.
+    ``ejected_until`` is set while the target's calls fail in a row;
+    after that time one call at a time tries it.
     """
 
     in_flight: int = 0
     load: messages.Load | None = None
     failures_in_row: int = 0
+    latency: datetime.timedelta = datetime.timedelta()
+    latency_at: datetime.timedelta = datetime.timedelta()
+    refused_at: datetime.timedelta | None = None
+    ejected_until: datetime.timedelta | None = None
+
+    def start(self, now: datetime.timedelta) -> None:
+        """Note that a call is sent to the target."""
+        self.in_flight += 1
+
+    def give_up(self) -> None:
+        """Note that a call ended without showing anything."""
+        self.in_flight -= 1
+
+    def finish(
+        self,
+        now: datetime.timedelta,
+        latency: datetime.timedelta,
+        sign: Sign,
+        load: messages.Load,
+    ) -> None:
+        """Learn from a call that ended."""
+        self.in_flight -= 1
+        if load.limit:
+            self.load = load
+        if sign is Sign.REFUSED:
+            self.refused_at = now
+            return
+        self._note_latency(now, latency)
+        if sign is Sign.ANSWERED:
+            self.failures_in_row = 0
+            self.ejected_until = None
+            return
+        self.failures_in_row += 1
+        over = self.failures_in_row - FAILURES_TO_EJECT
+        if over >= 0:
+            wait = EJECTION_MIN * 2 ** min(over, EJECTION_DOUBLINGS_MAX)
+            self.ejected_until = now + wait
+
+    def ejected(self, now: datetime.timedelta) -> bool:
+        """Tell whether the target is to be left out."""
+        if self.ejected_until is None:
+            return False
+        return now < self.ejected_until or self.in_flight > 0
+
+    def expected_latency(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return the latency, less the older the last answer is."""
+        age = (now - self.latency_at) / LATENCY_HALF_LIFE
+        return max(self.latency * 0.5**age, LATENCY_FLOOR)
+
+    def _note_latency(
+        self, now: datetime.timedelta, latency: datetime.timedelta
+    ) -> None:
+        known = self.expected_latency(now)
+        self.latency_at = now
+        if latency > known:
+            self.latency = latency
+            return
+        self.latency = known + (latency - known) * LATENCY_WEIGHT
 
 
 @attrs.frozen(eq=False)
@@ -50,6 +128,8 @@
 
     @abc.abstractmethod
     def pick(
-        self, candidates: collections_abc.Sequence[Candidate]
+        self,
+        candidates: collections_abc.Sequence[Candidate],
+        now: datetime.timedelta,
     ) -> Candidate:
         """Return one of ``candidates``, of which there is at least one."""
--- a/packages/node/src/balsamramp_node/pickers/__init__.py
+++ b/packages/node/src/balsamramp_node/pickers/__init__.py
@@ -3,12 +3,17 @@
 from balsamramp_node import picker
 from balsamramp_node.pickers import least_of_two
 from balsamramp_node.pickers import round_robin
+from balsamramp_node.pickers import zone_first
 
 __all__ = ["PICKERS", "PickerNotFoundError", "find_picker"]
 
 PICKERS: dict[str, type[picker.TargetPicker]] = {
     item.name: item
-    for item in (least_of_two.LeastOfTwo, round_robin.RoundRobin)
+    for item in (
+        least_of_two.LeastOfTwo,
+        round_robin.RoundRobin,
+        zone_first.ZoneFirst,
+    )
 }
 
 
--- a/packages/node/src/balsamramp_node/pickers/least_of_two.py
+++ b/packages/node/src/balsamramp_node/pickers/least_of_two.py
@@ -1,6 +1,7 @@
 """Least of two: the less loaded of two targets taken at random."""
 
 from collections import abc
+import datetime
 
 from balsamramp_node import picker
 
@@ -14,7 +15,9 @@
     doc = "least in flight of two random matching targets"
 
     def pick(
-        self, candidates: abc.Sequence[picker.Candidate]
+        self,
+        candidates: abc.Sequence[picker.Candidate],
+        now: datetime.timedelta,
     ) -> picker.Candidate:
         if len(candidates) == 1:
             return candidates[0]
--- a/packages/node/src/balsamramp_node/pickers/round_robin.py
+++ b/packages/node/src/balsamramp_node/pickers/round_robin.py
@@ -1,6 +1,7 @@
 """Round robin: each target in turn."""
 
 from collections import abc
+import datetime
 import random
 
 from balsamramp_node import picker
@@ -19,7 +20,9 @@
         self._next = 0
 
     def pick(
-        self, candidates: abc.Sequence[picker.Candidate]
+        self,
+        candidates: abc.Sequence[picker.Candidate],
+        now: datetime.timedelta,
     ) -> picker.Candidate:
         self._next += 1
         return candidates[self._next % len(candidates)]
--- a/packages/node/src/balsamramp_node/stream_client.py
+++ b/packages/node/src/balsamramp_node/stream_client.py
@@ -5,86 +5,33 @@
 import datetime
 import typing
 
+import attrs
+
 from balsamramp_core import clock
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_node import call_transport
+from balsamramp_node import peer_stream
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
-__all__ = ["PeerStream", "StreamClient"]
+__all__ = ["StreamClient"]
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
-
-
-class PeerStream:
-    """One connection to the node of a target, with many calls on it."""
-
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._reader = reader
-        self._writer = writer
-        self._waiting: dict[str, asyncio.Future[call_transport.Reply]] = {}
-        self._closed = False
-        self._task = asyncio.create_task(self._read())
-
-    @property
-    def closed(self) -> bool:
-        """Tell whether the connection can take no more calls."""
-        return self._closed
-
-    async def call(
-        self, request: messages.CallRequest
-    ) -> call_transport.Reply:
-        """Send ``request`` and wait for its answer."""
-        loop = asyncio.get_running_loop()
-        future: asyncio.Future[call_transport.Reply] = loop.create_future()
-        self._waiting[request.call_id] = future
-        self._writer.write(frames.encode(request))
-        try:
-            return await future
-        except asyncio.CancelledError:
-            cancel = messages.CallCancel(request.call_id)
-            self._writer.write(frames.encode(cancel))
-            raise
-        finally:
-            self._waiting.pop(request.call_id, None)
-
-    async def close(self) -> None:
-        """Close the connection; calls on it end with MAY_HAVE_RUN."""
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
-
-    async def _read(self) -> None:
-        try:
-            while True:
-                message = await frames.read(self._reader)
-                if not isinstance(
-                    message, messages.CallAnswer | messages.CallFailure
-                ):
-                    continue
-                future = self._waiting.get(message.call_id)
-                if future is not None and not future.done():
-                    future.set_result(message)
-        except (
-            asyncio.IncompleteReadError,
-            ConnectionError,
-            frames.FrameError,
-        ):
-            return
-        finally:
-            self._closed = True
-            self._writer.close()
-            for call_id, future in self._waiting.items():
-                if not future.done():
-                    future.set_result(_lost(call_id))
+MESSAGES_MAX = 3
+REPEATS_MAX = 64
 
 
 class StreamClient(kernel.Service, call_transport.CallTransport):
-    """Connections to other nodes, one a peer, opened when needed."""
+    """Connections to other nodes, one a peer, opened when needed.
+
+    A call whose connection was lost, or is silent, is sent again under
+    the same identifier on a fresh connection, ``MESSAGES_MAX`` times in
+    all and for at most ``REPEATS_MAX`` calls at once; the door
+    recognises it and attaches it to the run that it may have started.
+    """
 
     name = "stream-client"
 
@@ -97,8 +44,9 @@
         self._hello = hello
         self._clock = time
         self._metrics = counters
-        self._streams: dict[settings.Address, PeerStream] = {}
+        self._streams: dict[settings.Address, peer_stream.PeerStream] = {}
         self._opening: dict[settings.Address, asyncio.Lock] = {}
+        self._repeating = 0
 
     async def stop(self) -> None:
         for stream in list(self._streams.values()):
@@ -108,51 +56,107 @@
         self, peer: settings.Address, request: messages.CallRequest
     ) -> call_transport.Reply:
         """Hand ``request`` to the node at ``peer``."""
+        deadline = self._clock.monotonic() + request.timeout
+        reply = await self._send(peer, request)
+        if reply is not None:
+            return reply
+        if self._repeating >= REPEATS_MAX:
+            return _lost(request, "connection lost before the answer")
+        self._repeating += 1
         try:
-            stream = await self._stream(peer)
-        except (OSError, TimeoutError) as error:
-            self._metrics.count("stream_connect_failures_total")
-            return messages.CallFailure(
-                call_id=request.call_id,
-                failure=verdict.Failure(
-                    verdict.Verdict.NOT_RUN,
-                    verdict.Reason.CONNECTION_LOST,
-                    f"cannot connect to {peer}: {error!r}",
-                ),
-                load=messages.Load(0, 0),
-            )
-        return await stream.call(request)
+            return await self._repeat(peer, request, deadline)
+        finally:
+            self._repeating -= 1
 
     def dump(self) -> abc.Mapping[str, typing.Any]:
         return {
-            str(peer): {"closed": stream.closed}
+            str(peer): {"closed": stream.closed, "silent": stream.suspect}
             for peer, stream in self._streams.items()
         }
 
-    async def _stream(self, peer: settings.Address) -> PeerStream:
-        lock = self._opening.setdefault(peer, asyncio.Lock())
-        async with lock:
-            known = self._streams.get(peer)
-            if known is not None and not known.closed:
-                return known
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
-                reader, writer = await asyncio.open_connection(
-                    peer.host, peer.port
-                )
-            writer.write(frames.encode(self._hello))
-            self._metrics.count("stream_connects_total")
-            stream = PeerStream(reader, writer)
-            self._streams[peer] = stream
-            return stream
-
-
-def _lost(call_id: str) -> messages.CallFailure:
+    async def _repeat(
+        self,
+        peer: settings.Address,
+        request: messages.CallRequest,
+        deadline: datetime.timedelta,
+    ) -> call_transport.Reply:
+        for _ in range(MESSAGES_MAX - 1):
+            left = deadline - self._clock.monotonic()
+            if left <= datetime.timedelta():
+                break
+            self._metrics.count("repeated_messages_total")
+            again = attrs.evolve(request, timeout=left, repeat=True)
+            reply = await self._send(peer, again)
+            if reply is not None:
+                return reply
+        return _lost(request, "connections lost before the answer")
+
+    async def _send(
+        self, peer: settings.Address, request: messages.CallRequest
+    ) -> call_transport.Reply | None:
+        started = self._clock.monotonic()
+        try:
+            stream = await self._stream(peer, request.timeout)
+        except (OSError, TimeoutError) as error:
+            self._metrics.count("stream_connect_failures_total")
+            return _unconnected(peer, request, error)
+        now = self._clock.monotonic()
+        left = request.timeout - (now - started)
+        message = attrs.evolve(request, timeout=left, sent_at=now)
+        return await stream.call(message)
+
+    async def _stream(
+        self, peer: settings.Address, timeout: datetime.timedelta
+    ) -> peer_stream.PeerStream:
+        known = self._streams.get(peer)
+        if known is not None and known.usable:
+            return known
+        wait = min(timeout, CONNECT_TIMEOUT)
+        async with asyncio.timeout(wait.total_seconds()):
+            lock = self._opening.setdefault(peer, asyncio.Lock())
+            async with lock:
+                known = self._streams.get(peer)
+                if known is not None and known.usable:
+                    return known
+                return await self._open(peer)
+
+    async def _open(self, peer: settings.Address) -> peer_stream.PeerStream:
+        reader, writer = await asyncio.open_connection(peer.host, peer.port)
+        sent_at = self._clock.monotonic()
+        hello = attrs.evolve(self._hello, sent_at=sent_at)
+        writer.write(frames.encode(hello))
+        self._metrics.count("stream_connects_total")
+        stream = peer_stream.PeerStream(
+            reader, writer, self._clock, self._metrics
+        )
+        self._streams[peer] = stream
+        return stream
+
+
+def _unconnected(
+    peer: settings.Address, request: messages.CallRequest, error: Exception
+) -> messages.CallFailure:
+    ran = verdict.Verdict.NOT_RUN
+    if request.repeat:
+        ran = verdict.Verdict.MAY_HAVE_RUN
+    return messages.CallFailure(
+        call_id=request.call_id,
+        failure=verdict.Failure(
+            ran,
+            verdict.Reason.CONNECTION_LOST,
+            f"cannot connect to {peer}: {error!r}",
+        ),
+        load=messages.Load(0, 0),
+    )
+
+
+def _lost(request: messages.CallRequest, message: str) -> messages.CallFailure:
     return messages.CallFailure(
-        call_id=call_id,
+        call_id=request.call_id,
         failure=verdict.Failure(
             verdict.Verdict.MAY_HAVE_RUN,
             verdict.Reason.CONNECTION_LOST,
-            "connection lost before the answer",
+            message,
         ),
         load=messages.Load(0, 0),
     )
--- a/packages/node/src/balsamramp_node/stream_server.py
+++ b/packages/node/src/balsamramp_node/stream_server.py
@@ -1,16 +1,50 @@
 """Stream server: takes in calls from other nodes."""
 
 import asyncio
+import datetime
 
+import attrs
+
+from balsamramp_core import clock
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
-from balsamramp_core import verdict
 from balsamramp_node import door
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
-__all__ = ["StreamServer"]
+__all__ = ["MessageAges", "StreamServer"]
+
+HELLO_TIMEOUT = datetime.timedelta(seconds=5)
+FLUSH_TIMEOUT = datetime.timedelta(seconds=2)
+
+
+class MessageAges:
+    """Tells how long the messages of one connection were on their way.
+
+    The clocks of two nodes have nothing to do with each other. The
+    message that took the least time shows their difference, and every
+    other is as old as it exceeds that.
+    """
+
+    def __init__(self) -> None:
+        self._least: datetime.timedelta | None = None
+
+    def age(
+        self, sent_at: datetime.timedelta, arrived_at: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Return the age of a message that has just arrived."""
+        difference = arrived_at - sent_at
+        if self._least is None or difference < self._least:
+            self._least = difference
+        return difference - self._least
+
+
+@attrs.define(eq=False)
+class _Connection:
+    writer: asyncio.StreamWriter
+    ages: MessageAges = attrs.field(factory=MessageAges)
+    calls: set[asyncio.Task[None]] = attrs.field(factory=set)
 
 
 class StreamServer(kernel.Service):
@@ -24,15 +58,17 @@
         hello: messages.Hello,
         listen: settings.Address,
         calls: door.Door,
+        time: clock.Clock,
         counters: metrics.Metrics,
     ) -> None:
         self._hello = hello
         self._listen = listen
         self._door = calls
+        self._clock = time
         self._metrics = counters
         self._address = listen
         self._server: asyncio.Server | None = None
-        self._connections: set[asyncio.StreamWriter] = set()
+        self._connections: set[_Connection] = set()
 
     @property
     def address(self) -> settings.Address:
@@ -47,53 +83,69 @@
         self._address = settings.Address(self._listen.host, port)
 
     async def stop(self) -> None:
+        """Write the replies of the calls that run, then close."""
         if self._server is not None:
             self._server.close()
-        for writer in list(self._connections):
-            writer.close()
+        await self._door.wait_until_idle()
+        for connection in list(self._connections):
+            await self._flush(connection)
+
+    async def _flush(self, connection: _Connection) -> None:
+        try:
+            async with asyncio.timeout(FLUSH_TIMEOUT.total_seconds()):
+                while connection.calls:
+                    await asyncio.wait(list(connection.calls))
+                connection.writer.close()
+                await connection.writer.wait_closed()
+        except (ConnectionError, TimeoutError):
+            connection.writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._connections.add(writer)
+        connection = _Connection(writer)
+        self._connections.add(connection)
         self._metrics.count("stream_connections_total")
-        calls: set[asyncio.Task[None]] = set()
         writer.write(frames.encode(self._hello))
         try:
+            await self._greet(connection, reader)
             while True:
-                message = await frames.read(reader)
-                if isinstance(message, messages.CallRequest):
-                    call = asyncio.create_task(self._answer(message, writer))
-                    calls.add(call)
-                    call.add_done_callback(calls.discard)
-                    continue
-                if isinstance(message, messages.CallCancel):
-                    self._door.cancel(message.call_id)
-                    continue
-                if isinstance(message, messages.Ping):
-                    writer.write(frames.encode(messages.Pong(message.number)))
-        except (asyncio.IncompleteReadError, ConnectionError):
+                self._take(connection, await frames.read(reader))
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             return
         except frames.FrameError:
             self._metrics.count("malformed_frames_total")
         finally:
-            self._connections.discard(writer)
+            self._connections.discard(connection)
             writer.close()
 
+    async def _greet(
+        self, connection: _Connection, reader: asyncio.StreamReader
+    ) -> None:
+        async with asyncio.timeout(HELLO_TIMEOUT.total_seconds()):
+            hello = await frames.read(reader)
+        if not isinstance(hello, messages.Hello):
+            raise frames.FrameError(f"expected a hello, not {hello!r}")
+        connection.ages.age(hello.sent_at, self._clock.monotonic())
+
+    def _take(self, connection: _Connection, message: object) -> None:
+        if isinstance(message, messages.CallRequest):
+            call = asyncio.create_task(self._answer(message, connection))
+            connection.calls.add(call)
+            call.add_done_callback(connection.calls.discard)
+            return
+        if isinstance(message, messages.CallCancel):
+            self._door.cancel(message.call_id, message.target)
+            return
+        if isinstance(message, messages.Ping):
+            pong = messages.Pong(message.number)
+            connection.writer.write(frames.encode(pong))
+
     async def _answer(
-        self, request: messages.CallRequest, writer: asyncio.StreamWriter
+        self, request: messages.CallRequest, connection: _Connection
     ) -> None:
-        try:
-            reply = await self._door.submit(request)
-        except asyncio.CancelledError:
-            reply = messages.CallFailure(
-                call_id=request.call_id,
-                failure=verdict.Failure(
-                    verdict.Verdict.MAY_HAVE_RUN,
-                    verdict.Reason.CANCELLED,
-                    "the call was cancelled",
-                ),
-                load=messages.Load(0, 0),
-            )
-        if not writer.is_closing():
-            writer.write(frames.encode(reply))
+        now = self._clock.monotonic()
+        age = connection.ages.age(request.sent_at, now)
+        reply = await self._door.submit(request, age)
+        if not connection.writer.is_closing():
+            connection.writer.write(frames.encode(reply))
--- a/packages/node/src/balsamramp_node/target_client.py
+++ b/packages/node/src/balsamramp_node/target_client.py
@@ -1,10 +1,12 @@
 """Target client: sends an admitted call to a target of this VM."""
 
 import abc
+import datetime
 
 import aiohttp
 import attrs
 from returns import result
+import yarl
 
 from balsamramp_core import kernel
 from balsamramp_core import verdict
@@ -14,6 +16,16 @@
 __all__ = ["HttpTargetClient", "TargetAnswer", "TargetClient"]
 
 CONNECTIONS_MAX = 100
+CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
+KEEPALIVE = datetime.timedelta(seconds=2)
+HOP_ALLOWANCE = datetime.timedelta(milliseconds=2)
+NOT_RUN_HEADER = "balsamramp-not-run"
+DEADLINE_HEADER = "balsamramp-deadline-ms"
+RETRIES_HEADER = "balsamramp-retries"
+DEPTH_HEADER = "balsamramp-depth"
+OWN_HEADERS = frozenset([DEADLINE_HEADER, RETRIES_HEADER, DEPTH_HEADER])
+AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+BODILESS_STATUSES = frozenset([204, 304])
 
 
 @attrs.frozen(kw_only=True)
@@ -25,14 +37,25 @@
     body: bytes
 
 
+Called = result.Result[TargetAnswer, verdict.Failure]
+
+
 class TargetClient(abc.ABC):
     """Sends a call to a target and returns its whole answer."""
 
     @abc.abstractmethod
     async def call(
-        self, target: targets.Announcement, request: messages.CallRequest
-    ) -> result.Result[TargetAnswer, verdict.Failure]:
-        """Send ``request`` to ``target``, within the request's timeout."""
+        self,
+        target: targets.Announcement,
+        request: messages.CallRequest,
+        left: datetime.timedelta,
+    ) -> Called:
+        """Send ``request`` to ``target`` and wait at most ``left``.
+
+        A target that sheds the call says so with the header
+        ``balsamramp-not-run``, which makes it a failure of verdict
+        NOT_RUN; any other answer, whatever its status, is an answer.
+        """
 
 
 class HttpTargetClient(kernel.Service, TargetClient):
@@ -45,31 +68,52 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
-        connector = aiohttp.TCPConnector(limit=CONNECTIONS_MAX)
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            limit_per_host=CONNECTIONS_MAX,
+            keepalive_timeout=KEEPALIVE.total_seconds(),
+        )
         self._session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=AUTOMATIC_HEADERS,
         )
+        # The library sends a request of a method that HTTP calls idempotent
+        # a second time when a kept connection was closed; whether a call may
+        # be repeated is for the service's settings to say.
+        self._session._retry_connection = False
 
     async def stop(self) -> None:
         if self._session is not None:
             await self._session.close()
 
     async def call(
-        self, target: targets.Announcement, request: messages.CallRequest
-    ) -> result.Result[TargetAnswer, verdict.Failure]:
+        self,
+        target: targets.Announcement,
+        request: messages.CallRequest,
+        left: datetime.timedelta,
+    ) -> Called:
         assert self._session is not None
-        timeout = aiohttp.ClientTimeout(request.timeout.total_seconds())
+        wait = left.total_seconds()
+        timeout = aiohttp.ClientTimeout(
+            total=wait, connect=min(wait, CONNECT_TIMEOUT.total_seconds())
+        )
         try:
             async with self._session.request(
                 request.method,
-                target.url + request.path,
-                headers=list(request.headers),
+                yarl.URL(target.url + request.path, encoded=True),
+                headers=_headers(request, left),
                 data=request.body or None,
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
                 return await self._read(response)
-        except aiohttp.ClientConnectorError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
+        ) as error:
             return _failure(
                 verdict.Verdict.NOT_RUN,
                 verdict.Reason.TARGET_FAILED,
@@ -81,18 +125,21 @@
                 verdict.Reason.DEADLINE,
                 "no answer within the deadline",
             )
+        except aiohttp.ClientPayloadError as error:
+            return _truncated(f"answer cut: {error}")
         except aiohttp.ClientError as error:
             return _failure(
                 verdict.Verdict.MAY_HAVE_RUN,
                 verdict.Reason.TARGET_FAILED,
-                f"answer cut: {error!r}",
+                f"no whole answer: {error!r}",
             )
 
-    async def _read(
-        self, response: aiohttp.ClientResponse
-    ) -> result.Result[TargetAnswer, verdict.Failure]:
+    async def _read(self, response: aiohttp.ClientResponse) -> Called:
         parts = []
         size = 0
+        if not _has_length(response):
+            response.close()
+            return _truncated("the answer does not state its length")
         async for chunk in response.content.iter_any():
             parts.append(chunk)
             size += len(chunk)
@@ -104,6 +151,12 @@
                 verdict.Reason.TOO_LARGE,
                 f"answer is over {self._body_max_bytes} bytes",
             )
+        if response.headers.get(NOT_RUN_HEADER) == "true":
+            return _failure(
+                verdict.Verdict.NOT_RUN,
+                verdict.Reason.OVERLOADED,
+                f"the target sheds with status {response.status}",
+            )
         headers = tuple(
             (str(name), value) for name, value in response.headers.items()
         )
@@ -113,7 +166,33 @@
         return result.Success(answer)
 
 
+def _headers(
+    request: messages.CallRequest, left: datetime.timedelta
+) -> list[tuple[str, str]]:
+    shown = max(left - HOP_ALLOWANCE, HOP_ALLOWANCE).total_seconds() * 1000
+    found = [item for item in request.headers if item[0] not in OWN_HEADERS]
+    found.append((DEADLINE_HEADER, f"{shown:.0f}"))
+    found.append((RETRIES_HEADER, str(request.retries)))
+    found.append((DEPTH_HEADER, str(request.depth + 1)))
+    return found
+
+
+def _has_length(response: aiohttp.ClientResponse) -> bool:
+    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return True
+    if "Content-Length" in response.headers:
+        return True
+    coding = response.headers.get("Transfer-Encoding", "")
+    return coding.lower().endswith("chunked")
+
+
+def _truncated(message: str) -> Called:
+    return _failure(
+        verdict.Verdict.MAY_HAVE_RUN, verdict.Reason.TRUNCATED, message
+    )
+
+
 def _failure(
     ran: verdict.Verdict, reason: verdict.Reason, message: str
-) -> result.Result[TargetAnswer, verdict.Failure]:
+) -> Called:
     return result.Failure(verdict.Failure(ran, reason, message))
--- /dev/null
+++ b/packages/node/tests/test_door_verdicts.py
@@ -0,0 +1,319 @@
+"""At most once and true verdicts at the door, as a state machine.
+
+Messages are delivered in any order, repeatedly, late or never, before
+and after cancellations, refusals and deaths of the node.
+"""
+
+import asyncio
+from collections import abc
+import datetime
+import functools
+import typing
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+from returns import result
+
+from balsamramp_core import metrics
+from balsamramp_core import verdict
+from balsamramp_node import call_transport
+from balsamramp_node import door as door_module
+from balsamramp_node import journal as journal_module
+from balsamramp_node import target_client
+from balsamramp_node import targets
+from balsamramp_node.admissions import fixed
+from balsamramp_testing import virtual_time
+from balsamramp_wire import messages
+
+TIMEOUT = datetime.timedelta(seconds=2)
+RUN_TIME = datetime.timedelta(milliseconds=300)
+STEPS = strategies.sampled_from([0.01, 0.2, 1.0, 15.0])
+
+
+class _Target(target_client.TargetClient):
+    """Counts the runs of each call; fails those whose number is odd."""
+
+    def __init__(self, time: virtual_time.VirtualClock) -> None:
+        self._clock = time
+        self.runs: dict[str, int] = {}
+
+    async def call(
+        self,
+        target: targets.Announcement,
+        request: messages.CallRequest,
+        left: datetime.timedelta,
+    ) -> target_client.Called:
+        runs = self.runs.get(request.call_id, 0)
+        self.runs[request.call_id] = runs + 1
+        await self._clock.sleep(min(RUN_TIME, left))
+        if request.body == b"cut":
+            return result.Failure(
+                verdict.Failure(
+                    verdict.Verdict.MAY_HAVE_RUN,
+                    verdict.Reason.TARGET_FAILED,
+                    "cut",
+                )
+            )
+        body = request.call_id.encode()
+        return result.Success(
+            target_client.TargetAnswer(status=200, headers=(), body=body)
+        )
+
+
+class _Members:
+    """Takes the place of the membership, which hears of targets."""
+
+    def set_targets(self, records: object) -> None:
+        self.records = records
+
+
+@attrs.define(eq=False)
+class _Message:
+    """A message on its way.
+
+    The first one is delivered at most once, by one connection; those
+    that repeat it come on other connections. The first connection is
+    closed before a repeat is sent, so no reply is heard on it after.
+    """
+
+    request: messages.CallRequest
+    deadline: datetime.timedelta
+    delivered: bool = False
+    repeated: bool = False
+
+
+DoorMaker = abc.Callable[..., door_module.Door]
+
+
+class DoorMachine(stateful.RuleBasedStateMachine):
+    """Sends calls, delivers and cancels them, and kills the node."""
+
+    make_door: DoorMaker = staticmethod(door_module.Door)
+    sent = stateful.Bundle("sent")
+
+    def __init__(self) -> None:
+        super().__init__()
+        loop = virtual_time._VirtualLoop(virtual_time._JumpingSelector())
+        self.runner = asyncio.Runner(loop_factory=lambda: loop)
+        self.clock = virtual_time.VirtualClock()
+        self.target = _Target(self.clock)
+        self.incarnation = 0
+        self.calls = 0
+        self.replies: dict[str, list[call_transport.Reply]] = {}
+        self.dead: list[door_module.Door] = []
+        self.pending: set[asyncio.Task[None]] = set()
+        self._do(self._start)
+
+    def teardown(self) -> None:
+        self._do(functools.partial(self._sleep, 20.0))
+        self.check()
+        self.runner.close()
+
+    def _do(self, action: abc.Callable[[], abc.Awaitable[None]]) -> None:
+        async def run() -> None:
+            await action()
+
+        self.runner.run(run())
+
+    async def _sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+
+    async def _start(self) -> None:
+        self.incarnation += 1
+        self.local = targets.LocalTargets(
+            typing.cast(typing.Any, _Members()),
+            self.clock,
+            metrics.Metrics(),
+            datetime.timedelta(hours=10),
+        )
+        self.local.announce(
+            targets.Announcement(target="t", service="s", url="http://t")
+        )
+        self.door = self.make_door(
+            self.incarnation,
+            self.local,
+            lambda: fixed.FixedLimit(2),
+            self.clock,
+            metrics.Metrics(),
+            self.target,
+            lambda: False,
+        )
+
+    @stateful.rule(target=sent, body=strategies.sampled_from([b"", b"cut"]))
+    def send(self, body: bytes) -> _Message:
+        request = self._request("t", body)
+        now = datetime.timedelta(seconds=self.runner.get_loop().time())
+        return _Message(request, now + TIMEOUT)
+
+    def _request(self, target: str, body: bytes) -> messages.CallRequest:
+        self.calls += 1
+        return messages.CallRequest(
+            call_id=f"c{self.calls}",
+            service="s",
+            target=target,
+            incarnation=self.incarnation,
+            method="POST",
+            path="/",
+            headers=(),
+            timeout=TIMEOUT,
+            idempotent=False,
+            body=body,
+        )
+
+    @stateful.rule(message=sent)
+    def deliver(self, message: _Message) -> None:
+        if not message.delivered:
+            message.delivered = True
+            self._do(functools.partial(self._deliver, message, False))
+
+    @stateful.rule(message=sent)
+    def repeat(self, message: _Message) -> None:
+        message.repeated = True
+        self._do(functools.partial(self._deliver, message, True))
+
+    async def _deliver(self, message: _Message, repeat: bool) -> None:
+        task = asyncio.create_task(self._submit(message, repeat))
+        self.pending.add(task)
+        task.add_done_callback(self.pending.discard)
+        await asyncio.sleep(0)
+
+    async def _submit(self, message: _Message, repeat: bool) -> None:
+        sent_at = message.deadline - TIMEOUT
+        age = self.clock.monotonic() - sent_at
+        request = attrs.evolve(message.request, repeat=repeat)
+        reply = await self.door.submit(request, age)
+        if message.repeated and not repeat:
+            return
+        self.replies.setdefault(reply.call_id, []).append(reply)
+
+    @stateful.rule(message=sent)
+    def cancel(self, message: _Message) -> None:
+        async def run() -> None:
+            self.door.cancel(message.request.call_id, "t")
+
+        self._do(run)
+
+    @stateful.rule(seconds=STEPS)
+    def wait(self, seconds: float) -> None:
+        self._do(functools.partial(self._sleep, seconds))
+
+    @stateful.rule()
+    def serve_others(self) -> None:
+        """Let time pass in which the door takes other calls."""
+        self._do(self._serve_others)
+
+    async def _serve_others(self) -> None:
+        for _ in range(15):
+            await self._sleep(1.0)
+            request = self._request("u", b"")
+            await self.door.submit(request)
+
+    @stateful.rule()
+    def drain(self) -> None:
+        async def run() -> None:
+            self.local.drain("t")
+
+        self._do(run)
+
+    @stateful.rule()
+    def restart_node(self) -> None:
+        self._do(self._start)
+
+    @stateful.invariant()
+    def check(self) -> None:
+        for call_id, runs in self.target.runs.items():
+            assert runs <= 1, f"{call_id} ran {runs} times"
+        for call_id, replies in self.replies.items():
+            for reply in replies:
+                self._check_reply(call_id, reply)
+
+    def _check_reply(self, call_id: str, reply: call_transport.Reply) -> None:
+        if isinstance(reply, messages.CallAnswer):
+            assert reply.body == call_id.encode()
+            return
+        if reply.failure.verdict is verdict.Verdict.NOT_RUN:
+            assert self.target.runs.get(call_id, 0) == 0, reply
+
+
+class _WithoutJournal(door_module.Door):
+    """Forgets each call as soon as it was taken in."""
+
+    async def submit(
+        self,
+        request: messages.CallRequest,
+        age: datetime.timedelta = door_module.NO_AGE,
+    ) -> call_transport.Reply:
+        self._journal = journal_module.Journal()
+        return await super().submit(request, age)
+
+
+class _WithoutAge(door_module.Door):
+    """Believes that every message has just been sent."""
+
+    async def submit(
+        self,
+        request: messages.CallRequest,
+        age: datetime.timedelta = door_module.NO_AGE,
+    ) -> call_transport.Reply:
+        return await super().submit(request)
+
+
+class _WithoutIncarnation(door_module.Door):
+    """Takes calls that were meant for an earlier start of the node."""
+
+    async def submit(
+        self,
+        request: messages.CallRequest,
+        age: datetime.timedelta = door_module.NO_AGE,
+    ) -> call_transport.Reply:
+        known = attrs.evolve(request, incarnation=self._incarnation)
+        return await super().submit(known, age)
+
+
+class _WithoutRepeat(door_module.Door):
+    """Does not see that a message was sent before."""
+
+    async def submit(
+        self,
+        request: messages.CallRequest,
+        age: datetime.timedelta = door_module.NO_AGE,
+    ) -> call_transport.Reply:
+        return await super().submit(attrs.evolve(request, repeat=False), age)
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=600,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+)
+WITHOUT_SHRINKING = hypothesis.settings(
+    SETTINGS,
+    phases=[hypothesis.Phase.generate],
+)
+
+
+def _run(make_door: DoorMaker, settings: hypothesis.settings) -> None:
+    class Machine(DoorMachine):
+        pass
+
+    Machine.make_door = staticmethod(make_door)
+    stateful.run_state_machine_as_test(Machine, settings=settings)
+
+
+def test_calls_run_at_most_once_and_verdicts_are_true() -> None:
+    _run(door_module.Door, SETTINGS)
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [_WithoutAge, _WithoutIncarnation, _WithoutJournal, _WithoutRepeat],
+)
+def test_machine_fails_without_mechanism(broken: DoorMaker) -> None:
+    with pytest.raises(AssertionError):
+        _run(broken, WITHOUT_SHRINKING)
--- a/packages/testing/src/balsamramp_testing/memory_network.py
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -169,6 +169,19 @@
 
     async def call(
         self, peer: settings.Address, request: messages.CallRequest
+    ) -> call_transport.Reply:
+        try:
+            async with asyncio.timeout(request.timeout.total_seconds()):
+                return await self._call(peer, request)
+        except TimeoutError:
+            return _call_failed(
+                request,
+                verdict.Verdict.MAY_HAVE_RUN,
+                verdict.Reason.DEADLINE,
+            )
+
+    async def _call(
+        self, peer: settings.Address, request: messages.CallRequest
     ) -> call_transport.Reply:
         reaches = self._network.reaches(self._node, peer.host)
         served = self._network.door_at(peer)
@@ -181,7 +194,7 @@
         try:
             reply = await served.submit(request)
         except asyncio.CancelledError:
-            served.cancel(request.call_id)
+            served.cancel(request.call_id, request.target)
             raise
         if not await self._network.carry(peer.host, self._node):
             return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
@@ -201,12 +214,12 @@
 
 
 def _call_failed(
-    request: messages.CallRequest, ran: verdict.Verdict
+    request: messages.CallRequest,
+    ran: verdict.Verdict,
+    reason: verdict.Reason = verdict.Reason.CONNECTION_LOST,
 ) -> messages.CallFailure:
     return messages.CallFailure(
         call_id=request.call_id,
-        failure=verdict.Failure(
-            ran, verdict.Reason.CONNECTION_LOST, "connection lost"
-        ),
+        failure=verdict.Failure(ran, reason, "no answer"),
         load=messages.Load(0, 0),
     )
--- a/packages/testing/src/balsamramp_testing/memory_target.py
+++ b/packages/testing/src/balsamramp_testing/memory_target.py
@@ -1,5 +1,6 @@
 """Memory target: a target in memory, with behaviour to choose."""
 
+import asyncio
 import datetime
 
 import attrs
@@ -69,20 +70,35 @@
         self.targets: dict[str, MemoryTarget] = {}
 
     async def call(
-        self, target: targets.Announcement, request: messages.CallRequest
-    ) -> result.Result[target_client.TargetAnswer, verdict.Failure]:
+        self,
+        target: targets.Announcement,
+        request: messages.CallRequest,
+        left: datetime.timedelta,
+    ) -> target_client.Called:
         found = self.targets.get(target.target)
         if found is None or found.dead:
             return _failure(verdict.Verdict.NOT_RUN, "cannot connect")
-        answer = await found.answer(request, self._clock)
+        try:
+            async with asyncio.timeout(left.total_seconds()):
+                answer = await found.answer(request, self._clock)
+        except TimeoutError:
+            return _failure(
+                verdict.Verdict.MAY_HAVE_RUN,
+                "no answer within the deadline",
+                verdict.Reason.DEADLINE,
+            )
         if found.dead:
             return _failure(verdict.Verdict.MAY_HAVE_RUN, "answer cut")
+        if answer.status == STATUS_SHED:
+            return _failure(
+                verdict.Verdict.NOT_RUN, "shed", verdict.Reason.OVERLOADED
+            )
         return result.Success(answer)
 
 
 def _failure(
-    ran: verdict.Verdict, message: str
-) -> result.Result[target_client.TargetAnswer, verdict.Failure]:
-    return result.Failure(
-        verdict.Failure(ran, verdict.Reason.TARGET_FAILED, message)
-    )
+    ran: verdict.Verdict,
+    message: str,
+    reason: verdict.Reason = verdict.Reason.TARGET_FAILED,
+) -> target_client.Called:
+    return result.Failure(verdict.Failure(ran, reason, message))
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -43,11 +43,15 @@
 
 @attrs.frozen
 class Hello:
-    """First frame in both directions: who speaks on this connection."""
+    """First frame in both directions: who speaks on this connection.
+
+    ``sent_at`` is read from the sender's monotonic clock.
+    """
 
     node: str
     incarnation: int
     protocol: int = 1
+    sent_at: datetime.timedelta = datetime.timedelta()
 
 
 @attrs.frozen
@@ -79,8 +83,11 @@
     ``call_id`` stays the same when the sender repeats the message on
     another connection; ``incarnation`` is that of the node which the
     first message was for, so that a restarted node does not run the call
-    a second time. ``timeout`` is the time left until the caller's
-    deadline and ``retries`` what is left of the call's retry budget.
+    a second time. ``repeat`` marks a message that was sent before on a
+    connection that may have delivered it. ``timeout`` is the time left
+    until the caller's deadline, counted from ``sent_at`` on the sender's
+    monotonic clock, and ``retries`` the part of the call's retry budget
+    that the target may spend on calls of its own.
     """
 
     call_id: str
@@ -96,6 +103,8 @@
     retries: int = 0
     depth: int = 0
     version: int = 0
+    sent_at: datetime.timedelta = datetime.timedelta()
+    repeat: bool = False
     body: bytes = b""
 
 
@@ -121,9 +130,10 @@
 
 @attrs.frozen
 class CallCancel:
-    """The caller no longer waits for the call ``call_id``."""
+    """The caller no longer waits for the call ``call_id`` to ``target``."""
 
     call_id: str
+    target: str
 
 
 class TargetState(enum.Enum):
