--- /dev/null
+++ b/packages/node/tests/test_target_client.py
@@ -0,0 +1,199 @@
+"""Answers of a target that are cut, late or shed, and their verdicts."""
+
+import asyncio
+import datetime
+import functools
+
+import pytest
+from returns import result
+
+from balsamramp_core import verdict
+from balsamramp_node import target_client
+from balsamramp_node import targets
+from balsamramp_wire import messages
+
+BODY_MAX_BYTES = 10
+LEFT = datetime.timedelta(seconds=20)
+SHORT = datetime.timedelta(milliseconds=50)
+NOT_RUN = verdict.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+RAN = verdict.Verdict.RAN
+OK = b"HTTP/1.1 200 OK\r\n"
+
+CASES = {
+    "content length is short": (
+        OK + b"content-length: 9\r\n\r\nhalf",
+        MAY_HAVE_RUN,
+        verdict.Reason.TRUNCATED,
+    ),
+    "last chunk is missing": (
+        OK + b"transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        MAY_HAVE_RUN,
+        verdict.Reason.TRUNCATED,
+    ),
+    "length is not stated": (
+        OK + b"connection: close\r\n\r\nhalf",
+        MAY_HAVE_RUN,
+        verdict.Reason.TRUNCATED,
+    ),
+    "head is cut": (
+        b"HTTP/1.1 200 OK\r\ncont",
+        MAY_HAVE_RUN,
+        verdict.Reason.TARGET_FAILED,
+    ),
+    "no answer": (b"", MAY_HAVE_RUN, verdict.Reason.TARGET_FAILED),
+    "body is too large": (
+        OK + b"content-length: 11\r\n\r\n" + b"x" * 11,
+        RAN,
+        verdict.Reason.TOO_LARGE,
+    ),
+    "shed": (
+        b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n"
+        b"balsamramp-not-run: true\r\n\r\n",
+        NOT_RUN,
+        verdict.Reason.OVERLOADED,
+    ),
+}
+
+
+class _RawTarget:
+    """Answers each request with given bytes and closes the connection."""
+
+    def __init__(self, answers: list[bytes]) -> None:
+        self._answers = answers
+        self.requests: list[bytes] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                answer = self._answers.pop(0)
+                writer.write(answer)
+                if not answer.endswith(b"whole"):
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+def _request(method: str = "GET") -> messages.CallRequest:
+    return messages.CallRequest(
+        call_id="c1",
+        service="s",
+        target="t",
+        incarnation=1,
+        method=method,
+        path="/a%2Fb?c=%20d",
+        headers=(("balsamramp-retries", "9"), ("x-own", "1")),
+        timeout=LEFT,
+        idempotent=False,
+        retries=1,
+        depth=2,
+    )
+
+
+async def _call(
+    target: _RawTarget, calls: int, method: str
+) -> list[target_client.Called]:
+    server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    url = f"http://127.0.0.1:{port}"
+    announced = targets.Announcement(target="t", service="s", url=url)
+    client = target_client.HttpTargetClient(BODY_MAX_BYTES)
+    await client.start()
+    found = []
+    for _ in range(calls):
+        found.append(await client.call(announced, _request(method), LEFT))
+    await client.stop()
+    server.close()
+    await server.wait_closed()
+    return found
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_answer_that_is_not_whole(case: str) -> None:
+    answer, ran, reason = CASES[case]
+    target = _RawTarget([answer])
+    (called,) = asyncio.run(_call(target, 1, "GET"))
+    failure = called.failure()
+    assert (failure.verdict, failure.reason) == (ran, reason)
+
+
+WHOLE = OK + b"content-length: 5\r\n\r\nwhole"
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+def test_request_is_sent_once_when_kept_connection_closes(
+    method: str,
+) -> None:
+    target = _RawTarget([WHOLE, b"", WHOLE])
+    first, second = asyncio.run(_call(target, 2, method))
+    assert first.unwrap().body == b"whole"
+    assert second.failure().verdict is MAY_HAVE_RUN
+    assert len(target.requests) == 2
+
+
+def test_503_without_statement_is_an_answer() -> None:
+    busy = b"HTTP/1.1 503 Busy\r\ncontent-length: 5\r\n\r\nwhole"
+    (called,) = asyncio.run(_call(_RawTarget([busy]), 1, "GET"))
+    assert called.unwrap().status == 503
+
+
+def test_target_inherits_what_is_left() -> None:
+    target = _RawTarget([WHOLE])
+    asyncio.run(_call(target, 1, "GET"))
+    head = target.requests[0].decode().lower()
+    assert head.startswith("get /a%2fb?c=%20d http/1.1")
+    assert "balsamramp-retries: 1\r\n" in head
+    assert "balsamramp-retries: 9\r\n" not in head
+    assert "balsamramp-depth: 3\r\n" in head
+    assert "balsamramp-deadline-ms: 19998\r\n" in head
+    assert "accept-encoding" not in head
+
+
+async def _call_silent() -> target_client.Called:
+    waiting = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await waiting.wait()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    url = f"http://127.0.0.1:{port}"
+    announced = targets.Announcement(target="t", service="s", url=url)
+    client = target_client.HttpTargetClient(BODY_MAX_BYTES)
+    await client.start()
+    called = await client.call(announced, _request(), SHORT)
+    waiting.set()
+    await client.stop()
+    server.close()
+    return called
+
+
+async def _call_nobody() -> target_client.Called:
+    announced = targets.Announcement(
+        target="t", service="s", url="http://127.0.0.1:1"
+    )
+    client = target_client.HttpTargetClient(BODY_MAX_BYTES)
+    await client.start()
+    called = await client.call(announced, _request(), LEFT)
+    await client.stop()
+    return called
+
+
+@pytest.mark.parametrize(
+    ("call", "ran"), [(_call_silent, MAY_HAVE_RUN), (_call_nobody, NOT_RUN)]
+)
+def test_target_without_answer(
+    call: functools.partial[target_client.Called], ran: verdict.Verdict
+) -> None:
+    called = asyncio.run(call())
+    assert isinstance(called, result.Failure)
+    assert called.failure().verdict is ran
