Tests of the worst verdict and of retries over eight levels

Figures: a budget of 2 leads to at most 3 attempts at the end of eight levels; with the whole budget handed on at each level the last test saw more than 3, as it expects.

--- /dev/null
+++ b/packages/node/tests/test_calls.py
@@ -0,0 +1,185 @@
+"""Calls: the worst verdict counts, retries do not multiply."""
+
+import asyncio
+import datetime
+import itertools
+import typing
+
+import pytest
+from returns import result
+
+from balsamramp_core import metrics
+from balsamramp_core import settings
+from balsamramp_core import verdict
+from balsamramp_core.resources import route
+from balsamramp_core.resources import service
+from balsamramp_node import call_transport
+from balsamramp_node import calls
+from balsamramp_node import picker
+from balsamramp_node import router
+from balsamramp_node.pickers import round_robin
+from balsamramp_testing import virtual_time
+from balsamramp_wire import messages
+
+NOT_RUN = verdict.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+RAN = verdict.Verdict.RAN
+ADDRESS = settings.Address("peer", 1)
+LEVELS = 8
+TARGETS = 20
+
+
+def _candidate(number: int) -> picker.Candidate:
+    member = messages.Member(
+        node=f"n{number}",
+        zone="z",
+        region="r",
+        stream=ADDRESS,
+        control=ADDRESS,
+        admin=ADDRESS,
+        incarnation=1,
+        sequence=1,
+        state=messages.MemberState.ALIVE,
+    )
+    record = messages.TargetRecord(
+        target=f"t{number}",
+        service="s",
+        labels={},
+        state=messages.TargetState.READY,
+    )
+    return picker.Candidate(member, record, picker.TargetStats())
+
+
+class _Router:
+    """Knows one service with many targets."""
+
+    def __init__(self) -> None:
+        self._candidates = [_candidate(number) for number in range(TARGETS)]
+
+    def resolve(
+        self, name: str, path: str
+    ) -> result.Result[router.Resolved, verdict.Failure]:
+        found = service.Service(name="s", idempotent_methods=("GET",))
+        return result.Success(
+            router.Resolved(found, route.Route(name="r", service="s"))
+        )
+
+    def candidates(
+        self, resolved: router.Resolved, call_id: str
+    ) -> list[picker.Candidate]:
+        return self._candidates
+
+
+class _Streams(call_transport.CallTransport):
+    """Ends each call with the next of the given verdicts."""
+
+    def __init__(self, verdicts: list[verdict.Verdict]) -> None:
+        self._verdicts = itertools.cycle(verdicts)
+        self.sent: list[messages.CallRequest] = []
+
+    async def call(
+        self, peer: settings.Address, request: messages.CallRequest
+    ) -> call_transport.Reply:
+        self.sent.append(request)
+        failure = verdict.Failure(
+            next(self._verdicts), verdict.Reason.CONNECTION_LOST, ""
+        )
+        return messages.CallFailure(
+            call_id=request.call_id, failure=failure, load=messages.Load(0, 0)
+        )
+
+
+class _Level(_Streams):
+    """Passes each call on to the next level, as a target would."""
+
+    def __init__(self, following: calls.Calls) -> None:
+        super().__init__([])
+        self._following = following
+
+    async def call(
+        self, peer: settings.Address, request: messages.CallRequest
+    ) -> call_transport.Reply:
+        return await self._following.call(_request("GET", request.retries))
+
+
+def _make(streams: _Streams) -> calls.Calls:
+    return calls.Calls(
+        "caller",
+        typing.cast(typing.Any, _Router()),
+        round_robin.RoundRobin("z", typing.cast(typing.Any, None)),
+        typing.cast(typing.Any, None),
+        streams,
+        virtual_time.VirtualClock(),
+        metrics.Metrics(),
+    )
+
+
+def _request(method: str, retries: int) -> calls.CallerRequest:
+    return calls.CallerRequest(
+        service="s",
+        method=method,
+        path="/",
+        headers=(),
+        body=b"",
+        timeout=datetime.timedelta(seconds=2),
+        retries=retries,
+    )
+
+
+CASES = [
+    ("GET", [MAY_HAVE_RUN, NOT_RUN], MAY_HAVE_RUN, 3),
+    ("GET", [NOT_RUN], NOT_RUN, 3),
+    ("GET", [RAN], RAN, 1),
+    ("POST", [MAY_HAVE_RUN], MAY_HAVE_RUN, 1),
+    ("POST", [NOT_RUN, MAY_HAVE_RUN, NOT_RUN], MAY_HAVE_RUN, 2),
+]
+
+
+@pytest.mark.parametrize(("method", "verdicts", "expected", "sent"), CASES)
+def test_worst_verdict_of_all_attempts(
+    method: str,
+    verdicts: list[verdict.Verdict],
+    expected: verdict.Verdict,
+    sent: int,
+) -> None:
+    streams = _Streams(verdicts)
+    made = _make(streams)
+    reply = virtual_time.run(made.call(_request(method, 2)))
+    assert isinstance(reply, messages.CallFailure)
+    assert reply.failure.verdict is expected
+    assert len(streams.sent) == sent
+    assert len({item.target for item in streams.sent}) == sent
+
+
+def _leaf_attempts(retries: int) -> int:
+    leaf = _Streams([MAY_HAVE_RUN])
+    made = _make(leaf)
+    for _ in range(LEVELS - 1):
+        made = _make(_Level(made))
+    asyncio.run(_call(made, retries))
+    return len(leaf.sent)
+
+
+async def _call(made: calls.Calls, retries: int) -> None:
+    await made.call(_request("GET", retries))
+
+
+@pytest.mark.parametrize("retries", [0, 1, 2, 3, 10])
+def test_retries_do_not_multiply_over_eight_levels(retries: int) -> None:
+    assert 1 <= _leaf_attempts(retries) <= 1 + retries
+
+
+def test_retries_multiply_without_splitting_the_budget(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    make = calls._message
+
+    def hand_all_on(
+        call: typing.Any, chosen: picker.Candidate, left: datetime.timedelta
+    ) -> messages.CallRequest:
+        call.retries += call.handed_on
+        call.handed_on = call.retries
+        return make(call, chosen, left)
+
+    monkeypatch.setattr(calls, "_message", hand_all_on)
+    assert _leaf_attempts(2) > 3
