--- a/packages/core/src/balsamramp_core/configuration.py
+++ b/packages/core/src/balsamramp_core/configuration.py
@@ -4,8 +4,10 @@
 import datetime
 import enum
 import hashlib
+import typing
 
 import attrs
+import immutables
 import msgspec
 from returns import result
 
@@ -13,53 +15,67 @@
 from balsamramp_core import resources
 
 __all__ = [
+    "Accepted",
     "Change",
     "Configuration",
     "EMPTY",
     "Refusal",
     "RefusalKind",
+    "Snapshot",
     "apply_change",
-    "change_from_bytes",
-    "change_to_bytes",
-    "configuration_from_bytes",
-    "configuration_to_bytes",
+    "changed_keys",
+    "make_change",
+    "merge",
+    "problems",
 ]
 
 
 DIGEST_BYTES = 16
 DIGEST_MODULUS = 1 << (8 * DIGEST_BYTES)
 
+ResourceMap = immutables.Map[resource.ResourceKey, resource.Resource]
+KindMap = immutables.Map[str, immutables.Map[str, resource.Resource]]
+CountMap = immutables.Map[resource.ResourceKey, int]
+
 
 @attrs.frozen
 class Configuration:
     """All resources at one version.
 
     ``digest`` depends on the resources alone: it is the sum of a hash of
-    each, so a change updates it without reading the rest.
+    each, so a change updates it without reading the rest. ``kinds``
+    holds the same resources by kind and name, and ``dependants`` counts
+    the resources that need a key. All three are persistent maps: a
+    change shares with its base all that it leaves alone.
     """
 
     version: int
-    resources: abc.Mapping[resource.ResourceKey, resource.Resource]
+    resources: ResourceMap
     digest: int
+    kinds: KindMap = immutables.Map()
+    dependants: CountMap = immutables.Map()
 
     def of_kind(self, kind: str) -> list[resource.Resource]:
         """Return the resources of ``kind``, sorted by name."""
-        found = [
-            item for key, item in self.resources.items() if key.kind == kind
-        ]
-        return sorted(found, key=lambda item: item.name)
+        named = self.kinds.get(kind)
+        if named is None:
+            return []
+        return [named[name] for name in sorted(named)]
 
 
 @attrs.frozen(kw_only=True)
 class Change:
-    """The step from version ``version - 1`` to ``version``.
+    """The step from version ``base_version`` to version ``version``.
 
     ``change_id`` is chosen by the author and makes a repeated submission
     recognisable. ``base_digest`` is the digest of the configuration that
-    the change builds on and ``digest`` that of the result.
+    the change builds on and ``digest`` that of the result. ``version``
+    is more than one after ``base_version`` only where the platform's log
+    continues above versions that it had lost.
     """
 
     version: int
+    base_version: int
     change_id: str
     base_digest: int
     digest: int
@@ -73,7 +89,7 @@
     """Why a configuration store refuses a change."""
 
     DANGLING = "dangling"
-    DIGEST = "digest"
+    DIVERGED = "diverged"
     GAP = "gap"
     INVALID = "invalid"
     OLD = "old"
@@ -87,7 +103,29 @@
     message: str
 
 
-EMPTY = Configuration(0, {}, 0)
+@attrs.frozen
+class Accepted:
+    """One accepted version: its state's digest, its change, and when."""
+
+    version: int
+    digest: int
+    change_id: str
+    accepted_at: datetime.datetime
+
+
+@attrs.frozen
+class Snapshot:
+    """A configuration and the versions that led to it lately.
+
+    With ``lineage`` a node that starts from the snapshot recognises a
+    repeated submission, and an older head of the platform's log.
+    """
+
+    configuration: Configuration
+    lineage: tuple[Accepted, ...] = ()
+
+
+EMPTY = Configuration(0, immutables.Map(), 0)
 
 
 def item_hash(item: resource.Resource) -> int:
@@ -96,6 +134,30 @@
     return int.from_bytes(hashlib.sha256(encoded).digest()[:DIGEST_BYTES])
 
 
+def make_change(
+    base: Configuration,
+    version: int,
+    change_id: str,
+    author: str,
+    accepted_at: datetime.datetime,
+    puts: tuple[resource.Resource, ...] = (),
+    deletes: tuple[resource.ResourceKey, ...] = (),
+) -> Change:
+    """Return the change of ``base`` to ``version``, with its digests."""
+    merged = merge(base, version, puts, deletes)
+    return Change(
+        version=version,
+        base_version=base.version,
+        change_id=change_id,
+        base_digest=base.digest,
+        digest=merged.digest,
+        author=author,
+        accepted_at=accepted_at,
+        puts=puts,
+        deletes=deletes,
+    )
+
+
 def apply_change(
     base: Configuration, change: Change
 ) -> result.Result[Configuration, Refusal]:
@@ -103,44 +165,96 @@
 
     Nothing of ``base`` is altered, so a refused change leaves no trace.
     """
-    if change.version <= base.version:
-        message = f"version {change.version} is not after {base.version}"
-        return result.Failure(Refusal(RefusalKind.OLD, message))
-    if change.version != base.version + 1:
-        message = f"version {change.version} does not follow {base.version}"
-        return result.Failure(Refusal(RefusalKind.GAP, message))
-    if change.base_digest != base.digest:
-        message = f"version {change.version} builds on another state"
-        return result.Failure(Refusal(RefusalKind.DIGEST, message))
-    merged = merge(base, change.puts, change.deletes)
+    misplaced = _misplaced(base, change)
+    if misplaced is not None:
+        return result.Failure(misplaced)
+    merged = merge(base, change.version, change.puts, change.deletes)
     found = problems(merged, change)
     if found:
         return result.Failure(found[0])
     if merged.digest != change.digest:
         message = f"version {change.version} yields another digest"
-        return result.Failure(Refusal(RefusalKind.DIGEST, message))
+        return result.Failure(Refusal(RefusalKind.INVALID, message))
     return result.Success(merged)
 
 
+def _misplaced(base: Configuration, change: Change) -> Refusal | None:
+    if change.version <= base.version:
+        message = f"version {change.version} is not after {base.version}"
+        return Refusal(RefusalKind.OLD, message)
+    if change.base_version > base.version:
+        message = f"version {change.version} does not follow {base.version}"
+        return Refusal(RefusalKind.GAP, message)
+    same = (base.version, base.digest)
+    if (change.base_version, change.base_digest) == same:
+        return None
+    message = f"version {change.version} builds on another state"
+    return Refusal(RefusalKind.DIVERGED, message)
+
+
 def merge(
     base: Configuration,
+    version: int,
     puts: abc.Iterable[resource.Resource],
     deletes: abc.Iterable[resource.ResourceKey],
 ) -> Configuration:
-    """Return ``base`` with ``puts`` and ``deletes``, one version on."""
-    items = dict(base.resources)
-    digest = base.digest
+    """Return ``base`` with ``puts`` and ``deletes`` as ``version``."""
+    editor = _Editor(base)
     for item in puts:
-        previous = items.get(item.key)
-        if previous is not None:
-            digest -= item_hash(previous)
-        digest += item_hash(item)
-        items[item.key] = item
+        editor.remove(item.key)
+        editor.add(item)
     for key in deletes:
-        previous = items.pop(key, None)
-        if previous is not None:
-            digest -= item_hash(previous)
-    return Configuration(base.version + 1, items, digest % DIGEST_MODULUS)
+        editor.remove(key)
+    return editor.finish(version)
+
+
+class _Editor:
+    """Edits the persistent maps of a configuration in one go."""
+
+    def __init__(self, base: Configuration) -> None:
+        self._base = base
+        self._items = base.resources.mutate()
+        self._counts = base.dependants.mutate()
+        self._digest = base.digest
+        self._kinds: dict[str, typing.Any] = {}
+
+    def add(self, item: resource.Resource) -> None:
+        self._items[item.key] = item
+        self._digest += item_hash(item)
+        self._names(item.kind)[item.name] = item
+        for needed in item.dependencies():
+            self._counts[needed] = self._counts.get(needed, 0) + 1
+
+    def remove(self, key: resource.ResourceKey) -> None:
+        previous = self._items.pop(key, None)
+        if previous is None:
+            return
+        self._digest -= item_hash(previous)
+        del self._names(key.kind)[key.name]
+        for needed in previous.dependencies():
+            count = self._counts[needed] - 1
+            if count:
+                self._counts[needed] = count
+            else:
+                del self._counts[needed]
+
+    def finish(self, version: int) -> Configuration:
+        kinds = self._base.kinds
+        for kind, names in self._kinds.items():
+            kinds = kinds.set(kind, names.finish())
+        return Configuration(
+            version,
+            self._items.finish(),
+            self._digest % DIGEST_MODULUS,
+            kinds,
+            self._counts.finish(),
+        )
+
+    def _names(self, kind: str) -> typing.Any:
+        if kind not in self._kinds:
+            named = self._base.kinds.get(kind, immutables.Map())
+            self._kinds[kind] = named.mutate()
+        return self._kinds[kind]
 
 
 def problems(merged: Configuration, change: Change) -> list[Refusal]:
@@ -150,109 +264,36 @@
         for message in item.problems():
             text = f"{item.key}: {message}"
             found.append(Refusal(RefusalKind.INVALID, text))
-    checked = change.puts if not change.deletes else merged.resources.values()
-    for item in checked:
-        for needed in item.dependencies():
-            if needed in merged.resources:
-                continue
-            text = f"{item.key} needs {needed}, which does not exist"
-            found.append(Refusal(RefusalKind.DANGLING, text))
+        if item.key in merged.resources:
+            found += _dangling(merged, item)
+    for key in change.deletes:
+        if key in merged.resources or not merged.dependants.get(key):
+            continue
+        for item in merged.resources.values():
+            if key in item.dependencies():
+                found += _dangling(merged, item)
     return found
 
 
-def change_to_bytes(change: Change) -> bytes:
-    """Encode ``change`` for the platform's table and for peers."""
-    document = {
-        "version": change.version,
-        "change_id": change.change_id,
-        "base_digest": f"{change.base_digest:032x}",
-        "digest": f"{change.digest:032x}",
-        "author": change.author,
-        "accepted_at": change.accepted_at,
-        "puts": [resources.encode(item) for item in change.puts],
-        "deletes": [[key.kind, key.name] for key in change.deletes],
-    }
-    return msgspec.json.encode(document)
-
-
-def change_from_bytes(data: bytes) -> result.Result[Change, str]:
-    """Decode what ``change_to_bytes`` wrote; the failure says why not."""
-    try:
-        document = msgspec.json.decode(data)
-        puts = _decode_items(document["puts"])
-        change = Change(
-            version=int(document["version"]),
-            change_id=str(document["change_id"]),
-            base_digest=int(document["base_digest"], 16),
-            digest=int(document["digest"], 16),
-            author=str(document["author"]),
-            accepted_at=datetime.datetime.fromisoformat(
-                document["accepted_at"]
-            ),
-            puts=tuple(puts),
-            deletes=tuple(
-                resource.ResourceKey(str(kind), str(name))
-                for kind, name in document["deletes"]
-            ),
-        )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        msgspec.MsgspecError,
-    ) as error:
-        return result.Failure(f"malformed change: {error!r}")
-    return result.Success(change)
-
-
-def configuration_to_bytes(configuration: Configuration) -> bytes:
-    """Encode a whole configuration as a snapshot."""
-    document = {
-        "version": configuration.version,
-        "digest": f"{configuration.digest:032x}",
-        "resources": [
-            resources.encode(configuration.resources[key])
-            for key in sorted(configuration.resources)
-        ],
-    }
-    return msgspec.json.encode(document)
-
-
-def configuration_from_bytes(
-    data: bytes,
-) -> result.Result[Configuration, str]:
-    """Decode a snapshot; refuse one whose digest or references fail."""
-    try:
-        document = msgspec.json.decode(data)
-        items = _decode_items(document["resources"])
-        version = int(document["version"])
-        digest = int(document["digest"], 16)
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        msgspec.MsgspecError,
-    ) as error:
-        return result.Failure(f"malformed snapshot: {error!r}")
-    by_key = {item.key: item for item in items}
-    total = sum(item_hash(item) for item in by_key.values())
-    if total % DIGEST_MODULUS != digest:
-        return result.Failure("snapshot does not match its digest")
-    for item in by_key.values():
-        for needed in item.dependencies():
-            if needed in by_key:
-                continue
-            return result.Failure(f"snapshot lacks {needed}")
-    return result.Success(Configuration(version, by_key, digest))
-
-
-def _decode_items(documents: object) -> list[resource.Resource]:
-    if not isinstance(documents, list):
-        raise TypeError("resources are not a list")
-    items = []
-    for document in documents:
-        decoded = resources.decode(document)
-        if isinstance(decoded, result.Failure):
-            raise ValueError(decoded.failure())
-        items.append(decoded.unwrap())
-    return items
+def _dangling(merged: Configuration, item: resource.Resource) -> list[Refusal]:
+    found = []
+    for needed in item.dependencies():
+        if needed in merged.resources:
+            continue
+        text = f"{item.key} needs {needed}, which does not exist"
+        found.append(Refusal(RefusalKind.DANGLING, text))
+    return found
+
+
+def changed_keys(
+    earlier: Configuration, later: Configuration
+) -> frozenset[resource.ResourceKey]:
+    """Return the keys whose resource differs between the two."""
+    changed = set()
+    for key, item in later.resources.items():
+        if earlier.resources.get(key) != item:
+            changed.add(key)
+    for key in earlier.resources:
+        if key not in later.resources:
+            changed.add(key)
+    return frozenset(changed)
--- /dev/null
+++ b/packages/core/src/balsamramp_core/configuration_codec.py
@@ -0,0 +1,149 @@
+"""Codec of changes and snapshots: JSON for the platform and for peers."""
+
+from collections import abc
+import datetime
+import typing
+
+import msgspec
+from returns import result
+
+from balsamramp_core import configuration
+from balsamramp_core import resource
+from balsamramp_core import resources
+
+__all__ = [
+    "change_from_bytes",
+    "change_to_bytes",
+    "changes_from_bytes",
+    "changes_to_bytes",
+    "snapshot_from_bytes",
+    "snapshot_to_bytes",
+]
+
+DECODE_ERRORS = (KeyError, TypeError, ValueError, msgspec.MsgspecError)
+
+
+def changes_to_bytes(changes: abc.Iterable[configuration.Change]) -> bytes:
+    """Encode ``changes`` as one row of the platform's log."""
+    return msgspec.json.encode([_document(change) for change in changes])
+
+
+def changes_from_bytes(
+    data: bytes,
+) -> result.Result[list[configuration.Change], str]:
+    """Decode what ``changes_to_bytes`` wrote."""
+    try:
+        documents = msgspec.json.decode(data, type=list)
+        return result.Success([_change(item) for item in documents])
+    except DECODE_ERRORS as error:
+        return result.Failure(f"malformed changes: {error!r}")
+
+
+def change_to_bytes(change: configuration.Change) -> bytes:
+    """Encode ``change`` for peers."""
+    return msgspec.json.encode(_document(change))
+
+
+def change_from_bytes(data: bytes) -> result.Result[configuration.Change, str]:
+    """Decode what ``change_to_bytes`` wrote; the failure says why not."""
+    try:
+        return result.Success(_change(msgspec.json.decode(data)))
+    except DECODE_ERRORS as error:
+        return result.Failure(f"malformed change: {error!r}")
+
+
+def _document(change: configuration.Change) -> dict[str, typing.Any]:
+    return {
+        "version": change.version,
+        "base_version": change.base_version,
+        "change_id": change.change_id,
+        "base_digest": f"{change.base_digest:032x}",
+        "digest": f"{change.digest:032x}",
+        "author": change.author,
+        "accepted_at": change.accepted_at,
+        "puts": [resources.encode(item) for item in change.puts],
+        "deletes": [[key.kind, key.name] for key in change.deletes],
+    }
+
+
+def _change(document: typing.Any) -> configuration.Change:
+    return configuration.Change(
+        version=int(document["version"]),
+        base_version=int(document["base_version"]),
+        change_id=str(document["change_id"]),
+        base_digest=int(document["base_digest"], 16),
+        digest=int(document["digest"], 16),
+        author=str(document["author"]),
+        accepted_at=datetime.datetime.fromisoformat(document["accepted_at"]),
+        puts=tuple(_decode_items(document["puts"])),
+        deletes=tuple(
+            resource.ResourceKey(str(kind), str(name))
+            for kind, name in document["deletes"]
+        ),
+    )
+
+
+def snapshot_to_bytes(snapshot: configuration.Snapshot) -> bytes:
+    """Encode a whole configuration for the object store and for peers."""
+    whole = snapshot.configuration
+    document = {
+        "version": whole.version,
+        "digest": f"{whole.digest:032x}",
+        "lineage": [
+            [
+                item.version,
+                f"{item.digest:032x}",
+                item.change_id,
+                item.accepted_at,
+            ]
+            for item in snapshot.lineage
+        ],
+        "resources": [
+            resources.encode(whole.resources[key])
+            for key in sorted(whole.resources)
+        ],
+    }
+    return msgspec.json.encode(document)
+
+
+def snapshot_from_bytes(
+    data: bytes,
+) -> result.Result[configuration.Snapshot, str]:
+    """Decode a snapshot; refuse one whose digest or references fail."""
+    try:
+        document = msgspec.json.decode(data)
+        items = _decode_items(document["resources"])
+        version = int(document["version"])
+        digest = int(document["digest"], 16)
+        lineage = tuple(_accepted(row) for row in document["lineage"])
+    except DECODE_ERRORS as error:
+        return result.Failure(f"malformed snapshot: {error!r}")
+    whole = configuration.merge(configuration.EMPTY, version, items, ())
+    if whole.digest != digest:
+        return result.Failure("snapshot does not match its digest")
+    for needed in whole.dependants:
+        if needed not in whole.resources:
+            return result.Failure(f"snapshot lacks {needed}")
+    return result.Success(configuration.Snapshot(whole, lineage))
+
+
+def _accepted(row: list[typing.Any]) -> configuration.Accepted:
+    version, digest, change_id, accepted_at = row
+    return configuration.Accepted(
+        int(version),
+        int(digest, 16),
+        str(change_id),
+        datetime.datetime.fromisoformat(accepted_at),
+    )
+
+
+def _decode_items(documents: object) -> list[resource.Resource]:
+    if not isinstance(documents, list):
+        raise TypeError("resources are not a list")
+    items = []
+    for document in documents:
+        decoded = resources.decode(document)
+        if isinstance(decoded, result.Failure):
+            raise ValueError(decoded.failure())
+        items.append(decoded.unwrap())
+    return items
--- a/packages/node/src/balsamramp_node/acceptance.py
+++ b/packages/node/src/balsamramp_node/acceptance.py
@@ -1,36 +1,41 @@
-"""Acceptance: gives an operator's change its version on the platform."""
+"""Acceptance: gives operators' changes their versions on the platform."""
 
+import asyncio
+from collections import abc
+import datetime
+import random
+
+from absl import logging
 import attrs
-import msgspec
 from returns import result
 
 from balsamramp_core import clock
 from balsamramp_core import configuration
+from balsamramp_core import kernel
+from balsamramp_core import metrics
 from balsamramp_core import platform
 from balsamramp_core import resource
+from balsamramp_node import accepted_log
+from balsamramp_node import distribution
+from balsamramp_node import source
+from balsamramp_node import store
 
-__all__ = ["Acceptor", "Head", "Rejection", "Submission", "log_key"]
+__all__ = ["Acceptor", "Rejection", "Submission"]
 
-HEAD_KEY = "configuration/head"
-LOG_PREFIX = "configuration/log/"
-VERSION_DIGITS = 12
-
-
-@attrs.frozen(kw_only=True)
-class Head:
-    """The latest accepted version and its digest, in hexadecimal."""
-
-    version: int
-    digest: str
-    change_id: str
+ATTEMPTS = 8
+BATCH_MAX_SUBMISSIONS = 64
+BATCH_INTERVAL = datetime.timedelta(milliseconds=100)
+BACKOFF = datetime.timedelta(milliseconds=20)
+NAMED_MAX = 5
 
 
 @attrs.frozen(kw_only=True)
 class Submission:
     """What an operator asks for.
 
-    ``base_version`` is the version the operator looked at; None submits
-    without looking.
+    ``change_id`` stays the same when the operator's client repeats a
+    submission, also through another node. ``base_version`` is the
+    version the operator looked at; None submits without looking.
     """
 
     change_id: str
@@ -39,6 +44,10 @@
     deletes: tuple[resource.ResourceKey, ...] = ()
     base_version: int | None = None
 
+    def keys(self) -> set[resource.ResourceKey]:
+        """Return the keys that the submission touches."""
+        return {item.key for item in self.puts} | set(self.deletes)
+
 
 @attrs.frozen
 class Rejection:
@@ -53,95 +62,224 @@
     accepted: bool | None = False
 
 
-def log_key(version: int) -> str:
-    """Return the table key of the change with this version."""
-    return f"{LOG_PREFIX}{version:0{VERSION_DIGITS}d}"
+Outcome = result.Result[configuration.Accepted, Rejection]
 
 
-class Acceptor:
-    """Accepts submissions by one transaction each."""
+@attrs.define(eq=False)
+class _Waiting:
+    submission: Submission
+    answer: asyncio.Future[Outcome]
 
-    def __init__(self, table: platform.Table, time: clock.Clock) -> None:
-        self._table = table
+    def settle(self, outcome: Outcome) -> None:
+        if not self.answer.done():
+            self.answer.set_result(outcome)
+
+
+class Acceptor(kernel.Service):
+    """Accepts submissions, those that wait together in one transaction.
+
+    A transaction takes the next versions for all of a batch, on the
+    condition that the head of the log has not moved. Each submission is
+    checked against the state that the ones before it lead to, and fails
+    alone. There is at most one transaction at a time and one per
+    BATCH_INTERVAL, so a burst costs the table a bounded rate of writes.
+    """
+
+    name = "acceptor"
+    requires = ("source", "distribution")
+
+    def __init__(
+        self,
+        log: accepted_log.AcceptedLog,
+        reader: source.ConfigurationSource,
+        configurations: store.ConfigurationStore,
+        spread: distribution.Distribution,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+        choice: random.Random,
+    ) -> None:
+        self._log = log
+        self._source = reader
+        self._store = configurations
+        self._distribution = spread
         self._clock = time
+        self._metrics = counters
+        self._random = choice
+        self._queue: list[_Waiting] = []
+        self._task: asyncio.Task[None] | None = None
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
 
-    async def accept(
-        self, base: configuration.Configuration, submission: Submission
-    ) -> result.Result[configuration.Change, Rejection]:
-        """Append ``submission`` to the log behind ``base``.
-
-        ``base`` must be the latest accepted configuration; if it is not,
-        the rejection is a conflict and the caller reads on and retries.
-        """
-        merged = configuration.merge(base, submission.puts, submission.deletes)
-        change = configuration.Change(
-            version=merged.version,
-            change_id=submission.change_id,
-            base_digest=base.digest,
-            digest=merged.digest,
-            author=submission.author,
-            accepted_at=self._clock.now(),
-            puts=submission.puts,
-            deletes=submission.deletes,
+    async def submit(self, submission: Submission) -> Outcome:
+        """Accept ``submission`` behind the latest version."""
+        waiting = _Waiting(
+            submission, asyncio.get_running_loop().create_future()
         )
-        found = configuration.problems(merged, change)
-        if found:
-            text = "; ".join(refusal.message for refusal in found)
-            return result.Failure(Rejection(text))
-        return await self._append(base, change)
-
-    async def _append(
-        self, base: configuration.Configuration, change: configuration.Change
-    ) -> result.Result[configuration.Change, Rejection]:
-        read = await self._table.read(HEAD_KEY)
-        if isinstance(read, result.Failure):
-            return result.Failure(Rejection(read.failure().message))
-        row = read.unwrap()
-        if _version_of(row) != base.version:
-            text = f"version {base.version} is no longer the latest"
-            return result.Failure(Rejection(text, conflict=True))
-        head = Head(
-            version=change.version,
-            digest=f"{change.digest:032x}",
-            change_id=change.change_id,
+        self._queue.append(waiting)
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._drain())
+        return await waiting.answer
+
+    async def _drain(self) -> None:
+        while self._queue:
+            batch = self._queue[:BATCH_MAX_SUBMISSIONS]
+            del self._queue[:BATCH_MAX_SUBMISSIONS]
+            started_at = self._clock.monotonic()
+            try:
+                await self._accept(batch)
+            except Exception:
+                logging.exception("a batch of submissions failed")
+                text = "internal error; whether it was accepted is unknown"
+                _settle_all(batch, Rejection(text, accepted=None))
+            if not self._queue:
+                return
+            left = started_at + BATCH_INTERVAL - self._clock.monotonic()
+            if left > datetime.timedelta():
+                await self._clock.sleep(left)
+
+    async def _accept(self, batch: list[_Waiting]) -> None:
+        uncertain = False
+        reason = "the configuration changes too fast"
+        for attempt in range(ATTEMPTS):
+            read = await self._source.read_now()
+            if isinstance(read, result.Failure):
+                reason = f"platform: {read.failure().message}"
+                break
+            if self._source.state is not source.SourceState.IN_STEP:
+                reason = self._out_of_step()
+                break
+            batch, changes = self._prepare(batch)
+            if not batch:
+                return
+            committed = await self._log.append(self._source.head, changes)
+            if isinstance(committed, result.Success):
+                self._bring_into_force(changes)
+                _settle_accepted(batch, changes)
+                return
+            kind = committed.failure().kind
+            reason = committed.failure().message
+            if kind is platform.PlatformErrorKind.UNAVAILABLE:
+                break
+            if kind is platform.PlatformErrorKind.OUTCOME_UNKNOWN:
+                uncertain = True
+            await self._clock.sleep(BACKOFF * self._random.random() * attempt)
+        if uncertain:
+            await self._source.read_now()
+            batch = _settle_known(batch, self._store)
+        conflict = not uncertain and attempt == ATTEMPTS - 1
+        rejection = Rejection(reason, conflict, None if uncertain else False)
+        _settle_all(batch, rejection)
+
+    def _prepare(
+        self, batch: list[_Waiting]
+    ) -> tuple[list[_Waiting], list[configuration.Change]]:
+        """Settle what needs no transaction; return the rest as changes."""
+        kept: list[_Waiting] = []
+        changes: list[configuration.Change] = []
+        seen: set[str] = set()
+        state = self._store.current
+        for waiting in _settle_known(batch, self._store):
+            submission = waiting.submission
+            if submission.change_id in seen:
+                kept.append(waiting)
+                continue
+            refused = self._check_base(submission, changes)
+            change = self._change(state, submission)
+            merged = configuration.apply_change(state, change)
+            if refused is None and isinstance(merged, result.Failure):
+                refused = Rejection(merged.failure().message)
+            if refused is not None:
+                waiting.settle(result.Failure(refused))
+                continue
+            state = merged.unwrap()
+            seen.add(submission.change_id)
+            kept.append(waiting)
+            changes.append(change)
+        return kept, changes
+
+    def _change(
+        self, state: configuration.Configuration, submission: Submission
+    ) -> configuration.Change:
+        return configuration.make_change(
+            state,
+            state.version + 1,
+            submission.change_id,
+            submission.author,
+            self._clock.now(),
+            submission.puts,
+            submission.deletes,
+        )
+
+    def _check_base(
+        self,
+        submission: Submission,
+        earlier: abc.Sequence[configuration.Change],
+    ) -> Rejection | None:
+        wanted = submission.base_version
+        if wanted is None:
+            return None
+        known = self._store.changes_since(wanted)
+        if known is None:
+            text = f"version {wanted} is too old or unknown; look again"
+            return Rejection(text, conflict=True)
+        touched = submission.keys()
+        named = []
+        for change in [*known, *earlier]:
+            keys = {item.key for item in change.puts} | set(change.deletes)
+            for key in sorted(keys & touched):
+                named.append(f"{key} in {change.version} by {change.author}")
+        if not named:
+            return None
+        text = f"changed since version {wanted}: "
+        return Rejection(text + ", ".join(named[:NAMED_MAX]), conflict=True)
+
+    def _bring_into_force(self, changes: list[configuration.Change]) -> None:
+        self._metrics.count("transactions_accepted_total")
+        self._metrics.count("changes_accepted_total", len(changes))
+        for change in changes:
+            self._store.offer(change)
+        self._distribution.push_to_zones()
+
+    def _out_of_step(self) -> str:
+        own = self._store.current.version
+        return (
+            f"the platform's log is {self._source.state.value}: it ends at "
+            f"version {self._source.head.version} and version {own} is in "
+            "force; nothing is accepted until that is repaired"
         )
-        key = log_key(change.version)
-        transaction = platform.Transaction(
-            conditions=(
-                platform.Condition(HEAD_KEY, row.revision if row else 0),
-                platform.Condition(key, 0),
-            ),
-            writes=(
-                platform.Write(HEAD_KEY, msgspec.json.encode(head)),
-                platform.Write(key, configuration.change_to_bytes(change)),
-            ),
+
+
+def _settle_known(
+    batch: list[_Waiting], configurations: store.ConfigurationStore
+) -> list[_Waiting]:
+    left = []
+    for waiting in batch:
+        found = configurations.find(waiting.submission.change_id)
+        if found is None:
+            left.append(waiting)
+            continue
+        waiting.settle(result.Success(found))
+    return left
+
+
+def _settle_accepted(
+    batch: list[_Waiting], changes: list[configuration.Change]
+) -> None:
+    by_id = {change.change_id: change for change in changes}
+    for waiting in batch:
+        change = by_id[waiting.submission.change_id]
+        accepted = configuration.Accepted(
+            change.version,
+            change.digest,
+            change.change_id,
+            change.accepted_at,
         )
-        committed = await self._table.commit(transaction)
-        if isinstance(committed, result.Success):
-            return result.Success(change)
-        return await self._explain(change, committed.failure())
-
-    async def _explain(
-        self, change: configuration.Change, error: platform.PlatformError
-    ) -> result.Result[configuration.Change, Rejection]:
-        if error.kind is platform.PlatformErrorKind.UNAVAILABLE:
-            return result.Failure(Rejection(error.message))
-        read = await self._table.read(log_key(change.version))
-        if isinstance(read, result.Failure):
-            text = f"outcome unknown: {read.failure().message}"
-            return result.Failure(Rejection(text, accepted=None))
-        row = read.unwrap()
-        if row is None:
-            text = f"version {change.version} was not accepted"
-            return result.Failure(Rejection(text, conflict=True))
-        found = configuration.change_from_bytes(row.value).value_or(None)
-        if found is not None and found.change_id == change.change_id:
-            return result.Success(change)
-        text = f"version {change.version} went to another change"
-        return result.Failure(Rejection(text, conflict=True))
-
-
-def _version_of(row: platform.Row | None) -> int:
-    if row is None:
-        return 0
-    return msgspec.json.decode(row.value, type=Head).version
+        waiting.settle(result.Success(accepted))
+
+
+def _settle_all(batch: list[_Waiting], rejection: Rejection) -> None:
+    for waiting in batch:
+        waiting.settle(result.Failure(rejection))
--- a/packages/node/src/balsamramp_node/core.py
+++ b/packages/node/src/balsamramp_node/core.py
@@ -9,21 +9,30 @@
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_node import acceptance
+from balsamramp_node import accepted_log
 from balsamramp_node import admission
 from balsamramp_node import admissions
 from balsamramp_node import calls
 from balsamramp_node import distribution
 from balsamramp_node import door
+from balsamramp_node import member_list
 from balsamramp_node import membership
 from balsamramp_node import operations
 from balsamramp_node import parts
 from balsamramp_node import pickers
 from balsamramp_node import policies
+from balsamramp_node import reader_lease
+from balsamramp_node import readiness
 from balsamramp_node import rollouts
+from balsamramp_node import roster
 from balsamramp_node import router
+from balsamramp_node import serve_budget
+from balsamramp_node import snapshots
 from balsamramp_node import source
 from balsamramp_node import store
 from balsamramp_node import targets
+from balsamramp_node import zone_contacts
+from balsamramp_node import zone_reports
 from balsamramp_wire import messages
 
 __all__ = ["Core", "Identity", "parse_address"]
@@ -71,39 +80,123 @@
         self.operations = operations.Operations(
             self.kernel,
             identity.node,
-            acceptance.Acceptor(outside.table, now),
+            self.acceptor,
         )
 
     def _add_configuration(self) -> None:
+        own = self._own_record()
+        outside = self._outside
         self.store = store.ConfigurationStore(self._metrics)
+        self.readiness = readiness.Readiness(self.store)
+        self.member_list = member_list.MemberList()
+        self.reader_lease = reader_lease.ReaderLease(
+            own.node,
+            own.zone,
+            own.incarnation,
+            self.member_list,
+            self.readiness,
+            outside.table,
+            self._clock,
+            self._metrics,
+            self._random,
+        )
+        log = accepted_log.AcceptedLog(outside.table, outside.objects)
         self.source = source.ConfigurationSource(
-            self._outside.table,
+            log,
             self.store,
+            self.reader_lease,
+            self.readiness,
             self._clock,
             self._metrics,
             self._settings.duration("platform", "poll_interval"),
+            self._random,
         )
+        self._budget = serve_budget.ServeBudget(self._clock)
         self.distribution = distribution.Distribution(
-            self._outside.control, self.store, self._metrics
+            own,
+            self.member_list,
+            outside.control,
+            self.store,
+            self.source,
+            self._budget,
+            self._clock,
+            self._metrics,
+            self._random,
+        )
+        self.acceptor = acceptance.Acceptor(
+            log,
+            self.source,
+            self.store,
+            self.distribution,
+            self._clock,
+            self._metrics,
+            self._random,
+        )
+        self.snapshots = snapshots.Snapshots(
+            log,
+            self.store,
+            self.source,
+            self.reader_lease,
+            self._clock,
+            self._metrics,
+            self._settings.integer("platform", "snapshot_versions"),
+            self._random,
         )
-        self.kernel.add(self.store)
-        self.kernel.add(self.source)
-        self.kernel.add(self.distribution)
+        for service in (
+            self.store,
+            self.readiness,
+            self.reader_lease,
+            self.source,
+            self.distribution,
+            self.acceptor,
+            self.snapshots,
+        ):
+            self.kernel.add(service)
 
     def _add_membership(self) -> None:
+        own = self._own_record()
+        outside = self._outside
         seeds = self._settings.items("membership", "seeds")
+        interval = self._settings.duration("membership", "interval")
+        self.roster = roster.Roster(
+            own.zone,
+            outside.objects,
+            self.member_list,
+            self.reader_lease,
+            self._clock,
+            self._random,
+        )
+        self.zone_reports = zone_reports.ZoneReports(
+            own,
+            self.member_list,
+            outside.control,
+            self.store,
+            self._clock,
+            self._random,
+        )
+        self.zone_contacts = zone_contacts.ZoneContacts(
+            own.zone, self.member_list, self._clock, interval
+        )
         self.membership = membership.Membership(
-            self._own_record(),
+            own,
             [parse_address(item) for item in seeds],
-            self._outside.control,
+            self.member_list,
+            outside.control,
             self.store,
             self.distribution,
+            self.readiness,
+            self.reader_lease,
+            self.roster,
+            self.zone_reports,
+            self.zone_contacts,
+            self._budget,
             self._clock,
             self._metrics,
-            self._settings.duration("membership", "interval"),
+            interval,
             self._random,
         )
-        self.kernel.add(self.membership)
+        for service in (self.roster, self.zone_reports, self.membership):
+            self.kernel.add(service)
 
     def _own_record(self) -> messages.Member:
         return messages.Member(
--- a/packages/node/src/balsamramp_node/distribution.py
+++ b/packages/node/src/balsamramp_node/distribution.py
@@ -1,58 +1,239 @@
 """Distribution: hands changes of configuration from node to node."""
 
 import asyncio
+import bisect
+from collections import abc
 import datetime
+import random
+import typing
 
 from absl import logging
 from returns import result
 
+from balsamramp_core import clock
 from balsamramp_core import configuration
+from balsamramp_core import configuration_codec
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
+from balsamramp_node import member_list
+from balsamramp_node import serve_budget
+from balsamramp_node import source
 from balsamramp_node import store
+from balsamramp_node import tree
 from balsamramp_wire import control
 from balsamramp_wire import messages
 
 __all__ = ["Distribution"]
 
 REQUEST_TIMEOUT = datetime.timedelta(seconds=2)
+PUSH_TIMEOUT = datetime.timedelta(milliseconds=500)
+PUSH_INTERVAL = datetime.timedelta(milliseconds=200)
+PUSH_MAX_CHANGES = 64
+FETCH_MAX_CHANGES = 512
+FORWARDED_MAX_VERSIONS = 256
+ENTRIES_PER_ZONE = 2
 
 
 class Distribution(kernel.Service):
-    """Serves changes to peers and fetches those that this node lacks."""
+    """Pushes changes down a tree of the zone and repairs what is missed.
+
+    A node that read a change from the platform, accepted it, or fetched
+    it from another zone starts a push at the root of its zone's tree;
+    each node hands it on once. Whoever missed it finds a later version
+    or another digest in an exchange and fetches the difference, or a
+    snapshot where the peer went through other states.
+    """
 
     name = "distribution"
     requires = ("configuration",)
 
     def __init__(
         self,
+        own: messages.Member,
+        members: member_list.MemberList,
         transport: control.PeerTransport,
         configurations: store.ConfigurationStore,
+        reader: source.ConfigurationSource,
+        budget: serve_budget.ServeBudget,
+        time: clock.Clock,
         counters: metrics.Metrics,
+        choice: random.Random,
     ) -> None:
+        self._node = own.node
+        self._zone = own.zone
+        self._members = members
         self._transport = transport
         self._store = configurations
+        self._source = reader
+        self._budget = budget
+        self._clock = time
         self._metrics = counters
+        self._random = choice
+        self._from_peer = False
+        self._to_zones = False
+        self._pushed = configuration.EMPTY
+        self._pushing: asyncio.Task[None] | None = None
         self._fetching: asyncio.Task[None] | None = None
+        self._checking: asyncio.Task[None] | None = None
+        self._sending: set[asyncio.Task[None]] = set()
+        self._forwarded: dict[int, None] = {}
+        self._snapshot = (0, b"")
+        configurations.listen(self._note_change)
         transport.handle(messages.ChangesRequest, self._serve_changes)
         transport.handle(messages.PushRequest, self._serve_push)
 
     async def stop(self) -> None:
-        if self._fetching is not None:
-            self._fetching.cancel()
-            await asyncio.gather(self._fetching, return_exceptions=True)
+        tasks = [self._pushing, self._fetching, self._checking]
+        running = [task for task in tasks if task is not None]
+        running += self._sending
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    def push_to_zones(self) -> None:
+        """Push what is in force to the other zones as well."""
+        self._to_zones = True
+        self._push_soon()
+
+    def hear(
+        self,
+        peer: settings.Address,
+        zone: str,
+        state: messages.ConfigurationState,
+    ) -> None:
+        """Compare with what ``peer`` has in force; fetch if it is later."""
+        own = self._store.current
+        if state.version > own.version:
+            self._fetch_soon(peer, zone)
+            return
+        if state.version < own.version:
+            return
+        if state.digest == digest_bytes(own.digest):
+            return
+        self._metrics.count("diverged_peers_total")
+        if self._checking is None or self._checking.done():
+            self._checking = asyncio.create_task(self._check())
+
+    def dump(self) -> abc.Mapping[str, typing.Any]:
+        return {"pushed": self._pushed.version}
+
+    async def _check(self) -> None:
+        await self._source.settle_divergence()
+
+    def _note_change(self, current: configuration.Configuration) -> None:
+        if not self._from_peer:
+            self._push_soon()
 
-    def hear(self, peer: settings.Address, version: int) -> None:
-        """Note that ``peer`` has ``version``; fetch from it if later."""
-        if version <= self._store.current.version:
+    def _push_soon(self) -> None:
+        if self._pushing is None or self._pushing.done():
+            self._pushing = asyncio.create_task(self._push())
+
+    async def _push(self) -> None:
+        while self._pushed.version < self._store.current.version:
+            request = self._push_request()
+            to_zones, self._to_zones = self._to_zones, False
+            self._pushed = self._store.current
+            if to_zones:
+                self._push_across(request)
+            self._start(self._send_down(request, 0))
+            await self._clock.sleep(PUSH_INTERVAL)
+
+    def _push_request(self) -> messages.PushRequest:
+        earlier = self._pushed
+        changes = self._store.changes_after(earlier.version, earlier.digest)
+        encoded: list[bytes] = []
+        if changes is not None and len(changes) <= PUSH_MAX_CHANGES:
+            for change in changes:
+                encoded.append(configuration_codec.change_to_bytes(change))
+        return messages.PushRequest(
+            sender=self._own_address(),
+            zone=self._zone,
+            version=self._store.current.version,
+            changes=tuple(encoded),
+        )
+
+    def _push_across(self, request: messages.PushRequest) -> None:
+        for zone in self._members.zones:
+            if zone == self._zone:
+                continue
+            self._start(self._push_into(zone, request))
+
+    async def _push_into(
+        self, zone: str, request: messages.PushRequest
+    ) -> None:
+        members = self._members.alive_in(zone)
+        count = min(ENTRIES_PER_ZONE, len(members))
+        for member in self._random.sample(members, count):
+            sent = await self._transport.send(
+                member.control, request, PUSH_TIMEOUT
+            )
+            if isinstance(sent, result.Success):
+                return
+
+    async def _send_down(
+        self, request: messages.PushRequest, position: int
+    ) -> None:
+        members = self._members.alive_in(self._zone)
+        if position >= len(members):
+            return
+        shape = tree.Tree.seeded(len(members), request.version)
+        member = members[shape.index(position)]
+        if member.node == self._node:
+            self._forward(request)
+            return
+        self._metrics.count("pushes_sent_total")
+        sent = await self._transport.send(
+            member.control, request, PUSH_TIMEOUT
+        )
+        if isinstance(sent, result.Success):
             return
+        for child in shape.children(position):
+            self._start(self._send_down(request, child))
+
+    def _forward(self, request: messages.PushRequest) -> None:
+        if request.version in self._forwarded:
+            return
+        self._forwarded[request.version] = None
+        if len(self._forwarded) > FORWARDED_MAX_VERSIONS:
+            del self._forwarded[next(iter(self._forwarded))]
+        members = self._members.alive_in(self._zone)
+        names = [member.node for member in members]
+        index = bisect.bisect_left(names, self._node)
+        shape = tree.Tree.seeded(len(names), request.version)
+        for child in shape.children(shape.position(index)):
+            self._start(self._send_down(request, child))
+
+    def _start(
+        self, sending: abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = asyncio.create_task(sending)
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
+
+    async def _serve_push(
+        self, request: messages.PushRequest
+    ) -> messages.PushReply:
+        before = self._store.current.version
+        self._offer(request.changes)
+        if self._store.current.version < request.version:
+            self._fetch_soon(request.sender, request.zone)
+        if request.zone == self._zone:
+            self._forward(request)
+        elif before < request.version:
+            self._push_soon()
+        return messages.PushReply(self._store.current.version)
+
+    def _fetch_soon(self, peer: settings.Address, zone: str) -> None:
         if self._fetching is not None and not self._fetching.done():
             return
-        self._fetching = asyncio.create_task(self._fetch(peer))
+        self._fetching = asyncio.create_task(self._fetch(peer, zone))
 
-    async def _fetch(self, peer: settings.Address) -> None:
-        request = messages.ChangesRequest(self._store.current.version)
+    async def _fetch(self, peer: settings.Address, zone: str) -> None:
+        own = self._store.current
+        request = messages.ChangesRequest(
+            own.version, digest_bytes(own.digest)
+        )
         sent = await self._transport.send(peer, request, REQUEST_TIMEOUT)
         if isinstance(sent, result.Failure):
             return
@@ -61,35 +242,63 @@
         if reply.snapshot:
             self._restore(reply.snapshot)
         self._offer(reply.changes)
+        if zone != self._zone and self._store.current.version > own.version:
+            self._push_soon()
 
-    def _restore(self, snapshot: bytes) -> None:
-        decoded = configuration.configuration_from_bytes(snapshot)
+    def _restore(self, data: bytes) -> None:
+        decoded = configuration_codec.snapshot_from_bytes(data)
         if isinstance(decoded, result.Failure):
             logging.error("snapshot refused: %s", decoded.failure())
             return
-        self._store.restore(decoded.unwrap())
+        self._from_peer = True
+        try:
+            self._store.restore(decoded.unwrap())
+        finally:
+            self._from_peer = False
 
     def _offer(self, changes: tuple[bytes, ...]) -> None:
-        for data in changes:
-            change = configuration.change_from_bytes(data)
-            if isinstance(change, result.Failure):
-                logging.error("change refused: %s", change.failure())
-                return
-            self._store.offer(change.unwrap())
+        self._from_peer = True
+        try:
+            for data in changes:
+                change = configuration_codec.change_from_bytes(data)
+                if isinstance(change, result.Failure):
+                    logging.error("change refused: %s", change.failure())
+                    return
+                self._store.offer(change.unwrap())
+        finally:
+            self._from_peer = False
 
     async def _serve_changes(
         self, request: messages.ChangesRequest
     ) -> messages.ChangesReply:
-        changes = self._store.changes_after(request.version)
-        if changes is None:
-            current = self._store.current
-            snapshot = configuration.configuration_to_bytes(current)
-            return messages.ChangesReply(snapshot=snapshot)
-        encoded = [configuration.change_to_bytes(item) for item in changes]
-        return messages.ChangesReply(changes=tuple(encoded))
+        digest = int.from_bytes(request.digest)
+        changes = self._store.changes_after(request.version, digest)
+        if changes is not None and len(changes) <= FETCH_MAX_CHANGES:
+            encoded = [
+                configuration_codec.change_to_bytes(item) for item in changes
+            ]
+            return messages.ChangesReply(changes=tuple(encoded))
+        if not self._budget.allows():
+            return messages.ChangesReply(busy=True)
+        snapshot = self._encoded_snapshot()
+        self._budget.charge(len(snapshot))
+        return messages.ChangesReply(snapshot=snapshot)
 
-    async def _serve_push(
-        self, request: messages.PushRequest
-    ) -> messages.PushReply:
-        self._offer(request.changes)
-        return messages.PushReply(self._store.current.version)
+    def _encoded_snapshot(self) -> bytes:
+        version = self._store.current.version
+        if self._snapshot[0] != version:
+            data = configuration_codec.snapshot_to_bytes(
+                self._store.snapshot()
+            )
+            self._snapshot = (version, data)
+        return self._snapshot[1]
+
+    def _own_address(self) -> settings.Address:
+        own = self._members.get(self._node)
+        assert own is not None
+        return own.control
+
+
+def digest_bytes(digest: int) -> bytes:
+    """Return a configuration's digest as it travels between nodes."""
+    return digest.to_bytes(configuration.DIGEST_BYTES)
--- /dev/null
+++ b/packages/node/src/balsamramp_node/failure_detector.py
@@ -0,0 +1,114 @@
+"""Failure detector: suspects a silent node, then declares it dead."""
+
+import datetime
+import random
+
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import metrics
+from balsamramp_core import settings
+from balsamramp_node import member_list
+from balsamramp_wire import control
+from balsamramp_wire import messages
+
+__all__ = ["FailureDetector"]
+
+PING_TIMEOUT = datetime.timedelta(milliseconds=500)
+PROBE_TIMEOUT = datetime.timedelta(milliseconds=1200)
+FAILURES_UNTIL_SUSPECT = 2
+SUSPECT_TIMEOUT = datetime.timedelta(seconds=2)
+
+
+class FailureDetector:
+    """Judges nodes from failed requests, with a second opinion.
+
+    A node that does not answer is probed by another node of its own
+    zone. If that one can't reach it either, it is suspected. A suspected
+    node that hears of it refutes by a higher sequence number; one that
+    does not within the timeout, which leaves the suspicion time to cross
+    the zone, is dead. Without a second node in its zone two failures in
+    a row count instead. If no second node answers, its zone may be cut
+    off: nothing is said of the node then.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        members: member_list.MemberList,
+        transport: control.PeerTransport,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+        choice: random.Random,
+    ) -> None:
+        self._node = node
+        self._members = members
+        self._transport = transport
+        self._clock = time
+        self._metrics = counters
+        self._random = choice
+        self._failures: dict[str, int] = {}
+        self._suspected_at: dict[str, datetime.timedelta] = {}
+        transport.handle(messages.PingRequest, self._serve_ping)
+        transport.handle(messages.ProbeRequest, self._serve_probe)
+
+    def note_answer(self, node: str) -> None:
+        """Note that ``node`` answered."""
+        self._failures.pop(node, None)
+
+    def note_record(self, member: messages.Member) -> None:
+        """Note a record that was taken into the list."""
+        if member.state is messages.MemberState.SUSPECT:
+            now = self._clock.monotonic()
+            self._suspected_at.setdefault(member.node, now)
+            return
+        self._suspected_at.pop(member.node, None)
+        if member.state in member_list.GONE:
+            self._failures.pop(member.node, None)
+
+    async def is_suspect(self, member: messages.Member) -> bool:
+        """Judge a node that has just failed to answer."""
+        count = self._failures.get(member.node, 0) + 1
+        self._failures[member.node] = count
+        others = [
+            other
+            for other in self._members.alive_in(member.zone)
+            if other.node not in (member.node, self._node)
+            and other.state is messages.MemberState.ALIVE
+        ]
+        if not others:
+            return count >= FAILURES_UNTIL_SUSPECT
+        self._metrics.count("probes_sent_total")
+        request = messages.ProbeRequest(member.control)
+        sent = await self._transport.send(
+            self._random.choice(others).control, request, PROBE_TIMEOUT
+        )
+        if isinstance(sent, result.Failure):
+            return False
+        return not sent.unwrap().reached
+
+    def overdue(self, timeout: datetime.timedelta) -> list[str]:
+        """Return the suspected nodes that did not refute in time."""
+        now = self._clock.monotonic()
+        limit = max(timeout, SUSPECT_TIMEOUT)
+        found = []
+        for node, since in self._suspected_at.items():
+            if now - since >= limit:
+                found.append(node)
+        return found
+
+    async def _serve_ping(
+        self, request: messages.PingRequest
+    ) -> messages.PingReply:
+        own = self._members.get(self._node)
+        assert own is not None
+        return messages.PingReply(own.node, own.incarnation)
+
+    async def _serve_probe(
+        self, request: messages.ProbeRequest
+    ) -> messages.ProbeReply:
+        address: settings.Address = request.address
+        sent = await self._transport.send(
+            address, messages.PingRequest(), PING_TIMEOUT
+        )
+        return messages.ProbeReply(isinstance(sent, result.Success))
--- /dev/null
+++ b/packages/node/src/balsamramp_node/member_list.py
@@ -0,0 +1,168 @@
+"""Member list: all known nodes by zone, with digests that locate changes."""
+
+from collections import abc
+import typing
+
+import attrs
+import xxhash
+
+from balsamramp_core import settings
+from balsamramp_wire import messages
+
+__all__ = ["BUCKETS", "GONE", "MemberList", "supersedes"]
+
+BUCKETS = 64
+
+RANKS = {state: rank for rank, state in enumerate(messages.MemberState)}
+GONE = (messages.MemberState.DEAD, messages.MemberState.LEFT)
+
+
+def supersedes(later: messages.Member, earlier: messages.Member) -> bool:
+    """Tell whether ``later`` is newer knowledge of the same node."""
+    left = (later.incarnation, later.sequence, RANKS[later.state])
+    right = (earlier.incarnation, earlier.sequence, RANKS[earlier.state])
+    return left > right
+
+
+def bucket_of(node: str) -> int:
+    """Return the bucket of its zone into which a node falls."""
+    return xxhash.xxh64_intdigest(node.encode()) % BUCKETS
+
+
+@attrs.define
+class _Zone:
+    """The nodes of one zone; digests leave out those that are gone."""
+
+    members: dict[str, messages.Member] = attrs.field(factory=dict)
+    buckets: list[int] = attrs.field(factory=lambda: [0] * BUCKETS)
+    digest: int = 0
+    alive: tuple[messages.Member, ...] | None = ()
+
+
+class MemberList:
+    """All known nodes.
+
+    Only ``put`` changes it, at a cost that does not depend on its size.
+    The sorted views are made at the first use after a change and kept,
+    each for its zone alone.
+    """
+
+    def __init__(self) -> None:
+        self._zones: dict[str, _Zone] = {}
+        self._zone_of: dict[str, str] = {}
+        self._addresses: dict[settings.Address, str] = {}
+        self._all: tuple[messages.Member, ...] | None = ()
+
+    @property
+    def zones(self) -> list[str]:
+        """Return the names of the zones with known nodes, sorted."""
+        return sorted(self._zones)
+
+    def get(self, node: str) -> messages.Member | None:
+        """Return the record of a node, also of one that is gone."""
+        zone = self._zone_of.get(node)
+        return None if zone is None else self._zones[zone].members[node]
+
+    def at(self, address: settings.Address) -> messages.Member | None:
+        """Return the node with this control address, if known."""
+        node = self._addresses.get(address)
+        return None if node is None else self.get(node)
+
+    def put(self, member: messages.Member) -> None:
+        """Take in a record in place of an earlier one of the node."""
+        self.remove(member.node)
+        zone = self._zones.setdefault(member.zone, _Zone())
+        zone.members[member.node] = member
+        self._zone_of[member.node] = member.zone
+        self._addresses[member.control] = member.node
+        self._mix(zone, member)
+
+    def remove(self, node: str) -> None:
+        """Forget a node, if it is known."""
+        name = self._zone_of.pop(node, None)
+        if name is None:
+            return
+        zone = self._zones[name]
+        previous = zone.members.pop(node)
+        if self._addresses.get(previous.control) == node:
+            del self._addresses[previous.control]
+        self._mix(zone, previous)
+        if not zone.members:
+            del self._zones[name]
+
+    def alive_in(self, zone: str) -> tuple[messages.Member, ...]:
+        """Return the nodes of a zone not known to be gone, by name."""
+        found = self._zones.get(zone)
+        if found is None:
+            return ()
+        if found.alive is None:
+            names = sorted(found.members)
+            found.alive = tuple(
+                found.members[name]
+                for name in names
+                if found.members[name].state not in GONE
+            )
+        return found.alive
+
+    def alive(self) -> tuple[messages.Member, ...]:
+        """Return all nodes not known to be gone, by zone and name."""
+        if self._all is None:
+            members: list[messages.Member] = []
+            for zone in self.zones:
+                members += self.alive_in(zone)
+            self._all = tuple(members)
+        return self._all
+
+    def digests(self) -> dict[str, int]:
+        """Return the digest of each zone with live nodes."""
+        return {
+            name: zone.digest
+            for name, zone in self._zones.items()
+            if zone.digest
+        }
+
+    def buckets(self, zone: str) -> tuple[int, ...]:
+        """Return the digest of each bucket of a zone."""
+        found = self._zones.get(zone)
+        return tuple(found.buckets) if found else (0,) * BUCKETS
+
+    def differing(
+        self, zone: str, buckets: abc.Sequence[int]
+    ) -> list[messages.Member]:
+        """Return the nodes in buckets whose digests differ from ours."""
+        found = self._zones.get(zone)
+        if found is None:
+            return []
+        members = []
+        for member in found.members.values():
+            bucket = bucket_of(member.node)
+            if found.buckets[bucket] != buckets[bucket]:
+                members.append(member)
+        return members
+
+    def dump(self) -> abc.Mapping[str, typing.Any]:
+        """Return the count of live nodes and the digest of each zone."""
+        return {
+            name: {
+                "alive": len(self.alive_in(name)),
+                "digest": f"{zone.digest:016x}",
+            }
+            for name, zone in sorted(self._zones.items())
+        }
+
+    def _mix(self, zone: _Zone, member: messages.Member) -> None:
+        zone.alive = None
+        self._all = None
+        if member.state in GONE:
+            return
+        mixed = _hash(member)
+        zone.buckets[bucket_of(member.node)] ^= mixed
+        zone.digest ^= mixed
+
+
+def _hash(member: messages.Member) -> int:
+    key = (
+        f"{member.node} {member.incarnation} {member.sequence} "
+        f"{member.state.value}"
+    )
+    return xxhash.xxh64_intdigest(key.encode())
--- a/packages/node/src/balsamramp_node/membership.py
+++ b/packages/node/src/balsamramp_node/membership.py
@@ -3,56 +3,74 @@
 import asyncio
 from collections import abc
 import datetime
+import math
 import random
 import typing
+import zlib
 
 from absl import logging
 import attrs
 import msgspec
 from returns import result
-import xxhash
 
 from balsamramp_core import clock
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_node import distribution
+from balsamramp_node import failure_detector
+from balsamramp_node import member_list
+from balsamramp_node import reader_lease
+from balsamramp_node import readiness
+from balsamramp_node import roster
+from balsamramp_node import serve_budget
 from balsamramp_node import store
+from balsamramp_node import zone_contacts
+from balsamramp_node import zone_reports
 from balsamramp_wire import control
 from balsamramp_wire import messages
 
 __all__ = ["Membership", "supersedes"]
 
 REQUEST_TIMEOUT = datetime.timedelta(seconds=1)
-RECENT_MAX_MEMBERS = 64
-SPREAD_ROUNDS = 6
-FAILURES_UNTIL_SUSPECT = 2
-SUSPECT_TIMEOUT = datetime.timedelta(seconds=2)
+ROSTER_INTERVAL = datetime.timedelta(seconds=5)
+PUBLISH_INTERVAL = datetime.timedelta(milliseconds=100)
+GONE_RETENTION = datetime.timedelta(seconds=300)
+RECENT_MAX_MEMBERS = 24
+CROSS_EXCHANGES = 4
+RETRY_GONE_SHARE = 1 / 8
+ROUNDS_UNTIL_TRIED = 2
+PACK_LEVEL = 1
 
-RANKS = {state: rank for rank, state in enumerate(messages.MemberState)}
-GONE = (messages.MemberState.DEAD, messages.MemberState.LEFT)
-
-
-def supersedes(later: messages.Member, earlier: messages.Member) -> bool:
-    """Tell whether ``later`` is newer knowledge of the same node."""
-    left = (later.incarnation, later.sequence, RANKS[later.state])
-    right = (earlier.incarnation, earlier.sequence, RANKS[earlier.state])
-    return left > right
+supersedes = member_list.supersedes
 
 
 class Membership(kernel.Service):
-    """List of members, kept alike on all nodes by pairwise exchanges."""
+    """Keeps the list of members alike on all nodes by pairwise exchanges.
+
+    Each round a node exchanges recent updates and digests with one node
+    of its own zone; a few nodes of the zone, chosen by chance, also with
+    one of another zone. A lasting difference of digests is repaired by
+    bucket. Each zone judges its own nodes.
+    """
 
     name = "membership"
-    requires = ("configuration", "distribution")
+    requires = ("configuration", "distribution", "readiness", "roster")
 
     def __init__(
         self,
         own: messages.Member,
         seeds: abc.Sequence[settings.Address],
+        members: member_list.MemberList,
         transport: control.PeerTransport,
         configurations: store.ConfigurationStore,
         changes: distribution.Distribution,
+        ready: readiness.Readiness,
+        lease: reader_lease.ReaderLease,
+        addresses: roster.Roster,
+        reports: zone_reports.ZoneReports,
+        contacts: zone_contacts.ZoneContacts,
+        budget: serve_budget.ServeBudget,
         time: clock.Clock,
         counters: metrics.Metrics,
         interval: datetime.timedelta,
@@ -60,23 +78,39 @@
     ) -> None:
         self._own = own
         self._seeds = seeds
+        self._members = members
         self._transport = transport
         self._store = configurations
         self._distribution = changes
+        self._readiness = ready
+        self._lease = lease
+        self._roster = addresses
+        self._reports = reports
+        self._contacts = contacts
+        self._budget = budget
         self._clock = time
         self._metrics = counters
         self._interval = interval
         self._random = choice
-        self._members = {own.node: own}
-        self._digest = _hash(own)
-        self._generation = 0
-        self._spread: dict[str, int] = {own.node: SPREAD_ROUNDS}
-        self._failures: dict[str, int] = {}
-        self._suspected_at: dict[str, datetime.timedelta] = {}
+        self._detector = failure_detector.FailureDetector(
+            own.node, members, transport, time, counters, choice
+        )
+        self._targets = own.targets
+        self._rounds = 0
+        self._spread: dict[str, int] = {}
         self._versions: dict[str, int] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self._gone_at: dict[str, datetime.timedelta] = {}
+        self._repair_at = datetime.timedelta()
+        self._roster_at = datetime.timedelta()
+        self._generation = 0
+        self._stale = True
+        self._published_at: datetime.timedelta | None = None
+        self._view: list[messages.Member] = []
+        self._task: asyncio.Task[None] | None = None
+        self._put(own)
+        configurations.listen(lambda current: self._publish_targets())
         transport.handle(messages.ExchangeRequest, self._serve_exchange)
-        transport.handle(messages.MembersRequest, self._serve_members)
+        transport.handle(messages.BucketsRequest, self._serve_buckets)
 
     @property
     def own(self) -> messages.Member:
@@ -85,12 +119,18 @@
 
     @property
     def generation(self) -> int:
-        """Return a number that rises with each change of the list."""
+        """Return a number that rises as the list changes.
+
+        Changes heard from others within PUBLISH_INTERVAL count as one,
+        so that readers rebuild what depends on it at a bounded rate.
+        """
+        if self._stale:
+            self._refresh()
         return self._generation
 
     @property
     def versions(self) -> abc.Mapping[str, int]:
-        """Return the configuration version last heard from each node."""
+        """Return the version last heard from the nodes met directly."""
         current = self._store.current.version
         return {**self._versions, self._own.node: current}
 
@@ -101,70 +141,99 @@
         admin: settings.Address,
     ) -> None:
         """Publish the addresses that were bound at the start."""
-        later = attrs.evolve(
-            self._own, stream=stream, control=control_address, admin=admin
+        self._publish(
+            attrs.evolve(
+                self._own, stream=stream, control=control_address, admin=admin
+            )
         )
-        self._publish(later)
 
     def set_targets(self, targets: tuple[messages.TargetRecord, ...]) -> None:
-        """Publish the local targets, if they changed."""
-        if targets != self._own.targets:
-            self._publish(attrs.evolve(self._own, targets=targets))
+        """Publish the local targets, if they changed.
+
+        While this node is not in service they are kept back.
+        """
+        self._targets = targets
+        self._publish_targets()
 
     def members(self) -> list[messages.Member]:
-        """Return the members not known to be gone, sorted by name."""
-        found = []
-        for node in sorted(self._members):
-            member = self._members[node]
-            if member.state in GONE:
-                continue
-            found.append(member)
-        return found
+        """Return the members not known to be gone, by zone and name.
+
+        Those in a zone without contact for long are shown as suspected.
+        """
+        if self._stale:
+            self._refresh()
+        return self._view
 
     async def start(self) -> None:
-        self._tasks.append(asyncio.create_task(self._run()))
+        self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
         self._publish(attrs.evolve(self._own, state=messages.MemberState.LEFT))
-        await self._exchange_with_some()
+        await self._exchange_in_zone()
 
     def dump(self) -> abc.Mapping[str, typing.Any]:
         return {
-            "members": msgspec.to_builtins(list(self._members.values())),
-            "digest": self._digest,
-            "versions": self.versions,
+            "zones": self._members.dump(),
+            "silent_zones": sorted(self._contacts.silent()),
+            "spreading": len(self._spread),
         }
 
+    def _publish_targets(self) -> None:
+        wanted = self._targets if self._store.in_service else ()
+        if wanted != self._own.targets:
+            self._publish(attrs.evolve(self._own, targets=wanted))
+
     def _publish(self, later: messages.Member) -> None:
         self._own = attrs.evolve(later, sequence=later.sequence + 1)
         self._put(self._own)
+        self._published_at = None
 
     def _put(self, member: messages.Member) -> None:
-        previous = self._members.get(member.node)
-        if previous is not None:
-            self._digest ^= _hash(previous)
-        self._digest ^= _hash(member)
-        self._members[member.node] = member
+        self._members.put(member)
+        self._stale = True
+        zone_size = len(self._members.alive_in(member.zone))
+        self._spread[member.node] = 2 + _rounds_across(zone_size)
+
+    def _refresh(self) -> None:
+        now = self._clock.monotonic()
+        last = self._published_at
+        if last is not None and now - last < PUBLISH_INTERVAL:
+            return
+        self._published_at = now
+        self._stale = False
         self._generation += 1
-        self._spread[member.node] = SPREAD_ROUNDS
+        silent = self._contacts.silent()
+        if not silent:
+            self._view = list(self._members.alive())
+            return
+        suspect = messages.MemberState.SUSPECT
+        self._view = [
+            attrs.evolve(member, state=suspect)
+            if member.zone in silent
+            else member
+            for member in self._members.alive()
+        ]
 
     def _learn(self, member: messages.Member) -> None:
         if member.node == self._own.node:
             self._defend(member)
             return
         known = self._members.get(member.node)
+        if known is None and member.state in member_list.GONE:
+            return
         if known is not None and not supersedes(member, known):
             return
         if known is None or known.state is not member.state:
-            logging.info("member %s is %s", member.node, member.state.value)
-        if member.state is messages.MemberState.SUSPECT:
-            now = self._clock.monotonic()
-            self._suspected_at.setdefault(member.node, now)
-        else:
-            self._suspected_at.pop(member.node, None)
+            logging.debug("member %s is %s", member.node, member.state.value)
+            self._metrics.count("members_total", state=member.state.value)
+        self._detector.note_record(member)
+        self._gone_at.pop(member.node, None)
+        if member.state in member_list.GONE:
+            self._gone_at[member.node] = self._clock.monotonic()
+            self._versions.pop(member.node, None)
         self._put(member)
 
     def _defend(self, rumour: messages.Member) -> None:
@@ -179,112 +248,228 @@
         names = sorted(self._spread, key=self._spread.__getitem__)
         recent = []
         for node in names[::-1][:RECENT_MAX_MEMBERS]:
-            recent.append(self._members[node])
+            member = self._members.get(node)
             self._spread[node] -= 1
-            if self._spread[node] <= 0:
+            if self._spread[node] <= 0 or member is None:
                 del self._spread[node]
+            if member is not None:
+                recent.append(member)
         return tuple(recent)
 
     async def _run(self) -> None:
+        await self._clock.sleep(self._interval * self._random.random() / 4)
         while True:
-            await self._exchange_with_some()
-            self._expire_suspects()
-            alive = len(self.members())
-            self._metrics.set("members_alive", alive)
+            reached = await self._round()
+            self._rounds += 1
+            if reached or self._rounds >= ROUNDS_UNTIL_TRIED:
+                self._readiness.note_peers_tried()
+            self._publish_targets()
+            self._expire()
+            alive = len(self._members.alive_in(self._own.zone))
+            self._metrics.set("members_alive", alive, zone=self._own.zone)
             jitter = 0.75 + 0.5 * self._random.random()
             await self._clock.sleep(self._interval * jitter)
 
-    async def _exchange_with_some(self) -> None:
-        peers = [
-            member
-            for member in self.members()
-            if member.node != self._own.node
-        ]
-        if peers:
-            await self._exchange(self._random.choice(peers).control)
-        if not peers or self._random.random() < 1 / (1 + len(peers)):
-            await self._exchange_with_seed()
-
-    async def _exchange_with_seed(self) -> None:
-        seeds = [
-            address for address in self._seeds if address != self._own.control
-        ]
+    async def _round(self) -> bool:
+        reached = await self._exchange_in_zone()
+        zone_size = len(self._members.alive_in(self._own.zone))
+        if self._random.random() < CROSS_EXCHANGES / zone_size:
+            reached = await self._exchange_across() or reached
+        if reached and self._random.random() * zone_size > 1:
+            return True
+        if self._random.random() < RETRY_GONE_SHARE:
+            await self._exchange_with_gone()
+        seeds = [item for item in self._seeds if item != self._own.control]
         if seeds:
-            await self._exchange(self._random.choice(seeds))
+            seed = self._random.choice(seeds)
+            reached = await self._exchange(seed) or reached
+        if not reached:
+            reached = await self._exchange_by_roster()
+        return reached
+
+    async def _exchange_in_zone(self) -> bool:
+        members = self._members.alive_in(self._own.zone)
+        if len(members) < 2:
+            return False
+        member = self._random.choice(members)
+        while member.node == self._own.node:
+            member = self._random.choice(members)
+        return await self._exchange(member.control)
+
+    async def _exchange_across(self) -> bool:
+        zones = [
+            zone
+            for zone in self._members.zones
+            if zone != self._own.zone and self._members.alive_in(zone)
+        ]
+        if not zones:
+            return False
+        members = self._members.alive_in(self._random.choice(zones))
+        return await self._exchange(self._random.choice(members).control)
+
+    async def _exchange_with_gone(self) -> None:
+        if not self._gone_at:
+            return
+        node = self._random.choice(list(self._gone_at))
+        member = self._members.get(node)
+        if member is not None:
+            await self._exchange(member.control)
 
-    async def _exchange(self, peer: settings.Address) -> None:
+    async def _exchange_by_roster(self) -> bool:
+        now = self._clock.monotonic()
+        if now < self._roster_at:
+            return False
+        self._roster_at = now + ROSTER_INTERVAL
+        found = await self._roster.read()
+        others = [item for item in found if item != self._own.control]
+        if not others:
+            return False
+        return await self._exchange(self._random.choice(others))
+
+    def _state(self) -> messages.ConfigurationState:
+        current = self._store.current
+        return messages.ConfigurationState(
+            version=current.version,
+            digest=distribution.digest_bytes(current.digest),
+            in_service=self._store.in_service,
+            read_age=self._lease.read_age,
+        )
+
+    async def _exchange(self, peer: settings.Address) -> bool:
+        members = self._recent()
+        known = self._members.at(peer)
+        if known is not None and known.state is not (
+            messages.MemberState.ALIVE
+        ):
+            members = (*members, known)
         request = messages.ExchangeRequest(
             node=self._own.node,
-            members=self._recent(),
-            members_digest=self._digest,
-            version=self._store.current.version,
+            zone=self._own.zone,
+            members=members,
+            digests=self._members.digests(),
+            state=self._state(),
+            contact_ages=self._contacts.ages(),
+            summaries=self._reports.summaries(),
         )
         sent = await self._transport.send(peer, request, REQUEST_TIMEOUT)
         if isinstance(sent, result.Failure):
-            self._note_failure(peer)
-            return
+            await self._note_failure(known)
+            return False
         reply: messages.ExchangeReply = sent.unwrap()
-        self._failures.pop(reply.node, None)
-        self._versions[reply.node] = reply.version
-        for member in reply.members:
-            self._learn(member)
-        self._distribution.hear(peer, reply.version)
-        if reply.members_digest != self._digest:
-            await self._pull(peer)
+        self._detector.note_answer(reply.node)
+        self._take_in(reply, peer)
+        await self._repair(peer, reply.digests)
+        return True
 
-    async def _pull(self, peer: settings.Address) -> None:
-        request = messages.MembersRequest(self._own.node)
-        sent = await self._transport.send(peer, request, REQUEST_TIMEOUT)
-        if isinstance(sent, result.Failure):
-            return
-        for member in sent.unwrap().members:
+    def _take_in(
+        self,
+        said: messages.ExchangeReply | messages.ExchangeRequest,
+        peer: settings.Address | None,
+    ) -> None:
+        for member in said.members:
             self._learn(member)
-
-    def _note_failure(self, peer: settings.Address) -> None:
+        self._versions[said.node] = said.state.version
+        self._reports.take_in(said.summaries)
+        if said.state.read_age is not None:
+            self._lease.note_heard(said.state.read_age)
+        if said.zone == self._own.zone:
+            self._contacts.take_in(said.contact_ages)
+            if said.state.in_service:
+                self._readiness.note_zone_peer(said.state.version)
+        elif self._contacts.note_contact(said.zone):
+            self._stale = True
+        sender = self._members.get(said.node)
+        address = peer or (sender.control if sender else None)
+        if address is not None:
+            self._distribution.hear(address, said.zone, said.state)
+
+    async def _repair(
+        self, peer: settings.Address, digests: abc.Mapping[str, int]
+    ) -> None:
+        own = self._members.digests()
+        zones = [
+            zone for zone in sorted(digests) if own.get(zone) != digests[zone]
+        ]
+        now = self._clock.monotonic()
+        if not zones or now < self._repair_at:
+            return
+        zone_size = len(self._members.alive_in(self._own.zone))
+        pause = self._interval * (2 + _rounds_across(zone_size))
+        self._repair_at = now + pause * (0.75 + 0.5 * self._random.random())
+        for zone in zones:
+            buckets = self._members.buckets(zone)
+            request = messages.BucketsRequest(zone, buckets)
+            sent = await self._transport.send(peer, request, REQUEST_TIMEOUT)
+            if isinstance(sent, result.Failure) or sent.unwrap().busy:
+                return
+            for member in unpack(sent.unwrap().packed):
+                self._learn(member)
+
+    async def _note_failure(self, member: messages.Member | None) -> None:
         self._metrics.count("exchanges_failed_total")
-        for member in self.members():
-            if member.control != peer:
-                continue
-            count = self._failures.get(member.node, 0) + 1
-            self._failures[member.node] = count
-            if count < FAILURES_UNTIL_SUSPECT:
-                continue
+        if member is None or member.state is not messages.MemberState.ALIVE:
+            return
+        if not await self._detector.is_suspect(member):
+            return
+        current = self._members.get(member.node)
+        if current == member:
             suspect = messages.MemberState.SUSPECT
             self._learn(attrs.evolve(member, state=suspect))
 
-    def _expire_suspects(self) -> None:
+    def _expire(self) -> None:
+        zone_size = len(self._members.alive_in(self._own.zone))
+        timeout = self._interval * 2 * _rounds_across(zone_size)
+        for node in self._detector.overdue(timeout):
+            member = self._members.get(node)
+            if member is not None:
+                dead = messages.MemberState.DEAD
+                self._learn(attrs.evolve(member, state=dead))
         now = self._clock.monotonic()
-        for node, since in list(self._suspected_at.items()):
-            if now - since < SUSPECT_TIMEOUT:
+        for node, since in list(self._gone_at.items()):
+            if now - since < GONE_RETENTION:
                 continue
-            dead = messages.MemberState.DEAD
-            self._learn(attrs.evolve(self._members[node], state=dead))
+            del self._gone_at[node]
+            self._spread.pop(node, None)
+            self._members.remove(node)
+        if self._contacts.changed():
+            self._stale = True
 
     async def _serve_exchange(
         self, request: messages.ExchangeRequest
     ) -> messages.ExchangeReply:
-        self._versions[request.node] = request.version
-        for member in request.members:
-            self._learn(member)
-        sender = self._members.get(request.node)
-        if sender is not None:
-            self._distribution.hear(sender.control, request.version)
+        self._take_in(request, None)
         return messages.ExchangeReply(
             node=self._own.node,
+            zone=self._own.zone,
             members=self._recent(),
-            members_digest=self._digest,
-            version=self._store.current.version,
+            digests=self._members.digests(),
+            state=self._state(),
+            contact_ages=self._contacts.ages(),
+            summaries=self._reports.summaries(),
         )
 
-    async def _serve_members(
-        self, request: messages.MembersRequest
-    ) -> messages.MembersReply:
-        return messages.MembersReply(tuple(self._members.values()))
+    async def _serve_buckets(
+        self, request: messages.BucketsRequest
+    ) -> messages.BucketsReply:
+        if not self._budget.allows():
+            return messages.BucketsReply(busy=True)
+        found = self._members.differing(request.zone, request.buckets)
+        packed = pack(found)
+        self._budget.charge(len(packed))
+        return messages.BucketsReply(packed)
+
+
+def pack(members: abc.Sequence[messages.Member]) -> bytes:
+    """Return members as compressed MessagePack."""
+    return zlib.compress(msgspec.msgpack.encode(members), PACK_LEVEL)
+
+
+def unpack(packed: bytes) -> list[messages.Member]:
+    """Return the members that ``pack`` packed."""
+    data = zlib.decompress(packed)
+    return msgspec.msgpack.decode(data, type=list[messages.Member])
 
 
-def _hash(member: messages.Member) -> int:
-    key = (
-        f"{member.node} {member.incarnation} {member.sequence} "
-        f"{member.state.value}"
-    )
-    return xxhash.xxh64_intdigest(key.encode())
+def _rounds_across(zone_size: int) -> int:
+    """Return how many rounds an update takes to cross a zone."""
+    return math.ceil(math.log2(zone_size + 1))
--- a/packages/node/src/balsamramp_node/operations.py
+++ b/packages/node/src/balsamramp_node/operations.py
@@ -12,13 +12,10 @@
 from balsamramp_node import membership
 from balsamramp_node import rollouts
 from balsamramp_node import router
-from balsamramp_node import source
 from balsamramp_node import store
 
 __all__ = ["Operations"]
 
-ACCEPT_ATTEMPTS = 8
-
 
 class Operations:
     """What operators can do through a node, apart from HTTP."""
@@ -36,29 +33,9 @@
     async def submit(
         self,
         submission: acceptance.Submission,
-    ) -> result.Result[configuration.Change, acceptance.Rejection]:
+    ) -> result.Result[configuration.Accepted, acceptance.Rejection]:
         """Accept ``submission`` behind the latest version."""
-        configurations = self._kernel.find(store.ConfigurationStore)
-        reader = self._kernel.find(source.ConfigurationSource)
-        accepted: result.Result[configuration.Change, acceptance.Rejection] = (
-            result.Failure(acceptance.Rejection("not attempted"))
-        )
-        for _ in range(ACCEPT_ATTEMPTS):
-            read = await reader.read_now()
-            if isinstance(read, result.Failure):
-                text = f"platform: {read.failure().message}"
-                return result.Failure(acceptance.Rejection(text))
-            base = configurations.current
-            refused = _check_base(base, submission)
-            if refused is not None:
-                return result.Failure(refused)
-            accepted = await self._acceptor.accept(base, submission)
-            if isinstance(accepted, result.Success):
-                configurations.offer(accepted.unwrap())
-                return accepted
-            if not accepted.failure().conflict:
-                return accepted
-        return accepted
+        return await self._acceptor.submit(submission)
 
     def status(self) -> dict[str, typing.Any]:
         """Return what is in force here and what peers reported."""
@@ -97,13 +74,3 @@
     def dump(self) -> dict[str, typing.Any]:
         """Return the state of every service of the process."""
         return self._kernel.dump()
-
-
-def _check_base(
-    base: configuration.Configuration, submission: acceptance.Submission
-) -> acceptance.Rejection | None:
-    wanted = submission.base_version
-    if wanted is None or wanted == base.version:
-        return None
-    text = f"the configuration is at version {base.version}, not {wanted}"
-    return acceptance.Rejection(text, conflict=True)
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -87,6 +87,15 @@
         high=60000,
         doc="time between two reads of the log by a reader",
     ),
+    settings.Option(
+        section="platform",
+        name="snapshot_versions",
+        kind="int",
+        default="512",
+        low=4,
+        high=100000,
+        doc="versions between two snapshots in the object store",
+    ),
     settings.Option(
         section="membership",
         name="seeds",
--- /dev/null
+++ b/packages/node/src/balsamramp_node/reader_lease.py
@@ -0,0 +1,232 @@
+"""Reader lease: which few nodes of a zone read the platform's log.
+
+Each zone has a few rows in the table, its slots. A node holds a slot
+while it renews the row; a row that does not change for the length of
+the lease, by the watcher's own monotonic clock, may be taken over. So
+the clocks of VMs need not agree. A holder that was paused finds its
+lease lapsed by the same clock and stops reading. Two readers at once do
+no harm: versions only rise, and every write is conditional.
+"""
+
+import asyncio
+from collections import abc
+import datetime
+import random
+import typing
+
+from absl import logging
+import attrs
+import msgspec
+from returns import result
+import xxhash
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import metrics
+from balsamramp_core import platform
+from balsamramp_node import member_list
+from balsamramp_node import readiness
+
+__all__ = ["LeaseRow", "ReaderLease", "lease_key"]
+
+SLOTS = 2
+CANDIDATES = 6
+LEASE = datetime.timedelta(seconds=2)
+RENEW_INTERVAL = datetime.timedelta(seconds=1)
+WATCH_INTERVAL = datetime.timedelta(milliseconds=500)
+STALE_AFTER = datetime.timedelta(seconds=8)
+
+
+@attrs.frozen(kw_only=True)
+class LeaseRow:
+    """Who holds a slot; ``renewals`` counts its writes."""
+
+    node: str
+    incarnation: int
+    renewals: int
+
+
+@attrs.frozen
+class _Watched:
+    revision: int
+    since: datetime.timedelta
+
+
+def lease_key(zone: str, slot: int) -> str:
+    """Return the table key of a slot of ``zone``."""
+    return f"readers/{zone}/{slot}"
+
+
+class ReaderLease(kernel.Service):
+    """Takes, renews and gives up one slot of this node's zone.
+
+    Only the first few live members of the zone, in an order of hashes,
+    watch the slots, or any node once the zone has heard nothing of the
+    platform for a while. Which slots exist is fixed.
+    """
+
+    name = "reader-lease"
+    requires = ("readiness",)
+
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        incarnation: int,
+        members: member_list.MemberList,
+        ready: readiness.Readiness,
+        table: platform.Table,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+        choice: random.Random,
+    ) -> None:
+        self._node = node
+        self._zone = zone
+        self._incarnation = incarnation
+        self._members = members
+        self._readiness = ready
+        self._table = table
+        self._clock = time
+        self._metrics = counters
+        self._random = choice
+        self._slot: int | None = None
+        self._revision = 0
+        self._renewals = 0
+        self._held_until = datetime.timedelta()
+        self._watched: dict[int, _Watched] = {}
+        self._taken = asyncio.Event()
+        self._started_at = datetime.timedelta()
+        self._heard_at: datetime.timedelta | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def held(self) -> bool:
+        """Tell whether this node holds a slot now."""
+        if self._slot is None:
+            return False
+        return self._clock.monotonic() < self._held_until
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this node does the zone's writes: it has slot 0."""
+        return self.held and self._slot == 0
+
+    async def wait_until_held(self) -> None:
+        """Return once this node holds a slot."""
+        while not self.held:
+            self._taken.clear()
+            await self._taken.wait()
+
+    @property
+    def read_age(self) -> datetime.timedelta | None:
+        """Return how long ago a reader read the platform, if known."""
+        if self._heard_at is None:
+            return None
+        return self._clock.monotonic() - self._heard_at
+
+    def note_heard(self, age: datetime.timedelta) -> None:
+        """Note that some reader read the platform ``age`` ago."""
+        at = self._clock.monotonic() - age
+        if self._heard_at is None or at > self._heard_at:
+            self._heard_at = at
+
+    async def start(self) -> None:
+        self._started_at = self._clock.monotonic()
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self.held:
+            await self._write(None)
+
+    def dump(self) -> abc.Mapping[str, typing.Any]:
+        return {"slot": self._slot if self.held else None}
+
+    async def _run(self) -> None:
+        await self._readiness.wait_until_peers_tried()
+        while True:
+            if self._slot is not None:
+                await self._renew()
+            elif self._is_candidate():
+                await self._claim()
+            held = self._slot is not None
+            interval = RENEW_INTERVAL if held else WATCH_INTERVAL
+            jitter = 0.8 + 0.4 * self._random.random()
+            await self._clock.sleep(interval * jitter)
+
+    def _is_candidate(self) -> bool:
+        nodes = [member.node for member in self._members.alive_in(self._zone)]
+        nodes.sort(key=lambda node: xxhash.xxh64_intdigest(node.encode()))
+        if self._node in nodes[:CANDIDATES]:
+            return True
+        heard_at = self._heard_at or self._started_at
+        if self._clock.monotonic() - heard_at < STALE_AFTER:
+            return False
+        return self._random.random() < CANDIDATES / len(nodes)
+
+    async def _claim(self) -> None:
+        for slot in range(SLOTS):
+            read = await self._table.read(lease_key(self._zone, slot))
+            if isinstance(read, result.Failure):
+                return
+            row = read.unwrap()
+            if row is not None and not self._lapsed(slot, row):
+                continue
+            self._slot = slot
+            self._revision = 0 if row is None else row.revision
+            self._renewals = 0
+            if await self._renew():
+                logging.info("holds reader slot %d", slot)
+                self._metrics.count("reader_leases_taken_total")
+                return
+
+    def _lapsed(self, slot: int, row: platform.Row) -> bool:
+        now = self._clock.monotonic()
+        watched = self._watched.get(slot)
+        if watched is None or watched.revision != row.revision:
+            self._watched[slot] = _Watched(row.revision, now)
+            return False
+        return now - watched.since >= LEASE
+
+    async def _renew(self) -> bool:
+        sent_at = self._clock.monotonic()
+        self._renewals += 1
+        row = LeaseRow(
+            node=self._node,
+            incarnation=self._incarnation,
+            renewals=self._renewals,
+        )
+        if await self._write(row):
+            self._held_until = sent_at + LEASE
+            self._taken.set()
+            return True
+        return self.held
+
+    async def _write(self, row: LeaseRow | None) -> bool:
+        assert self._slot is not None
+        key = lease_key(self._zone, self._slot)
+        value = None if row is None else msgspec.json.encode(row)
+        committed = await self._table.commit(
+            platform.Transaction(
+                (platform.Condition(key, self._revision),),
+                (platform.Write(key, value),),
+            )
+        )
+        if isinstance(committed, result.Success) and row is None:
+            return True
+        read = await self._table.read(key)
+        if isinstance(read, result.Failure):
+            self._drop_if_lapsed()
+            return False
+        found = read.unwrap()
+        if found is not None and found.value == value:
+            self._revision = found.revision
+            return True
+        self._slot = None
+        return False
+
+    def _drop_if_lapsed(self) -> None:
+        if not self.held:
+            self._slot = None
--- /dev/null
+++ b/packages/node/src/balsamramp_node/readiness.py
@@ -0,0 +1,59 @@
+"""Readiness: when a fresh node may take calls.
+
+A node that has just started holds nothing and must not decide by it.
+It comes into service once it holds a version that the platform or a
+node of its own zone, itself in service, vouches for, and no such node
+is known to hold a later one. A node that reaches neither stays out of
+service and refuses calls as not run.
+"""
+
+import asyncio
+
+from balsamramp_core import kernel
+from balsamramp_node import store
+
+__all__ = ["Readiness"]
+
+
+class Readiness(kernel.Service):
+    """Brings the node into service when someone vouches for it."""
+
+    name = "readiness"
+    requires = ("configuration",)
+
+    def __init__(self, configurations: store.ConfigurationStore) -> None:
+        self._store = configurations
+        self._peers_tried = asyncio.Event()
+        self._platform_vouches = False
+        self._zone_vouches = False
+        self._needed_version = 0
+        configurations.listen(lambda current: self._check())
+
+    async def wait_until_peers_tried(self) -> None:
+        """Return once this node has looked for others since its start."""
+        await self._peers_tried.wait()
+
+    def note_peers_tried(self) -> None:
+        """Note that the zone's other nodes answered or were not found."""
+        self._peers_tried.set()
+        self._check()
+
+    def note_platform_read(self) -> None:
+        """Note that the platform's log was read to its head."""
+        self._platform_vouches = True
+        self._check()
+
+    def note_zone_peer(self, version: int) -> None:
+        """Note that a node of the zone in service holds ``version``."""
+        self._zone_vouches = True
+        self._needed_version = max(self._needed_version, version)
+        self._check()
+
+    def _check(self) -> None:
+        if self._store.in_service:
+            return
+        if self._store.current.version < self._needed_version:
+            return
+        from_platform = self._platform_vouches and self._peers_tried.is_set()
+        if self._zone_vouches or from_platform:
+            self._store.admit()
--- /dev/null
+++ b/packages/node/src/balsamramp_node/roster.py
@@ -0,0 +1,97 @@
+"""Roster: some addresses of each zone, kept in the object store.
+
+A node that starts with no seed alive finds others there. Only the node
+that holds the first reader slot of a zone writes the zone's object.
+"""
+
+import asyncio
+from collections import abc
+import datetime
+import random
+
+import msgspec
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import platform
+from balsamramp_core import settings
+from balsamramp_node import member_list
+from balsamramp_node import reader_lease
+
+__all__ = ["Roster"]
+
+PREFIX = "roster/"
+ADDRESSES_MAX = 16
+WRITE_INTERVAL = datetime.timedelta(seconds=20)
+
+
+class Roster(kernel.Service):
+    """Writes the zone's roster while leading it; reads all of them."""
+
+    name = "roster"
+    requires = ("reader-lease",)
+
+    def __init__(
+        self,
+        zone: str,
+        objects: platform.ObjectStore,
+        members: member_list.MemberList,
+        lease: reader_lease.ReaderLease,
+        time: clock.Clock,
+        choice: random.Random,
+    ) -> None:
+        self._zone = zone
+        self._objects = objects
+        self._members = members
+        self._lease = lease
+        self._clock = time
+        self._random = choice
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def read(self) -> list[settings.Address]:
+        """Return addresses of this zone, or of one other if it has none."""
+        own = await self._read_zone(PREFIX + self._zone)
+        if own:
+            return own
+        listed = await self._objects.list(PREFIX)
+        keys: list[str] = listed.value_or([])
+        others = [key for key in keys if key != PREFIX + self._zone]
+        if not others:
+            return []
+        return await self._read_zone(self._random.choice(others))
+
+    async def _read_zone(self, key: str) -> list[settings.Address]:
+        read = await self._objects.get(key)
+        if isinstance(read, result.Failure):
+            return []
+        data = read.unwrap()
+        if data is None:
+            return []
+        return msgspec.json.decode(data, type=list[settings.Address])
+
+    async def _run(self) -> None:
+        while True:
+            jitter = 0.5 + self._random.random()
+            if self._lease.leads:
+                await self._write()
+                await self._clock.sleep(WRITE_INTERVAL * jitter)
+                continue
+            await self._clock.sleep(reader_lease.RENEW_INTERVAL * jitter)
+
+    async def _write(self) -> None:
+        members = self._members.alive_in(self._zone)
+        count = min(ADDRESSES_MAX, len(members))
+        chosen: abc.Sequence[settings.Address] = [
+            member.control for member in self._random.sample(members, count)
+        ]
+        data = msgspec.json.encode(chosen)
+        await self._objects.put(PREFIX + self._zone, data)
--- a/packages/node/src/balsamramp_node/router.py
+++ b/packages/node/src/balsamramp_node/router.py
@@ -10,6 +10,7 @@
 from balsamramp_core import configuration
 from balsamramp_core import kernel
 from balsamramp_core import metrics
+from balsamramp_core import resource
 from balsamramp_core import verdict
 from balsamramp_core.resources import alias
 from balsamramp_core.resources import labels
@@ -55,13 +56,15 @@
         self._services: dict[str, service.Service] = {}
         self._aliases: dict[str, str] = {}
         self._routes: dict[str, list[route.Route]] = {}
+        self._route_services: dict[str, str] = {}
         self._labels: dict[str, dict[str, str]] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._unknown: dict[str, int] = {}
         self._stats: dict[str, picker.TargetStats] = {}
         self._generation = -1
         self._by_service: dict[str, list[picker.Candidate]] = {}
-        configurations.listen(self._read)
+        self._configurations = configurations
+        configurations.listen_changes(self._read)
 
     @property
     def zones_out(self) -> frozenset[str]:
@@ -76,6 +79,14 @@
         self, name: str, path: str
     ) -> result.Result[Resolved, verdict.Failure]:
         """Return the service called ``name`` and its route for ``path``."""
+        if not self._configurations.in_service:
+            return result.Failure(
+                verdict.Failure(
+                    verdict.Verdict.NOT_RUN,
+                    verdict.Reason.NOT_READY,
+                    "this node has no configuration vouched for yet",
+                )
+            )
         found = self._services.get(self._aliases.get(name, name))
         if found is None:
             return result.Failure(self._unknown_name(name))
@@ -127,34 +138,40 @@
             "unknown_names": dict(sorted(self._unknown.items())),
         }
 
-    def _read(self, current: configuration.Configuration) -> None:
-        self._services = {
-            item.name: item
-            for item in current.of_kind(service.Service.kind)
-            if isinstance(item, service.Service)
-        }
-        self._aliases = {
-            item.name: item.service
-            for item in current.of_kind(alias.Alias.kind)
-            if isinstance(item, alias.Alias)
-        }
-        self._labels = {
-            item.name: item.labels
-            for item in current.of_kind(labels.Labels.kind)
-            if isinstance(item, labels.Labels)
-        }
-        self._zones_out = frozenset(
-            item.name
-            for item in current.of_kind(zone.Zone.kind)
-            if isinstance(item, zone.Zone) and item.out
-        )
-        routes: dict[str, list[route.Route]] = {}
-        for item in current.of_kind(route.Route.kind):
-            if isinstance(item, route.Route):
-                routes.setdefault(item.service, []).append(item)
-        for items in routes.values():
-            items.sort(key=lambda item: len(item.path_prefix), reverse=True)
-        self._routes = routes
+    def _read(
+        self,
+        current: configuration.Configuration,
+        changed: abc.Iterable[resource.ResourceKey],
+    ) -> None:
+        """Take in the changed keys alone, whatever the whole holds."""
+        for key in changed:
+            item = current.resources.get(key)
+            if key.kind == service.Service.kind:
+                _put(self._services, key.name, item)
+            elif key.kind == alias.Alias.kind:
+                spelled = item and typing.cast(alias.Alias, item).service
+                _put(self._aliases, key.name, spelled)
+            elif key.kind == labels.Labels.kind:
+                given = item and typing.cast(labels.Labels, item).labels
+                _put(self._labels, key.name, given)
+            elif key.kind == zone.Zone.kind:
+                out = item and typing.cast(zone.Zone, item).out
+                without = self._zones_out - {key.name}
+                self._zones_out = without | {key.name} if out else without
+            elif key.kind == route.Route.kind:
+                self._put_route(key.name, typing.cast(route.Route, item))
+
+    def _put_route(self, name: str, item: route.Route | None) -> None:
+        previous = self._route_services.pop(name, None)
+        if previous is not None:
+            items = self._routes[previous]
+            items[:] = [known for known in items if known.name != name]
+        if item is None:
+            return
+        self._route_services[name] = item.service
+        items = self._routes.setdefault(item.service, [])
+        items.append(item)
+        items.sort(key=lambda known: (-len(known.path_prefix), known.name))
 
     def _index(self) -> None:
         by_service: dict[str, list[picker.Candidate]] = {}
@@ -187,6 +204,13 @@
         )
 
 
+def _put(items: dict[str, typing.Any], name: str, item: typing.Any) -> None:
+    if item is None:
+        items.pop(name, None)
+        return
+    items[name] = item
+
+
 def _matches(
     selector: abc.Mapping[str, str], labels_seen: abc.Mapping[str, str]
 ) -> bool:
--- /dev/null
+++ b/packages/node/src/balsamramp_node/snapshots.py
@@ -0,0 +1,87 @@
+"""Snapshots: keeps the accepted log short by snapshots of its state."""
+
+import asyncio
+import datetime
+import random
+
+from absl import logging
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import metrics
+from balsamramp_node import accepted_log
+from balsamramp_node import reader_lease
+from balsamramp_node import source
+from balsamramp_node import store
+
+__all__ = ["Snapshots"]
+
+CHECK_INTERVAL = datetime.timedelta(seconds=2)
+
+
+class Snapshots(kernel.Service):
+    """Writes a snapshot every so many versions while leading the zone.
+
+    Several zones may try at once; the head's condition lets one of them
+    write, and the others find the new snapshot at their next look.
+    """
+
+    name = "snapshots"
+    requires = ("source",)
+
+    def __init__(
+        self,
+        log: accepted_log.AcceptedLog,
+        configurations: store.ConfigurationStore,
+        reader: source.ConfigurationSource,
+        lease: reader_lease.ReaderLease,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+        every_versions: int,
+        choice: random.Random,
+    ) -> None:
+        self._log = log
+        self._store = configurations
+        self._source = reader
+        self._lease = lease
+        self._clock = time
+        self._metrics = counters
+        self._every_versions = every_versions
+        self._random = choice
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            jitter = 0.5 + self._random.random()
+            await self._clock.sleep(CHECK_INTERVAL * jitter)
+            if self._is_due():
+                await self._write()
+
+    def _is_due(self) -> bool:
+        if not self._lease.leads:
+            return False
+        if self._source.state is not source.SourceState.IN_STEP:
+            return False
+        head = self._source.head.head
+        return head.version - head.snapshot_version >= self._every_versions
+
+    async def _write(self) -> None:
+        seen = self._source.head
+        if seen.version != self._store.current.version:
+            return
+        snapshot = self._store.snapshot()
+        written = await self._log.write_snapshot(seen, snapshot)
+        if isinstance(written, result.Failure):
+            return
+        self._metrics.count("snapshots_written_total")
+        version = snapshot.configuration.version
+        logging.info("wrote snapshot of version %d", version)
--- a/packages/node/src/balsamramp_node/source.py
+++ b/packages/node/src/balsamramp_node/source.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import abc
 import datetime
+import enum
+import random
 import typing
 
 from absl import logging
@@ -13,36 +15,90 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import platform
-from balsamramp_node import acceptance
+from balsamramp_node import accepted_log
+from balsamramp_node import reader_lease
+from balsamramp_node import readiness
 from balsamramp_node import store
 
-__all__ = ["ConfigurationSource"]
+__all__ = ["ConfigurationSource", "SourceState"]
 
-READ_MAX_ROWS = 256
+REPAIR_AFTER_READS = 2
+MISPLACED = (
+    configuration.RefusalKind.DIVERGED,
+    configuration.RefusalKind.GAP,
+)
+
+
+class SourceState(enum.Enum):
+    """How the platform's log compares with what is in force here.
+
+    BEHIND: the log ends at an earlier state that this node passed
+    through, as after a restore from a backup. DIVERGED: the log went
+    through other states than this node. REFUSED: this node can't apply
+    a later version of the log.
+    """
+
+    UNREAD = "unread"
+    IN_STEP = "in-step"
+    BEHIND = "behind"
+    DIVERGED = "diverged"
+    REFUSED = "refused"
 
 
 class ConfigurationSource(kernel.Service):
-    """Polls the log behind the version in force and offers what is new."""
+    """Polls the head of the log and offers what is new to the store.
+
+    Only nodes that hold a reader lease of their zone poll. A log found
+    behind or diverged on two reads is repaired: the versions in force
+    never fall, so a log that lost its end gets the state in force as a
+    snapshot, and a log that took another course continues above the
+    versions in force.
+    """
 
     name = "source"
-    requires = ("configuration",)
+    requires = ("configuration", "reader-lease", "readiness")
 
     def __init__(
         self,
-        table: platform.Table,
+        log: accepted_log.AcceptedLog,
         configurations: store.ConfigurationStore,
+        lease: reader_lease.ReaderLease,
+        ready: readiness.Readiness,
         time: clock.Clock,
         counters: metrics.Metrics,
         interval: datetime.timedelta,
+        choice: random.Random,
     ) -> None:
-        self._table = table
+        self._log = log
         self._store = configurations
+        self._lease = lease
+        self._readiness = ready
         self._clock = time
         self._metrics = counters
         self._interval = interval
+        self._random = choice
+        self._lock = asyncio.Lock()
         self._task: asyncio.Task[None] | None = None
+        self._head = accepted_log.HeadRow(accepted_log.Head(), 0)
+        self._state = SourceState.UNREAD
+        self._odd_reads = 0
         self._reachable = True
-        self._last_read: datetime.datetime | None = None
+        self._read_at: datetime.datetime | None = None
+
+    @property
+    def head(self) -> accepted_log.HeadRow:
+        """Return the head of the log as last read."""
+        return self._head
+
+    @property
+    def state(self) -> SourceState:
+        """Return how the log compared at the last read."""
+        return self._state
+
+    @property
+    def read_at(self) -> datetime.datetime | None:
+        """Return when this node last read the log, or None."""
+        return self._read_at
 
     async def start(self) -> None:
         self._task = asyncio.create_task(self._run())
@@ -54,42 +110,113 @@
 
     async def read_now(self) -> result.Result[int, platform.PlatformError]:
         """Read to the end of the log; return the version in force."""
-        while True:
-            after = acceptance.log_key(self._store.current.version)
-            scanned = await self._table.scan(
-                acceptance.LOG_PREFIX, after, READ_MAX_ROWS
-            )
-            self._note(scanned)
-            if isinstance(scanned, result.Failure):
-                return scanned
-            rows = scanned.unwrap()
-            if not self._offer(rows) or len(rows) < READ_MAX_ROWS:
-                return result.Success(self._store.current.version)
+        async with self._lock:
+            read = await self._log.read_head()
+            self._note(read)
+            if isinstance(read, result.Failure):
+                return read
+            self._head = read.unwrap()
+            if self._head.version > self._store.current.version:
+                caught_up = await self._catch_up()
+                if isinstance(caught_up, result.Failure):
+                    return caught_up
+            self._compare()
+            return result.Success(self._store.current.version)
+
+    async def settle_divergence(self) -> None:
+        """Compare with the platform after a peer showed another state."""
+        for _ in range(REPAIR_AFTER_READS):
+            await self.read_now()
+        if self._state is SourceState.DIVERGED:
+            await self._repair()
+            await self.read_now()
 
     def dump(self) -> abc.Mapping[str, typing.Any]:
-        return {"reachable": self._reachable, "last_read": self._last_read}
-
-    def _offer(self, rows: list[platform.Row]) -> bool:
-        for row in rows:
-            change = configuration.change_from_bytes(row.value)
-            if isinstance(change, result.Failure):
-                logging.error("%s: %s", row.key, change.failure())
-                return False
-            offered = self._store.offer(change.unwrap())
+        return {
+            "reachable": self._reachable,
+            "last_read": self._read_at,
+            "state": self._state.value,
+            "head": self._head.version,
+            "snapshot": self._head.head.snapshot,
+        }
+
+    async def _catch_up(
+        self,
+    ) -> result.Result[None, platform.PlatformError]:
+        read = await self._log.read_after(self._store.current.version)
+        if isinstance(read, result.Failure):
+            return read
+        for change in read.unwrap():
+            offered = self._store.offer(change)
             if isinstance(offered, result.Success):
                 continue
-            old = configuration.RefusalKind.OLD
-            if offered.failure().kind is not old:
-                return False
-        return True
+            kind = offered.failure().kind
+            if kind is configuration.RefusalKind.OLD:
+                continue
+            if kind in MISPLACED:
+                return await self._reload()
+            return result.Success(None)
+        if self._store.current.version < self._head.version:
+            return await self._reload()
+        return result.Success(None)
+
+    async def _reload(self) -> result.Result[None, platform.PlatformError]:
+        loaded = await self._log.load(self._head)
+        if isinstance(loaded, result.Failure):
+            return loaded
+        self._metrics.count("configuration_reloads_total")
+        self._store.restore(loaded.unwrap())
+        return result.Success(None)
+
+    def _compare(self) -> None:
+        own = self._store.current
+        head = self._head
+        if (head.version, head.digest) == (own.version, own.digest):
+            self._readiness.note_platform_read()
+            self._enter(SourceState.IN_STEP)
+            return
+        if head.version > own.version:
+            self._enter(SourceState.REFUSED)
+            return
+        ancestor = self._store.passed(head.version, head.digest)
+        older = ancestor and head.version < own.version
+        self._enter(SourceState.BEHIND if older else SourceState.DIVERGED)
+
+    def _enter(self, state: SourceState) -> None:
+        odd = state in (SourceState.BEHIND, SourceState.DIVERGED)
+        self._odd_reads = self._odd_reads + 1 if odd else 0
+        if state is self._state:
+            return
+        logging.info("platform's log is %s", state.value)
+        self._state = state
+
+    async def _repair(self) -> None:
+        self._metrics.count("log_repairs_total", state=self._state.value)
+        if self._state is SourceState.BEHIND:
+            snapshot = self._store.snapshot()
+            await self._log.write_snapshot(self._head, snapshot)
+            return
+        loaded = await self._log.load(self._head)
+        if isinstance(loaded, result.Failure):
+            return
+        own = self._store.current.version
+        change = configuration.make_change(
+            loaded.unwrap().configuration,
+            max(own, self._head.version) + 1,
+            f"raise-above-{own}-{self._random.getrandbits(32):08x}",
+            "balsamramp",
+            self._clock.now(),
+        )
+        await self._log.append(self._head, [change])
 
     def _note(
-        self, scanned: result.Result[typing.Any, platform.PlatformError]
+        self, read: result.Result[typing.Any, platform.PlatformError]
     ) -> None:
-        reachable = isinstance(scanned, result.Success)
+        reachable = isinstance(read, result.Success)
         self._metrics.count("source_reads_total", ok=str(reachable).lower())
         if reachable:
-            self._last_read = self._clock.now()
+            self._read_at = self._clock.now()
+            self._lease.note_heard(datetime.timedelta())
         if reachable is self._reachable:
             return
         self._reachable = reachable
@@ -97,5 +224,10 @@
 
     async def _run(self) -> None:
         while True:
+            await self._lease.wait_until_held()
             await self.read_now()
-            await self._clock.sleep(self._interval)
+            if self._odd_reads >= REPAIR_AFTER_READS:
+                await self._repair()
+                await self.read_now()
+            jitter = 0.75 + 0.5 * self._random.random()
+            await self._clock.sleep(self._interval * jitter)
--- /dev/null
+++ b/packages/node/src/balsamramp_node/zone_reports.py
@@ -0,0 +1,166 @@
+"""Zone reports: what the nodes of each zone have in force, summed up.
+
+Within a zone every node hands a summary of itself and of the nodes
+below it to its parent in a fixed tree. The root's summary covers the
+zone and spreads to all nodes with the exchanges. So no node hears from
+every other, and a version needs no acknowledgement of its own.
+"""
+
+import asyncio
+import bisect
+from collections import abc
+import datetime
+import random
+import typing
+
+import attrs
+import msgspec
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_node import member_list
+from balsamramp_node import store
+from balsamramp_node import tree
+from balsamramp_wire import control
+from balsamramp_wire import messages
+
+__all__ = ["ZoneReports"]
+
+REPORT_INTERVAL = datetime.timedelta(seconds=2)
+REPORT_TIMEOUT = datetime.timedelta(milliseconds=500)
+REPORT_KEPT = datetime.timedelta(seconds=7)
+TREE_SEED = 0
+VERSIONS_MAX = 8
+NAMED_MAX = 8
+
+
+@attrs.frozen
+class _Received:
+    summary: messages.ZoneSummary
+    at: datetime.timedelta
+
+
+class ZoneReports(kernel.Service):
+    """Sums up the reports from below and hands them on."""
+
+    name = "zone-reports"
+    requires = ("configuration",)
+
+    def __init__(
+        self,
+        own: messages.Member,
+        members: member_list.MemberList,
+        transport: control.PeerTransport,
+        configurations: store.ConfigurationStore,
+        time: clock.Clock,
+        choice: random.Random,
+    ) -> None:
+        self._node = own.node
+        self._zone = own.zone
+        self._members = members
+        self._transport = transport
+        self._store = configurations
+        self._clock = time
+        self._random = choice
+        self._below: dict[str, _Received] = {}
+        self._summaries: dict[str, messages.ZoneSummary] = {}
+        self._task: asyncio.Task[None] | None = None
+        transport.handle(messages.ReportRequest, self._serve_report)
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def summaries(self) -> tuple[messages.ZoneSummary, ...]:
+        """Return the latest known summary of each zone."""
+        return tuple(self._summaries.values())
+
+    def take_in(self, summaries: abc.Iterable[messages.ZoneSummary]) -> None:
+        """Take in what another node knows; the later one goes first."""
+        for item in summaries:
+            known = self._summaries.get(item.zone)
+            if known is None or item.counted_at > known.counted_at:
+                self._summaries[item.zone] = item
+
+    def dump(self) -> abc.Mapping[str, typing.Any]:
+        return {
+            zone: msgspec.to_builtins(item)
+            for zone, item in sorted(self._summaries.items())
+        }
+
+    async def _run(self) -> None:
+        while True:
+            jitter = 0.75 + 0.5 * self._random.random()
+            await self._clock.sleep(REPORT_INTERVAL * jitter)
+            await self._report()
+
+    async def _report(self) -> None:
+        summary = self._sum_up()
+        members = self._members.alive_in(self._zone)
+        names = [member.node for member in members]
+        shape = tree.Tree.seeded(len(names), TREE_SEED)
+        position = shape.position(bisect.bisect_left(names, self._node))
+        parent = shape.parent(position)
+        if parent is None:
+            self.take_in((summary,))
+            return
+        request = messages.ReportRequest(node=self._node, summary=summary)
+        peer = members[shape.index(parent)].control
+        await self._transport.send(peer, request, REPORT_TIMEOUT)
+
+    def _sum_up(self) -> messages.ZoneSummary:
+        now = self._clock.monotonic()
+        current = self._store.current.version
+        counts = {current: 1}
+        lagging: list[str] = []
+        refusals: list[messages.RefusalReport] = []
+        refused = self._store.refused
+        if refused is not None:
+            refusals.append(
+                messages.RefusalReport(self._node, current, refused.message)
+            )
+        for node, received in list(self._below.items()):
+            if now - received.at > REPORT_KEPT:
+                del self._below[node]
+                continue
+            lagging += received.summary.lagging
+            refusals += received.summary.refusals
+            for item in received.summary.versions:
+                counts[item.version] = counts.get(item.version, 0) + item.nodes
+                if item.version < current and item.nodes == 1:
+                    lagging.append(node)
+        return messages.ZoneSummary(
+            zone=self._zone,
+            counted_at=self._clock.now(),
+            nodes=sum(counts.values()),
+            versions=_latest(counts),
+            lagging=tuple(sorted(set(lagging))[:NAMED_MAX]),
+            refusals=tuple(refusals[:NAMED_MAX]),
+        )
+
+    async def _serve_report(
+        self, request: messages.ReportRequest
+    ) -> messages.ReportReply:
+        now = self._clock.monotonic()
+        self._below[request.node] = _Received(request.summary, now)
+        return messages.ReportReply()
+
+
+def _latest(
+    counts: abc.Mapping[int, int],
+) -> tuple[messages.VersionCount, ...]:
+    """Return the counts, all early versions beyond a few as one."""
+    versions = sorted(counts, reverse=True)
+    found = [
+        messages.VersionCount(version, counts[version])
+        for version in versions[:VERSIONS_MAX]
+    ]
+    rest = versions[VERSIONS_MAX:]
+    if rest:
+        total = sum(counts[version] for version in rest)
+        found.append(messages.VersionCount(rest[-1], total))
+    return tuple(found)
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -15,12 +15,15 @@
 from balsamramp_core import verdict
 
 __all__ = [
+    "BucketsReply",
+    "BucketsRequest",
     "CallAnswer",
     "CallCancel",
     "CallFailure",
     "CallRequest",
     "ChangesReply",
     "ChangesRequest",
+    "ConfigurationState",
     "ControlRequest",
     "ExchangeReply",
     "ExchangeRequest",
@@ -28,14 +31,21 @@
     "Load",
     "Member",
     "MemberState",
-    "MembersReply",
-    "MembersRequest",
     "Ping",
+    "PingReply",
+    "PingRequest",
     "Pong",
+    "ProbeReply",
+    "ProbeRequest",
     "PushReply",
     "PushRequest",
+    "RefusalReport",
+    "ReportReply",
+    "ReportRequest",
     "TargetRecord",
     "TargetState",
+    "VersionCount",
+    "ZoneSummary",
 ]
 
 Headers = tuple[tuple[str, str], ...]
@@ -186,48 +196,140 @@
     reply: typing.ClassVar[type]
 
 
+@attrs.frozen(kw_only=True)
+class ConfigurationState:
+    """What a node has in force, as it tells its peers.
+
+    ``digest`` is that of the configuration. ``read_age`` is how long ago
+    some node whose word came here last read the platform's log, or None.
+    """
+
+    version: int
+    digest: bytes
+    in_service: bool
+    read_age: datetime.timedelta | None
+
+
+@attrs.frozen
+class VersionCount:
+    """How many nodes have a version in force."""
+
+    version: int
+    nodes: int
+
+
+@attrs.frozen
+class RefusalReport:
+    """Why a node does not bring a later version into force."""
+
+    node: str
+    version: int
+    message: str
+
+
+@attrs.frozen(kw_only=True)
+class ZoneSummary:
+    """What the nodes of a zone have in force, counted at ``counted_at``.
+
+    ``lagging`` names some of the nodes that are behind the latest
+    version of the zone. The summary of the later time goes first.
+    """
+
+    zone: str
+    counted_at: datetime.datetime
+    nodes: int
+    versions: tuple[VersionCount, ...]
+    lagging: tuple[str, ...] = ()
+    refusals: tuple[RefusalReport, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class ExchangeReply:
     """Answer to an ExchangeRequest, with the same fields."""
 
     node: str
+    zone: str
     members: tuple[Member, ...]
-    members_digest: int
-    version: int
+    digests: dict[str, int]
+    state: ConfigurationState
+    contact_ages: dict[str, datetime.timedelta]
+    summaries: tuple[ZoneSummary, ...]
 
 
 @attrs.frozen(kw_only=True)
 class ExchangeRequest(ControlRequest):
     """Tells a peer what changed lately and what the sender holds.
 
-    ``members_digest`` summarises the sender's whole list of members and
-    ``version`` is the configuration that it has in force.
+    ``digests`` summarises the sender's list of live members of each zone.
+    ``contact_ages`` tells how long ago the sender's zone was in contact
+    with each other zone.
     """
 
     method = "exchange"
     reply = ExchangeReply
 
     node: str
+    zone: str
     members: tuple[Member, ...]
-    members_digest: int
-    version: int
+    digests: dict[str, int]
+    state: ConfigurationState
+    contact_ages: dict[str, datetime.timedelta]
+    summaries: tuple[ZoneSummary, ...]
 
 
 @attrs.frozen
-class MembersReply:
-    """All members that the peer knows."""
+class BucketsReply:
+    """Members in the buckets that differ: MessagePack within zlib.
 
-    members: tuple[Member, ...]
+    ``busy`` tells that the peer answers too many such requests now.
+    """
+
+    packed: bytes = b""
+    busy: bool = False
 
 
 @attrs.frozen
-class MembersRequest(ControlRequest):
-    """Asks for the whole list of members."""
+class BucketsRequest(ControlRequest):
+    """Asks for the members of a zone in buckets whose digest differs."""
+
+    method = "buckets"
+    reply = BucketsReply
+
+    zone: str
+    buckets: tuple[int, ...]
+
 
-    method = "members"
-    reply = MembersReply
+@attrs.frozen
+class PingReply:
+    """Which node answers, and which of its starts."""
 
     node: str
+    incarnation: int
+
+
+@attrs.frozen
+class PingRequest(ControlRequest):
+    """Asks for a sign of life."""
+
+    method = "ping"
+    reply = PingReply
+
+
+@attrs.frozen
+class ProbeReply:
+    """Whether the peer got a sign of life."""
+
+    reached: bool
+
+
+@attrs.frozen
+class ProbeRequest(ControlRequest):
+    """Asks a peer to ping a node that the sender can't reach."""
+
+    method = "probe"
+    reply = ProbeReply
+
+    address: settings.Address
 
 
 @attrs.frozen
@@ -237,29 +339,57 @@
     version: int
 
 
-@attrs.frozen
+@attrs.frozen(kw_only=True)
 class PushRequest(ControlRequest):
-    """Hands on changes of configuration, in order of their versions."""
+    """Hands on changes of configuration, in order of their versions.
+
+    ``version`` is the last of them and seeds the tree. ``changes`` may
+    be empty when they are too many; the receiver then asks ``sender``.
+    """
 
     method = "push"
     reply = PushReply
 
+    sender: settings.Address
+    zone: str
+    version: int
     changes: tuple[bytes, ...]
 
 
 @attrs.frozen
 class ChangesReply:
-    """The changes asked for, or a snapshot that includes them."""
+    """The changes asked for, or a snapshot that includes them.
+
+    ``busy`` tells that the peer sends too many snapshots now.
+    """
 
     changes: tuple[bytes, ...] = ()
     snapshot: bytes = b""
+    busy: bool = False
 
 
 @attrs.frozen
 class ChangesRequest(ControlRequest):
-    """Asks for the changes after ``version``."""
+    """Asks for the changes after a version whose state has ``digest``."""
 
     method = "changes"
     reply = ChangesReply
 
     version: int
+    digest: bytes
+
+
+@attrs.frozen
+class ReportReply:
+    """Answer to a ReportRequest."""
+
+
+@attrs.frozen(kw_only=True)
+class ReportRequest(ControlRequest):
+    """Hands what the nodes below ``node`` have in force up the tree."""
+
+    method = "report"
+    reply = ReportReply
+
+    node: str
+    summary: ZoneSummary
