World: the real stream client and server on streams in memory

Cause: the stand-in for calls between nodes had neither connections nor repeats, so silence and cuts could not be tried in virtual time. Change: memory_streams.py carries bytes; the stand-in is gone.

--- a/packages/node/src/balsamramp_node/stream_client.py
+++ b/packages/node/src/balsamramp_node/stream_client.py
@@ -17,12 +17,20 @@
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
-__all__ = ["StreamClient"]
+__all__ = ["StreamClient", "connect_tcp"]
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
 MESSAGES_MAX = 3
 REPEATS_MAX = 64
 
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Connect = abc.Callable[[settings.Address], abc.Awaitable[Connection]]
+
+
+async def connect_tcp(peer: settings.Address) -> Connection:
+    """Open a TCP connection to ``peer``."""
+    return await asyncio.open_connection(peer.host, peer.port)
+
 
 class StreamClient(kernel.Service, call_transport.CallTransport):
     """Connections to other nodes, one a peer, opened when needed.
@@ -40,7 +48,9 @@
         hello: messages.Hello,
         time: clock.Clock,
         counters: metrics.Metrics,
+        connect: Connect = connect_tcp,
     ) -> None:
+        self._connect = connect
         self._hello = hello
         self._clock = time
         self._metrics = counters
@@ -121,7 +131,7 @@
                 return await self._open(peer)
 
     async def _open(self, peer: settings.Address) -> peer_stream.PeerStream:
-        reader, writer = await asyncio.open_connection(peer.host, peer.port)
+        reader, writer = await self._connect(peer)
         sent_at = self._clock.monotonic()
         hello = attrs.evolve(self._hello, sent_at=sent_at)
         writer.write(frames.encode(hello))
--- a/packages/node/src/balsamramp_node/stream_server.py
+++ b/packages/node/src/balsamramp_node/stream_server.py
@@ -77,7 +77,7 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
-            self._serve, self._listen.host, self._listen.port
+            self.serve, self._listen.host, self._listen.port
         )
         port = self._server.sockets[0].getsockname()[1]
         self._address = settings.Address(self._listen.host, port)
@@ -100,9 +100,10 @@
         except (ConnectionError, TimeoutError):
             connection.writer.transport.abort()
 
-    async def _serve(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Take in the calls of one connection until it ends."""
         connection = _Connection(writer)
         self._connections.add(connection)
         self._metrics.count("stream_connections_total")
--- a/packages/testing/src/balsamramp_testing/memory_network.py
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -16,12 +16,11 @@
 from balsamramp_core import clock
 from balsamramp_core import settings
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
-from balsamramp_node import door
+from balsamramp_node import stream_server
 from balsamramp_wire import control
 from balsamramp_wire import messages
 
-__all__ = ["MemoryCalls", "MemoryControl", "MemoryNetwork"]
+__all__ = ["MemoryControl", "MemoryNetwork"]
 
 DELAY = datetime.timedelta(microseconds=500)
 
@@ -45,7 +44,7 @@
         self._clock = time
         self._random = choice
         self._controls: dict[settings.Address, MemoryControl] = {}
-        self._doors: dict[settings.Address, door.Door] = {}
+        self._streams: dict[settings.Address, stream_server.StreamServer] = {}
         self._zones: dict[str, str] = {}
         self._cuts: set[frozenset[str]] = set()
         self.delay = DELAY
@@ -59,12 +58,12 @@
         node: str,
         zone: str,
         served: "MemoryControl",
-        calls: door.Door,
+        calls: stream_server.StreamServer,
     ) -> None:
         """Connect a node, replacing an earlier one of the same name."""
         self._zones[node] = zone
         self._controls[settings.Address(node, 1)] = served
-        self._doors[settings.Address(node, 2)] = calls
+        self._streams[settings.Address(node, 2)] = calls
         self.down.discard(node)
 
     def cut(self, left: str, right: str) -> None:
@@ -105,9 +104,11 @@
         """Return the node's control side at ``address``, if any."""
         return self._controls.get(address)
 
-    def door_at(self, address: settings.Address) -> door.Door | None:
-        """Return the door at ``address``, if any."""
-        return self._doors.get(address)
+    def stream_at(
+        self, address: settings.Address
+    ) -> stream_server.StreamServer | None:
+        """Return the stream server at ``address``, if any."""
+        return self._streams.get(address)
 
 
 class MemoryControl(control.PeerTransport):
@@ -160,47 +161,6 @@
         )
 
 
-class MemoryCalls(call_transport.CallTransport):
-    """Calls of one node to the doors of others over a memory network."""
-
-    def __init__(self, node: str, network: MemoryNetwork) -> None:
-        self._node = node
-        self._network = network
-
-    async def call(
-        self, peer: settings.Address, request: messages.CallRequest
-    ) -> call_transport.Reply:
-        try:
-            async with asyncio.timeout(request.timeout.total_seconds()):
-                return await self._call(peer, request)
-        except TimeoutError:
-            return _call_failed(
-                request,
-                verdict.Verdict.MAY_HAVE_RUN,
-                verdict.Reason.DEADLINE,
-            )
-
-    async def _call(
-        self, peer: settings.Address, request: messages.CallRequest
-    ) -> call_transport.Reply:
-        reaches = self._network.reaches(self._node, peer.host)
-        served = self._network.door_at(peer)
-        if served is None or not reaches:
-            return _call_failed(request, verdict.Verdict.NOT_RUN)
-        if not await self._network.carry(self._node, peer.host):
-            return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
-        if peer.host in self._network.silent:
-            await asyncio.Event().wait()
-        try:
-            reply = await served.submit(request)
-        except asyncio.CancelledError:
-            served.cancel(request.call_id, request.target)
-            raise
-        if not await self._network.carry(peer.host, self._node):
-            return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
-        return reply
-
-
 def _lost(
     peer: settings.Address,
 ) -> result.Result[typing.Any, verdict.Failure]:
@@ -211,15 +171,3 @@
             f"no answer from {peer}",
         )
     )
-
-
-def _call_failed(
-    request: messages.CallRequest,
-    ran: verdict.Verdict,
-    reason: verdict.Reason = verdict.Reason.CONNECTION_LOST,
-) -> messages.CallFailure:
-    return messages.CallFailure(
-        call_id=request.call_id,
-        failure=verdict.Failure(ran, reason, "no answer"),
-        load=messages.Load(0, 0),
-    )
--- a/packages/testing/src/balsamramp_testing/world.py
+++ b/packages/testing/src/balsamramp_testing/world.py
@@ -15,11 +15,15 @@
 from balsamramp_node import core
 from balsamramp_node import options
 from balsamramp_node import parts
+from balsamramp_node import stream_client
+from balsamramp_node import stream_server
 from balsamramp_node import targets
 from balsamramp_testing import memory_network
 from balsamramp_testing import memory_platform
+from balsamramp_testing import memory_streams
 from balsamramp_testing import memory_target
 from balsamramp_testing import virtual_time
+from balsamramp_wire import messages
 
 __all__ = ["World", "WorldNode"]
 
@@ -49,6 +53,7 @@
     core: core.Core
     metrics: metrics.Metrics
     targets: memory_target.MemoryTargetClient
+    connector: memory_streams.MemoryConnector
 
 
 class World:
@@ -97,14 +102,20 @@
         self._incarnation += 1
         served = memory_network.MemoryControl(name, self.network)
         client = memory_target.MemoryTargetClient(self.clock)
+        counters = metrics.Metrics()
+        hello = messages.Hello(name, self._incarnation)
+        connector = memory_streams.MemoryConnector(name, self.network)
+        streams = stream_client.StreamClient(
+            hello, self.clock, counters, connector.connect
+        )
         outside = parts.Parts(
             table=self.table,
             objects=self.objects,
             control=served,
-            calls=memory_network.MemoryCalls(name, self.network),
+            calls=streams,
             targets=client,
+            services=(streams,),
         )
-        counters = metrics.Metrics()
         made = core.Core(
             core.Identity(name, zone, self._region, self._incarnation),
             checked,
@@ -113,9 +124,16 @@
             counters,
             random.Random(self.random.random()),
         )
-        self.network.add(name, zone, served, made.door)
+        server = stream_server.StreamServer(
+            hello,
+            settings.Address(name, 2),
+            made.door,
+            self.clock,
+            counters,
+        )
+        self.network.add(name, zone, served, server)
         await made.kernel.start()
-        node = WorldNode(made, counters, client)
+        node = WorldNode(made, counters, client, connector)
         self.nodes[name] = node
         return node
 
