--- a/packages/testing/src/balsamramp_testing/memory_streams.py
+++ b/packages/testing/src/balsamramp_testing/memory_streams.py
@@ -44,6 +44,12 @@
         seconds = self._network.delay.total_seconds()
         loop.call_later(seconds, self._deliver, data)
 
+    def go_silent(self) -> None:
+        """Lose all that is written at either end from now on."""
+        self.silent = True
+        if self.other is not None:
+            self.other.silent = True
+
     def is_closing(self) -> bool:
         """Tell whether the connection is closed at this end."""
         return self._closed
@@ -94,6 +100,7 @@
         self._node = node
         self._network = network
         self._tasks: set[asyncio.Task[None]] = set()
+        self.opened: list[MemoryWriter] = []
         self.silence: abc.Callable[[], float | None] = lambda: None
 
     async def connect(
@@ -117,11 +124,12 @@
         writer = MemoryWriter(self._network, ends, there)
         back = MemoryWriter(self._network, ends[::-1], here)
         writer.other, back.other = back, writer
+        self.opened = [item for item in self.opened if not item.is_closing()]
+        self.opened.append(writer)
         seconds = self.silence()
         if seconds is not None:
             loop = asyncio.get_running_loop()
-            for end in (writer, back):
-                loop.call_later(seconds, setattr, end, "silent", True)
+            loop.call_later(seconds, writer.go_silent)
         served = server.serve(there, typing.cast(typing.Any, back))
         task = asyncio.create_task(served)
         self._tasks.add(task)
--- a/packages/testing/src/balsamramp_testing/memory_target.py
+++ b/packages/testing/src/balsamramp_testing/memory_target.py
@@ -14,6 +14,8 @@
 
 __all__ = ["MemoryTarget", "MemoryTargetClient"]
 
+FALL_EXCESS = 20
+FALL_TIME = datetime.timedelta(seconds=1)
 STATUS_OK = 200
 STATUS_FAILED = 500
 STATUS_SHED = 503
@@ -26,6 +28,11 @@
     ``slots`` calls run at once, further ones are shed; calls to a path
     under one of ``failing_paths`` are answered with 500. ``runs`` counts
     the runs by request body, ``highest`` the calls in flight at most.
+
+    Until ``cold_until`` the target bears only ``cold_slots`` calls; each
+    one beyond them is counted in ``excess`` and shed, and after
+    ``FALL_EXCESS`` of them it is down for ``FALL_TIME``, cutting what it
+    runs, and cold again for as long as before.
     """
 
     name: str
@@ -33,6 +40,12 @@
     delay: datetime.timedelta = datetime.timedelta(milliseconds=2)
     failing_paths: tuple[str, ...] = ()
     dead: bool = False
+    cold_slots: int = 5
+    cold_for: datetime.timedelta = datetime.timedelta(seconds=3)
+    cold_until: datetime.timedelta = datetime.timedelta()
+    excess: int = 0
+    falls: int = 0
+    down_until: datetime.timedelta = datetime.timedelta()
     in_flight: int = 0
     highest: int = 0
     shed: int = 0
@@ -42,8 +55,12 @@
         self, request: messages.CallRequest, time: clock.Clock
     ) -> target_client.TargetAnswer:
         """Run ``request``, or shed it when no slot is free."""
-        if self.in_flight >= self.slots:
+        now = time.monotonic()
+        cold = now < self.cold_until
+        if self.in_flight >= (self.cold_slots if cold else self.slots):
             self.shed += 1
+            if cold:
+                self._note_excess(now)
             return self._answer(STATUS_SHED)
         self.in_flight += 1
         self.highest = max(self.highest, self.in_flight)
@@ -56,6 +73,22 @@
             return self._answer(STATUS_FAILED)
         return self._answer(STATUS_OK)
 
+    def turn_cold(self, now: datetime.timedelta) -> None:
+        """Bear only ``cold_slots`` calls for a while."""
+        self.cold_until = now + self.cold_for
+
+    def is_down(self, now: datetime.timedelta) -> bool:
+        """Tell whether the target takes no connection now."""
+        return self.dead or now < self.down_until
+
+    def _note_excess(self, now: datetime.timedelta) -> None:
+        self.excess += 1
+        if self.excess % FALL_EXCESS:
+            return
+        self.falls += 1
+        self.down_until = now + FALL_TIME
+        self.cold_until = self.down_until + self.cold_for
+
     def _answer(self, status: int) -> target_client.TargetAnswer:
         return target_client.TargetAnswer(
             status=status, headers=(), body=self.name.encode()
@@ -76,7 +109,7 @@
         left: datetime.timedelta,
     ) -> target_client.Called:
         found = self.targets.get(target.target)
-        if found is None or found.dead:
+        if found is None or found.is_down(self._clock.monotonic()):
             return _failure(verdict.Verdict.NOT_RUN, "cannot connect")
         try:
             async with asyncio.timeout(left.total_seconds()):
@@ -87,7 +120,7 @@
                 "no answer within the deadline",
                 verdict.Reason.DEADLINE,
             )
-        if found.dead:
+        if found.is_down(self._clock.monotonic()):
             return _failure(verdict.Verdict.MAY_HAVE_RUN, "answer cut")
         if answer.status == STATUS_SHED:
             return _failure(
