Calls: zone-first and adaptive are the defaults

Cause: without an adaptive limit a restarted target was driven over what it bears and fell; without ejection a target that fails fast drew calls. Conclusion: both are needed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: check demo env format test
+.PHONY: bench-calls check demo env format test
 
 env: $(STAMP)
 
@@ -30,3 +30,6 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.demo
+
+bench-calls: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.benches.call_faults
--- a/packages/node/src/balsamramp_node/admissions/adaptive.py
+++ b/packages/node/src/balsamramp_node/admissions/adaptive.py
@@ -10,13 +10,14 @@
 
 LIMIT_MAX = 100
 RISE_INTERVAL = datetime.timedelta(milliseconds=200)
+FALL_INTERVAL = datetime.timedelta(milliseconds=100)
 IDLE_MAX = datetime.timedelta(seconds=10)
 CEILING_RETENTION = datetime.timedelta(seconds=30)
 COLD_SHARE = 0.5
 SLOW_FACTOR = 3.0
 SLOW_MIN = datetime.timedelta(milliseconds=5)
-BASE_WEIGHT = 0.02
-RECENT_WEIGHT = 0.3
+BASE_WEIGHT = 0.002
+RECENT_WEIGHT = 0.1
 
 
 class AdaptiveLimit(admission.AdmissionLimit):
@@ -26,9 +27,10 @@
     while the limit was in use, and at most once in ``RISE_INTERVAL``.
     When the target sheds, the limit falls below the number then in
     flight, which is remembered as a ceiling for a while. It starts anew
-    when the target fails, sheds at half the limit or less, answers at
-    ``SLOW_FACTOR`` times its usual latency, or was idle for
-    ``IDLE_MAX``: it may have turned cold.
+    when the target fails, sheds at half the limit or less, or was idle
+    for ``IDLE_MAX``: it may have turned cold. While the mean latency of
+    the last calls is over ``SLOW_FACTOR`` times the usual one, the limit
+    is halved each ``FALL_INTERVAL``, down to where it started.
     """
 
     name = "adaptive"
@@ -57,11 +59,13 @@
         if outcome is admission.Outcome.SHED:
             self._fall(now, in_flight)
             return
-        failed = outcome is admission.Outcome.FAILED
-        if failed or idle or self._is_slow(latency):
+        if outcome is admission.Outcome.FAILED or idle:
             self.reset()
             self._learnt.last = now
             return
+        if self._is_slow(latency):
+            self._halve(now)
+            return
         self._rise(now, in_flight)
 
     def reset(self) -> None:
@@ -80,6 +84,16 @@
         learnt.ceiling = learnt.limit
         learnt.ceiling_at = now
 
+    def _halve(self, now: datetime.timedelta) -> None:
+        learnt = self._learnt
+        learnt.answers = 0
+        learnt.risen_at = now
+        if now - learnt.halved_at < FALL_INTERVAL:
+            return
+        learnt.halved_at = now
+        low = min(self._initial, learnt.limit)
+        learnt.limit = max(learnt.limit // 2, low)
+
     def _rise(self, now: datetime.timedelta, in_flight: int) -> None:
         learnt = self._learnt
         if in_flight < learnt.limit:
@@ -106,8 +120,7 @@
             learnt.recent = latency
             return False
         learnt.recent += (latency - learnt.recent) * RECENT_WEIGHT
-        weight = RECENT_WEIGHT if latency < learnt.base else BASE_WEIGHT
-        learnt.base += (latency - learnt.base) * weight
+        learnt.base += (latency - learnt.base) * BASE_WEIGHT
         return learnt.recent > learnt.base * SLOW_FACTOR + SLOW_MIN
 
 
@@ -120,6 +133,7 @@
     risen_at: datetime.timedelta | None = None
     ceiling: int = LIMIT_MAX
     ceiling_at: datetime.timedelta = datetime.timedelta()
+    halved_at: datetime.timedelta = datetime.timedelta()
     base: datetime.timedelta | None = None
     recent: datetime.timedelta = datetime.timedelta()
     last: datetime.timedelta | None = None
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -136,7 +136,7 @@
         section="calls",
         name="picker",
         kind="str",
-        default="least-of-two",
+        default="zone-first",
         doc="how a target is picked among those that match",
     ),
     settings.Option(
@@ -162,7 +162,7 @@
         section="targets",
         name="admission",
         kind="str",
-        default="fixed",
+        default="adaptive",
         doc="how the concurrency limit of a target is found",
     ),
     settings.Option(
--- a/packages/node/src/balsamramp_node/peer_stream.py
+++ b/packages/node/src/balsamramp_node/peer_stream.py
@@ -15,7 +15,7 @@
 CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
 PING_AFTER = datetime.timedelta(milliseconds=50)
 SUSPECT_AFTER = datetime.timedelta(milliseconds=100)
-SILENT_AFTER = datetime.timedelta(milliseconds=300)
+SILENT_AFTER = datetime.timedelta(milliseconds=200)
 REPLY_GRACE = datetime.timedelta(milliseconds=10)
 
 _Waiting = asyncio.Future[call_transport.Reply | None]
