--- a/packages/node/src/balsamramp_node/acceptance.py
+++ b/packages/node/src/balsamramp_node/acceptance.py
@@ -106,6 +106,7 @@
         self._metrics = counters
         self._random = choice
         self._queue: list[_Waiting] = []
+        self._next_at = datetime.timedelta()
         self._task: asyncio.Task[None] | None = None
 
     async def stop(self) -> None:
@@ -125,20 +126,18 @@
 
     async def _drain(self) -> None:
         while self._queue:
+            pause = self._next_at - self._clock.monotonic()
+            if pause > datetime.timedelta():
+                await self._clock.sleep(pause)
             batch = self._queue[:BATCH_MAX_SUBMISSIONS]
             del self._queue[:BATCH_MAX_SUBMISSIONS]
-            started_at = self._clock.monotonic()
+            self._next_at = self._clock.monotonic() + BATCH_INTERVAL
             try:
                 await self._accept(batch)
             except Exception:
                 logging.exception("a batch of submissions failed")
                 text = "internal error; whether it was accepted is unknown"
                 _settle_all(batch, Rejection(text, accepted=None))
-            if not self._queue:
-                return
-            left = started_at + BATCH_INTERVAL - self._clock.monotonic()
-            if left > datetime.timedelta():
-                await self._clock.sleep(left)
 
     async def _accept(self, batch: list[_Waiting]) -> None:
         uncertain = False
--- a/packages/node/src/balsamramp_node/core.py
+++ b/packages/node/src/balsamramp_node/core.py
@@ -139,7 +139,7 @@
             self.reader_lease,
             self._clock,
             self._metrics,
-            self._settings.integer("platform", "snapshot_versions"),
+            self._settings.integer("snapshots", "versions"),
             self._random,
         )
         for service in (
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -88,8 +88,8 @@
         doc="time between two reads of the log by a reader",
     ),
     settings.Option(
-        section="platform",
-        name="snapshot_versions",
+        section="snapshots",
+        name="versions",
         kind="int",
         default="512",
         low=4,
--- a/packages/testing/src/balsamramp_testing/memory_network.py
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -21,8 +21,9 @@
 from balsamramp_wire import control
 from balsamramp_wire import messages
 
-__all__ = ["MemoryCalls", "MemoryControl", "MemoryNetwork"]
+__all__ = ["PLATFORM", "MemoryCalls", "MemoryControl", "MemoryNetwork"]
 
+PLATFORM = "platform"
 DELAY = datetime.timedelta(microseconds=500)
 
 
@@ -46,7 +47,7 @@
         self._random = choice
         self._controls: dict[settings.Address, MemoryControl] = {}
         self._doors: dict[settings.Address, door.Door] = {}
-        self._zones: dict[str, str] = {}
+        self._zones: dict[str, str] = {PLATFORM: PLATFORM}
         self._cuts: set[frozenset[str]] = set()
         self.delay = DELAY
         self.loss_share = 0.0
@@ -68,7 +69,7 @@
         self.down.discard(node)
 
     def cut(self, left: str, right: str) -> None:
-        """Cut the link between two zones or nodes."""
+        """Cut the link between two zones, nodes, or one and PLATFORM."""
         self._cuts.add(frozenset((left, right)))
 
     def heal(self, left: str, right: str) -> None:
--- a/packages/testing/src/balsamramp_testing/memory_platform.py
+++ b/packages/testing/src/balsamramp_testing/memory_platform.py
@@ -1,5 +1,6 @@
 """Memory platform: table and object store in memory, with faults."""
 
+from collections import abc
 import datetime
 import enum
 import typing
@@ -10,8 +11,15 @@
 from balsamramp_core import clock
 from balsamramp_core import platform
 
-__all__ = ["Faults", "MemoryObjectStore", "MemoryTable"]
+__all__ = [
+    "Faults",
+    "LinkedObjectStore",
+    "LinkedTable",
+    "MemoryObjectStore",
+    "MemoryTable",
+]
 
+Link = abc.Callable[[], bool]
 ValueT = typing.TypeVar("ValueT")
 
 
@@ -55,7 +63,10 @@
 
 
 class MemoryTable(_Faulty, platform.Table):
-    """A transactional table in memory."""
+    """A transactional table in memory.
+
+    ``reads`` counts requests and ``writes`` counts rows.
+    """
 
     def __init__(self, faults: Faults, time: clock.Clock) -> None:
         super().__init__(faults, time)
@@ -110,9 +121,21 @@
             return result.Failure(_lost())
         return result.Success(None)
 
+    def backup(self) -> dict[str, platform.Row]:
+        """Return all rows, for ``roll_back``."""
+        return dict(self._rows)
+
+    def roll_back(self, rows: dict[str, platform.Row]) -> None:
+        """Put back earlier rows, as after a restore from a backup."""
+        self._revision += 1
+        self._rows = {
+            key: attrs.evolve(row, revision=self._revision)
+            for key, row in rows.items()
+        }
+
     def _apply(self, transaction: platform.Transaction) -> None:
         self._revision += 1
-        self.writes += 1
+        self.writes += len(transaction.writes)
         for write in transaction.writes:
             if write.value is None:
                 self._rows.pop(write.key, None)
@@ -127,6 +150,8 @@
     def __init__(self, faults: Faults, time: clock.Clock) -> None:
         super().__init__(faults, time)
         self._objects: dict[str, bytes] = {}
+        self.reads = 0
+        self.writes = 0
 
     async def put(
         self, key: str, value: bytes
@@ -134,6 +159,7 @@
         error = await self._before()
         if error is not None:
             return result.Failure(error)
+        self.writes += 1
         fault = self._next_write_fault()
         if fault is not WriteFault.LOST_BEFORE:
             self._objects[key] = value
@@ -147,6 +173,7 @@
         error = await self._before()
         if error is not None:
             return result.Failure(error)
+        self.reads += 1
         return result.Success(self._objects.get(key))
 
     async def list(
@@ -168,6 +195,76 @@
         return result.Success(None)
 
 
+class LinkedTable(platform.Table):
+    """A table as one node sees it, over a link that may be cut."""
+
+    def __init__(self, table: platform.Table, link: Link) -> None:
+        self._table = table
+        self._link = link
+
+    async def read(
+        self, key: str
+    ) -> result.Result[platform.Row | None, platform.PlatformError]:
+        if not self._link():
+            return result.Failure(_cut())
+        return await self._table.read(key)
+
+    async def scan(
+        self, prefix: str, after: str, limit: int
+    ) -> result.Result[list[platform.Row], platform.PlatformError]:
+        if not self._link():
+            return result.Failure(_cut())
+        return await self._table.scan(prefix, after, limit)
+
+    async def commit(
+        self, transaction: platform.Transaction
+    ) -> result.Result[None, platform.PlatformError]:
+        if not self._link():
+            return result.Failure(_cut())
+        return await self._table.commit(transaction)
+
+
+class LinkedObjectStore(platform.ObjectStore):
+    """An object store as one node sees it, over a link that may be cut."""
+
+    def __init__(self, objects: platform.ObjectStore, link: Link) -> None:
+        self._objects = objects
+        self._link = link
+
+    async def put(
+        self, key: str, value: bytes
+    ) -> result.Result[None, platform.PlatformError]:
+        if not self._link():
+            return result.Failure(_cut())
+        return await self._objects.put(key, value)
+
+    async def get(
+        self, key: str
+    ) -> result.Result[bytes | None, platform.PlatformError]:
+        if not self._link():
+            return result.Failure(_cut())
+        return await self._objects.get(key)
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[list[str], platform.PlatformError]:
+        if not self._link():
+            return result.Failure(_cut())
+        return await self._objects.list(prefix)
+
+    async def delete(
+        self, key: str
+    ) -> result.Result[None, platform.PlatformError]:
+        if not self._link():
+            return result.Failure(_cut())
+        return await self._objects.delete(key)
+
+
+def _cut() -> platform.PlatformError:
+    kind = platform.PlatformErrorKind.UNAVAILABLE
+    return platform.PlatformError(kind, "the link to the platform is cut")
+
+
 def _lost() -> platform.PlatformError:
     kind = platform.PlatformErrorKind.OUTCOME_UNKNOWN
     return platform.PlatformError(kind, "the answer was lost")
--- a/packages/testing/src/balsamramp_testing/world.py
+++ b/packages/testing/src/balsamramp_testing/world.py
@@ -97,9 +97,13 @@
         self._incarnation += 1
         served = memory_network.MemoryControl(name, self.network)
         client = memory_target.MemoryTargetClient(self.clock)
+
+        def link() -> bool:
+            return self.network.reaches(name, memory_network.PLATFORM)
+
         outside = parts.Parts(
-            table=self.table,
-            objects=self.objects,
+            table=memory_platform.LinkedTable(self.table, link),
+            objects=memory_platform.LinkedObjectStore(self.objects, link),
             control=served,
             calls=memory_network.MemoryCalls(name, self.network),
             targets=client,
