--- a/packages/testing/src/balsamramp_testing/world.py
+++ b/packages/testing/src/balsamramp_testing/world.py
@@ -108,9 +108,13 @@
         streams = stream_client.StreamClient(
             hello, self.clock, counters, connector.connect
         )
+
+        def link() -> bool:
+            return self.network.reaches(name, memory_network.PLATFORM)
+
         outside = parts.Parts(
-            table=self.table,
-            objects=self.objects,
+            table=memory_platform.LinkedTable(self.table, link),
+            objects=memory_platform.LinkedObjectStore(self.objects, link),
             control=served,
             calls=streams,
             targets=client,
