Idempotency keys: one home for each, claims before a first run

Cause: the key of a call was carried and not used. Ruled out: the home's own record alone (a target that joins takes keys over without knowing them); refusing all keys of a service for the retention after a death (only those that the lost home may have had are refused); a record at two homes (both can be lost, and it costs a write for each call). Figures: the test with 25 random courses of kills, starts, joins and cuts and two known ones passes; without claims, and without the memory of lost homes, a key runs twice in the known courses.

--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls.py
@@ -12,6 +12,7 @@
 from balsamramp_core import verdict
 from balsamramp_node import call_transport
 from balsamramp_node import door
+from balsamramp_node import key_ledger
 from balsamramp_node import picker
 from balsamramp_node import router
 from balsamramp_wire import messages
@@ -59,6 +60,7 @@
         targets: picker.TargetPicker,
         local_door: door.Door,
         streams: call_transport.CallTransport,
+        keys: key_ledger.KeyLedger,
         time: clock.Clock,
         counters: metrics.Metrics,
     ) -> None:
@@ -67,6 +69,7 @@
         self._picker = targets
         self._door = local_door
         self._streams = streams
+        self._keys = keys
         self._clock = time
         self._metrics = counters
 
@@ -93,6 +96,8 @@
             idempotent=request.method in found.service.idempotent_methods,
             retries=request.retries,
         )
+        if key_ledger.is_keyed(call.idempotent, request.idempotency_key):
+            return await self._call_home(call, found)
         while True:
             chosen = self._pick(call, found)
             if chosen is None:
@@ -106,19 +111,51 @@
             self._metrics.count("retries_total")
         return call.worst or _no_target(call_id, request.service)
 
+    async def _call_home(
+        self, call: "_Call", resolved: router.Resolved
+    ) -> call_transport.Reply:
+        """Call the home of the key alone.
+
+        A refusal does not say that nothing ran, since the key may have
+        been used before; the caller may repeat the call with its key.
+        """
+        chosen = self._pick(call, resolved)
+        if chosen is None:
+            failure = verdict.Failure(
+                verdict.Verdict.MAY_HAVE_RUN,
+                verdict.Reason.DUPLICATE,
+                "the home of the key is away",
+            )
+            return _failed(call.call_id, failure)
+        reply = await self._attempt(call, chosen)
+        if isinstance(reply, messages.CallAnswer):
+            return reply
+        if reply.failure.verdict is not verdict.Verdict.NOT_RUN:
+            return reply
+        failure = attrs.evolve(
+            reply.failure, verdict=verdict.Verdict.MAY_HAVE_RUN
+        )
+        return attrs.evolve(reply, failure=failure)
+
     def _pick(
         self, call: "_Call", resolved: router.Resolved
     ) -> picker.Candidate | None:
         now = self._clock.monotonic()
         if call.deadline <= now:
             return None
+        key = call.request.idempotency_key
+        keyed = key_ledger.is_keyed(call.idempotent, key)
         candidates = [
             candidate
-            for candidate in self._router.candidates(resolved, call.call_id)
+            for candidate in self._router.candidates(
+                resolved, key if keyed else call.call_id
+            )
             if candidate.record.target not in call.tried
         ]
         if not candidates:
             return None
+        if keyed:
+            return self._keys.choose(resolved.service.name, key, candidates)
         return self._picker.pick(candidates, now)
 
     async def _attempt(
--- a/packages/node/src/balsamramp_node/core.py
+++ b/packages/node/src/balsamramp_node/core.py
@@ -15,6 +15,7 @@
 from balsamramp_node import calls
 from balsamramp_node import distribution
 from balsamramp_node import door
+from balsamramp_node import key_ledger
 from balsamramp_node import member_list
 from balsamramp_node import membership
 from balsamramp_node import operations
@@ -236,6 +237,14 @@
         self.kernel.add(self.targets)
 
     def _add_calls(self) -> None:
+        self.keys = key_ledger.KeyLedger(
+            self.identity.node,
+            self.membership,
+            self._outside.control,
+            self._clock,
+            self._metrics,
+            self._settings.duration("calls", "key_retention"),
+        )
         self.door = door.Door(
             self.identity.incarnation,
             self.targets,
@@ -244,6 +253,7 @@
             self._metrics,
             self._outside.targets,
             self._is_zone_out,
+            self.keys,
         )
         picker_type = pickers.find_picker(
             self._settings.text("calls", "picker")
@@ -254,9 +264,11 @@
             picker_type(self.identity.zone, self._random),
             self.door,
             self._outside.calls,
+            self.keys,
             self._clock,
             self._metrics,
         )
+        self.kernel.add(self.keys)
         self.kernel.add(self.door)
         self.kernel.add(self.calls)
 
--- a/packages/node/src/balsamramp_node/door.py
+++ b/packages/node/src/balsamramp_node/door.py
@@ -18,6 +18,7 @@
 from balsamramp_node import call_transport
 from balsamramp_node import gate
 from balsamramp_node import journal
+from balsamramp_node import key_ledger
 from balsamramp_node import target_client
 from balsamramp_node import targets
 from balsamramp_wire import messages
@@ -42,7 +43,7 @@
     """
 
     name = "door"
-    requires = ("targets",)
+    requires = ("key-ledger", "targets")
 
     def __init__(
         self,
@@ -53,6 +54,7 @@
         counters: metrics.Metrics,
         client: target_client.TargetClient,
         is_zone_out: abc.Callable[[], bool],
+        keys: key_ledger.KeyLedger,
     ) -> None:
         self._incarnation = incarnation
         self._targets = local
@@ -61,6 +63,7 @@
         self._metrics = counters
         self._client = client
         self._is_zone_out = is_zone_out
+        self._keys = keys
         self._journal = journal.Journal()
         self._gates: dict[str, gate.Gate] = {}
         self._running = 0
@@ -77,8 +80,24 @@
         """Run the call, or attach to its run if it was submitted before.
 
         ``age`` is how long the message was on its way; what is left of
-        the call's time is its ``timeout`` less that.
+        the call's time is its ``timeout`` less that. A call with an
+        idempotency key runs at most once for its key.
         """
+        key = request.idempotency_key
+        if not key_ledger.is_keyed(request.idempotent, key):
+            return await self._submit(request, age)
+        arrived = self._clock.monotonic() - age
+
+        async def run() -> call_transport.Reply:
+            return await self._submit(
+                request, self._clock.monotonic() - arrived
+            )
+
+        return await self._keys.run(request, run)
+
+    async def _submit(
+        self, request: messages.CallRequest, age: datetime.timedelta
+    ) -> call_transport.Reply:
         if request.incarnation != self._incarnation:
             return self._refuse_unrecorded(request, _stale(request))
         self._journal.advance(self._clock.monotonic())
@@ -96,7 +115,7 @@
             return self._refuse_and_record(request, refusal, left)
         task = asyncio.create_task(self._run(request, left))
         task.add_done_callback(functools.partial(self._ended, key))
-        self._journal.add(key, journal.Entry(task), left)
+        self._journal.add(key, journal.Entry(task=task), left)
         return await self._wait_for(key, task)
 
     def cancel(self, call_id: str, target: str) -> None:
--- a/packages/node/src/balsamramp_node/journal.py
+++ b/packages/node/src/balsamramp_node/journal.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from balsamramp_core import verdict
 from balsamramp_node import call_transport
+from balsamramp_node import kept_answers
 from balsamramp_wire import messages
 
 __all__ = ["Entry", "Journal", "JournalKey", "key_of"]
@@ -15,7 +15,6 @@
 MARGIN = datetime.timedelta(seconds=10)
 STEP_MAX = datetime.timedelta(seconds=1)
 ENTRIES_MAX = 100_000
-ANSWERS_MAX_BYTES = 16 * 1024 * 1024
 
 JournalKey = tuple[str, str]
 
@@ -25,13 +24,11 @@
     return request.call_id, request.target
 
 
-@attrs.define(eq=False)
-class Entry:
+@attrs.define(eq=False, kw_only=True)
+class Entry(kept_answers.Ended):
     """One call: the task that runs it, then its reply."""
 
     task: asyncio.Task[call_transport.Reply] | None = None
-    reply: call_transport.Reply | None = None
-    size: int = 0
 
 
 class Journal:
@@ -43,18 +40,13 @@
     estimate of a message's age. Time during which the process was
     stopped does not count: each step forward is at most ``STEP_MAX``,
     because copies may have waited in the sockets meanwhile.
-
-    Replies are kept up to ``ANSWERS_MAX_BYTES`` together; beyond that
-    the oldest bodies are dropped and a repeated message gets a failure
-    that says the call ran.
     """
 
     def __init__(self, entries_max: int = ENTRIES_MAX) -> None:
         self._entries_max = entries_max
         self._entries: dict[JournalKey, Entry] = {}
         self._expiry: list[tuple[datetime.timedelta, JournalKey]] = []
-        self._answers: dict[JournalKey, Entry] = {}
-        self._answers_bytes = 0
+        self._answers = kept_answers.KeptAnswers()
         self._time = datetime.timedelta()
         self._last = datetime.timedelta()
 
@@ -83,17 +75,7 @@
         if entry is None:
             return
         entry.task = None
-        entry.reply = reply
-        if not isinstance(reply, messages.CallAnswer):
-            return
-        entry.size = len(reply.body)
-        self._answers[key] = entry
-        self._answers_bytes += entry.size
-        while self._answers_bytes > ANSWERS_MAX_BYTES:
-            oldest = next(iter(self._answers))
-            dropped = self._answers.pop(oldest)
-            self._answers_bytes -= dropped.size
-            dropped.reply = _dropped(oldest)
+        self._answers.keep(entry, reply)
 
     def advance(self, now: datetime.timedelta) -> None:
         """Move time on to ``now`` and forget what is too old."""
@@ -109,16 +91,4 @@
                 heapq.heappush(self._expiry, (self._time + MARGIN, key))
                 continue
             del self._entries[key]
-            if self._answers.pop(key, None) is not None:
-                self._answers_bytes -= entry.size
-
-
-def _dropped(key: JournalKey) -> messages.CallFailure:
-    failure = verdict.Failure(
-        verdict.Verdict.RAN,
-        verdict.Reason.DUPLICATE,
-        "the call ran and its answer is no longer kept",
-    )
-    return messages.CallFailure(
-        call_id=key[0], failure=failure, load=messages.Load(0, 0)
-    )
+            self._answers.forget(entry)
--- /dev/null
+++ b/packages/node/src/balsamramp_node/kept_answers.py
@@ -0,0 +1,58 @@
+"""Kept answers: the answers of past calls, within a bound of memory."""
+
+import attrs
+
+from balsamramp_core import verdict
+from balsamramp_node import call_transport
+from balsamramp_wire import messages
+
+__all__ = ["Ended", "KeptAnswers"]
+
+KEPT_MAX_BYTES = 16 * 1024 * 1024
+
+
+@attrs.define(eq=False)
+class Ended:
+    """A call that may have ended: then ``reply`` is set."""
+
+    reply: call_transport.Reply | None = None
+
+
+class KeptAnswers:
+    """Bounds the bodies that are kept for repeated calls.
+
+    Beyond ``KEPT_MAX_BYTES`` together the oldest are dropped, and the
+    reply becomes a failure which says that the call ran.
+    """
+
+    def __init__(self) -> None:
+        self._kept: dict[Ended, int] = {}
+        self._bytes = 0
+
+    def keep(self, ended: Ended, reply: call_transport.Reply) -> None:
+        """Keep ``reply`` as that of ``ended``."""
+        ended.reply = reply
+        if not isinstance(reply, messages.CallAnswer):
+            return
+        self._kept[ended] = len(reply.body)
+        self._bytes += len(reply.body)
+        while self._bytes > KEPT_MAX_BYTES:
+            oldest = next(iter(self._kept))
+            self.forget(oldest)
+            assert oldest.reply is not None
+            oldest.reply = _dropped(oldest.reply.call_id)
+
+    def forget(self, ended: Ended) -> None:
+        """Count the answer of ``ended`` no longer."""
+        self._bytes -= self._kept.pop(ended, 0)
+
+
+def _dropped(call_id: str) -> messages.CallFailure:
+    failure = verdict.Failure(
+        verdict.Verdict.RAN,
+        verdict.Reason.DUPLICATE,
+        "the call ran and its answer is no longer kept",
+    )
+    return messages.CallFailure(
+        call_id=call_id, failure=failure, load=messages.Load(0, 0)
+    )
--- /dev/null
+++ b/packages/node/src/balsamramp_node/key_ledger.py
@@ -0,0 +1,260 @@
+"""Key ledger: runs each idempotency key of a service at most once."""
+
+import asyncio
+from collections import abc
+import datetime
+import typing
+
+import attrs
+from returns import result
+import xxhash
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import metrics
+from balsamramp_core import verdict
+from balsamramp_node import call_transport
+from balsamramp_node import kept_answers
+from balsamramp_node import key_homes
+from balsamramp_node import membership
+from balsamramp_node import picker
+from balsamramp_wire import control
+from balsamramp_wire import messages
+
+__all__ = ["KeyLedger", "is_keyed"]
+
+REFRESH_INTERVAL = datetime.timedelta(milliseconds=500)
+CLAIM_TIMEOUT = datetime.timedelta(milliseconds=500)
+CLAIMS_MAX = 8
+RECORDS_MAX = 100_000
+
+Runner = abc.Callable[[], abc.Awaitable[call_transport.Reply]]
+
+
+def is_keyed(idempotent: bool, key: str) -> bool:
+    """Tell whether a call has to run once for its key."""
+    return bool(key) and not idempotent
+
+
+@attrs.define(eq=False, kw_only=True)
+class _Record(kept_answers.Ended):
+    """A key that was used: by which request, and how that ended."""
+
+    fingerprint: int
+    task: asyncio.Task[call_transport.Reply] | None = None
+    expires_at: datetime.timedelta
+
+    def holds(self, now: datetime.timedelta) -> bool:
+        """Tell whether the key may not be run again yet."""
+        return self.expires_at > now or self.reply is None
+
+
+class KeyLedger(kernel.Service):
+    """Records of idempotency keys at their home, and claims on them.
+
+    The home of a key is the target that ranks highest for it. Before a
+    home runs a key that it does not know, it records the key and asks
+    the other homes whether they know it. It runs the call only when all
+    of them answer that they do not, and nobody knows of a lost home that
+    may have run it.
+    """
+
+    name = "key-ledger"
+    requires = ("membership",)
+
+    def __init__(
+        self,
+        node: str,
+        members: membership.Membership,
+        peers: control.PeerTransport,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+        retention: datetime.timedelta,
+    ) -> None:
+        self._node = node
+        self._members = members
+        self._peers = peers
+        self._clock = time
+        self._metrics = counters
+        self._retention = retention
+        self._homes = key_homes.KeyHomes(retention)
+        self._answers = kept_answers.KeptAnswers()
+        self._records: dict[tuple[str, str], _Record] = {}
+        self._task: asyncio.Task[None] | None = None
+        peers.handle(messages.KeyClaimRequest, self._serve_claim)
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self._refresh_forever())
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def dump(self) -> abc.Mapping[str, typing.Any]:
+        return {"keys": len(self._records), "lost": self._homes.dump()}
+
+    def choose(
+        self,
+        service: str,
+        key: str,
+        candidates: abc.Sequence[picker.Candidate],
+    ) -> picker.Candidate | None:
+        """Return the home of ``key``; None when a lost one may have it."""
+        self._refresh()
+        home = max(
+            candidates,
+            key=lambda item: key_homes.rank(key, item.record.target),
+        )
+        now = self._clock.monotonic()
+        if self._homes.in_doubt(service, key, home.record.target, now):
+            self._metrics.count("keys_in_doubt_total")
+            return None
+        return home
+
+    async def run(
+        self, request: messages.CallRequest, runner: Runner
+    ) -> call_transport.Reply:
+        """Return what is recorded for the key, or run the call."""
+        now = self._clock.monotonic()
+        name = (request.service, request.idempotency_key)
+        fingerprint = _fingerprint(request)
+        record = self._records.get(name)
+        if record is not None and record.holds(now):
+            if record.fingerprint != fingerprint:
+                return _refused(request, "key used for another request")
+            self._metrics.count("repeated_keys_total")
+            return await self._reply_of(record, request)
+        self._forget_old(now)
+        if len(self._records) >= RECORDS_MAX:
+            return _refused(request, "too many keys to remember")
+        record = _Record(
+            fingerprint=fingerprint, expires_at=now + self._retention
+        )
+        self._records[name] = record
+        record.task = asyncio.create_task(
+            self._claim_and_run(request, record, runner)
+        )
+        return await self._reply_of(record, request)
+
+    async def _reply_of(
+        self, record: _Record, request: messages.CallRequest
+    ) -> call_transport.Reply:
+        reply = record.reply
+        if reply is None:
+            assert record.task is not None
+            reply = await asyncio.shield(record.task)
+        return attrs.evolve(reply, call_id=request.call_id)
+
+    async def _claim_and_run(
+        self,
+        request: messages.CallRequest,
+        record: _Record,
+        runner: Runner,
+    ) -> call_transport.Reply:
+        name = (request.service, request.idempotency_key)
+        if not await self._claim(request):
+            self._metrics.count("keys_in_doubt_total")
+            del self._records[name]
+            return _refused(request, "the key may have run elsewhere")
+        reply = await runner()
+        if _has_not_run(reply):
+            del self._records[name]
+            return reply
+        record.task = None
+        self._answers.keep(record, reply)
+        return reply
+
+    async def _claim(self, request: messages.CallRequest) -> bool:
+        self._refresh()
+        key = request.idempotency_key
+        now = self._clock.monotonic()
+        if self._homes.in_doubt(request.service, key, request.target, now):
+            return False
+        claim = messages.KeyClaimRequest(
+            node=self._node,
+            service=request.service,
+            key=key,
+            target=request.target,
+        )
+        asked = self._asked(request.service, key)
+        replies = await asyncio.gather(
+            *(
+                self._peers.send(home.control, claim, CLAIM_TIMEOUT)
+                for home in asked
+            )
+        )
+        for reply in replies:
+            if isinstance(reply, result.Failure):
+                return False
+            found = reply.unwrap()
+            if found.taken or found.in_doubt:
+                return False
+        return True
+
+    def _asked(self, service: str, key: str) -> list[key_homes.Home]:
+        homes = [
+            home
+            for home in self._homes.known(service)
+            if home.node != self._node
+        ]
+        homes.sort(
+            key=lambda home: key_homes.rank(key, home.target), reverse=True
+        )
+        by_node: dict[str, key_homes.Home] = {}
+        for home in homes[:CLAIMS_MAX]:
+            by_node.setdefault(home.node, home)
+        return list(by_node.values())
+
+    async def _serve_claim(
+        self, request: messages.KeyClaimRequest
+    ) -> messages.KeyClaimReply:
+        self._refresh()
+        now = self._clock.monotonic()
+        record = self._records.get((request.service, request.key))
+        taken = record is not None and record.holds(now)
+        doubt = self._homes.in_doubt(
+            request.service, request.key, request.target, now
+        )
+        return messages.KeyClaimReply(taken=taken, in_doubt=doubt)
+
+    async def _refresh_forever(self) -> None:
+        while True:
+            self._refresh()
+            await self._clock.sleep(REFRESH_INTERVAL)
+
+    def _refresh(self) -> None:
+        now = self._clock.monotonic()
+        self._homes.refresh(self._members.members(), now)
+
+    def _forget_old(self, now: datetime.timedelta) -> None:
+        while self._records:
+            name = next(iter(self._records))
+            record = self._records[name]
+            if record.holds(now):
+                return
+            self._answers.forget(record)
+            del self._records[name]
+
+
+def _fingerprint(request: messages.CallRequest) -> int:
+    head = f"{request.method} {request.path}\0".encode()
+    return int(xxhash.xxh64_intdigest(head + request.body))
+
+
+def _has_not_run(reply: call_transport.Reply) -> bool:
+    if isinstance(reply, messages.CallAnswer):
+        return False
+    return reply.failure.verdict is verdict.Verdict.NOT_RUN
+
+
+def _refused(
+    request: messages.CallRequest, message: str
+) -> messages.CallFailure:
+    return messages.CallFailure(
+        call_id=request.call_id,
+        failure=verdict.Failure(
+            verdict.Verdict.MAY_HAVE_RUN, verdict.Reason.DUPLICATE, message
+        ),
+        load=messages.Load(0, 0),
+    )
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -132,6 +132,16 @@
         high=16000000,
         doc="largest body of a call or an answer, in bytes",
     ),
+    settings.Option(
+        section="calls",
+        name="key_retention",
+        kind="duration",
+        unit="ms",
+        default="300000",
+        low=1000,
+        high=86400000,
+        doc="time for which an idempotency key is remembered",
+    ),
     settings.Option(
         section="calls",
         name="picker",
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -109,6 +109,7 @@
         round_robin.RoundRobin("z", typing.cast(typing.Any, None)),
         typing.cast(typing.Any, None),
         streams,
+        typing.cast(typing.Any, None),
         virtual_time.VirtualClock(),
         metrics.Metrics(),
     )
--- a/packages/node/tests/test_door_verdicts.py
+++ b/packages/node/tests/test_door_verdicts.py
@@ -104,12 +104,13 @@
         self.calls = 0
         self.replies: dict[str, list[call_transport.Reply]] = {}
         self.dead: list[door_module.Door] = []
-        self.pending: set[asyncio.Task[None]] = set()
+        self.submitted: list[asyncio.Task[None]] = []
         self._do(self._start)
 
     def teardown(self) -> None:
         self._do(functools.partial(self._sleep, 20.0))
         self.check()
+        assert all(task.done() for task in self.submitted)
         self.runner.close()
 
     def _do(self, action: abc.Callable[[], abc.Awaitable[None]]) -> None:
@@ -140,6 +141,7 @@
             metrics.Metrics(),
             self.target,
             lambda: False,
+            typing.cast(typing.Any, None),
         )
 
     @stateful.rule(target=sent, body=strategies.sampled_from([b"", b"cut"]))
@@ -176,8 +178,7 @@
 
     async def _deliver(self, message: _Message, repeat: bool) -> None:
         task = asyncio.create_task(self._submit(message, repeat))
-        self.pending.add(task)
-        task.add_done_callback(self.pending.discard)
+        self.submitted.append(task)
         await asyncio.sleep(0)
 
     async def _submit(self, message: _Message, repeat: bool) -> None:
@@ -224,6 +225,8 @@
 
     @stateful.invariant()
     def check(self) -> None:
+        for task in self.submitted:
+            assert not task.done() or task.exception() is None
         for call_id, runs in self.target.runs.items():
             assert runs <= 1, f"{call_id} ran {runs} times"
         for call_id, replies in self.replies.items():
--- /dev/null
+++ b/packages/node/tests/test_key_ledger.py
@@ -0,0 +1,173 @@
+"""Idempotency keys run at most once while nodes and targets churn."""
+
+import datetime
+import itertools
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from balsamramp_core import verdict
+from balsamramp_node import key_homes
+from balsamramp_node import key_ledger
+from balsamramp_testing import memory_target
+from balsamramp_testing import virtual_time
+from balsamramp_testing import world as world_module
+from balsamramp_wire import messages
+
+NODES = ("n0", "n1", "n2")
+KEYS = ("k0", "k1", "k2", "k3")
+EXTRA = "[targets]\nlease = 60000"
+SETTLE = datetime.timedelta(seconds=3)
+
+CALL = strategies.tuples(
+    strategies.just("call"),
+    strategies.sampled_from(NODES),
+    strategies.sampled_from(KEYS),
+)
+CHURN = strategies.tuples(
+    strategies.sampled_from(["kill", "start", "join", "cut", "heal"]),
+    strategies.sampled_from(NODES[1:]),
+    strategies.just(""),
+)
+STEPS = strategies.lists(
+    strategies.one_of(CALL, CALL, CHURN), min_size=5, max_size=25
+)
+SETTINGS = hypothesis.settings(
+    max_examples=25,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    phases=[hypothesis.Phase.generate],
+)
+
+
+class _Churn:
+    """A world in which keyed calls and churn take turns."""
+
+    def __init__(self) -> None:
+        self.world = world_module.World(seed=3)
+        self.targets: dict[str, memory_target.MemoryTarget] = {}
+        self.runs: dict[bytes, int] = {}
+        self.not_run: list[str] = []
+        self._names = itertools.count()
+
+    async def start(self) -> None:
+        """Start all nodes, each with a target."""
+        for name in NODES:
+            await self.start_node(name)
+        await self.world.apply(
+            "n0",
+            {"kind": "service", "name": "caja"},
+            {"kind": "route", "name": "caja-all", "service": "caja"},
+        )
+        await self.world.clock.sleep(SETTLE)
+
+    async def start_node(self, name: str) -> None:
+        """Start a node with the target that it had before."""
+        if name in self.world.nodes:
+            return
+        await self.world.start_node(name, "zone-a", EXTRA)
+        self._announce(name, f"caja-{name}")
+
+    async def step(self, action: str, name: str, key: str) -> None:
+        """Take one step."""
+        world = self.world
+        if action == "call" and name in world.nodes:
+            await self._call(name, key)
+        if action == "kill" and name in world.nodes:
+            await world.kill_node(name)
+        if action == "start":
+            await self.start_node(name)
+            await world.clock.sleep(SETTLE)
+        if action == "join" and name in world.nodes:
+            self._announce(name, f"caja-{name}-{next(self._names)}")
+        if action == "cut":
+            world.network.cut("n0", name)
+        if action == "heal":
+            world.network.heal("n0", name)
+
+    async def _call(self, name: str, key: str) -> None:
+        reply = await self.world.call(
+            name, "caja", "POST", body=key.encode(), key=key
+        )
+        if isinstance(reply, messages.CallAnswer):
+            return
+        if reply.failure.verdict is verdict.Verdict.NOT_RUN:
+            self.not_run.append(key)
+
+    def _announce(self, node: str, target: str) -> None:
+        made = self.world.announce(node, target, "caja")
+        made.runs = self.runs
+
+
+async def _run(steps: list[tuple[str, str, str]]) -> _Churn:
+    churn = _Churn()
+    await churn.start()
+    for action, name, key in steps:
+        await churn.step(action, name, key)
+        await churn.world.clock.sleep(datetime.timedelta(milliseconds=50))
+    await churn.world.stop()
+    return churn
+
+
+def _check(steps: list[tuple[str, str, str]]) -> None:
+    churn = virtual_time.run(_run(steps))
+    for key, runs in churn.runs.items():
+        assert runs <= 1, f"{key!r} ran {runs} times"
+    assert churn.not_run == []
+
+
+KNOWN = [
+    [("call", "n0", key) for key in KEYS]
+    + [("kill", "n1", ""), ("kill", "n2", "")]
+    + [("call", "n0", key) for key in KEYS]
+    + [("start", "n1", ""), ("start", "n2", "")]
+    + [("call", "n1", key) for key in KEYS],
+    [("call", "n0", key) for key in KEYS]
+    + [("join", "n1", ""), ("join", "n2", ""), ("join", "n2", "")] * 3
+    + [("start", "n1", "")]
+    + [("call", "n0", key) for key in KEYS],
+]
+
+
+@pytest.mark.parametrize("steps", KNOWN)
+def test_keys_run_once_in_known_cases(
+    steps: list[tuple[str, str, str]],
+) -> None:
+    _check(steps)
+
+
+@SETTINGS
+@hypothesis.given(STEPS)
+def test_keys_run_once_while_nodes_churn(
+    steps: list[tuple[str, str, str]],
+) -> None:
+    _check(steps)
+
+
+def test_repeated_key_gets_the_recorded_answer() -> None:
+    steps = [("call", name, "k0") for name in NODES * 2]
+    churn = virtual_time.run(_run(steps))
+    assert churn.runs == {b"k0": 1}
+
+
+def test_key_runs_twice_without_claims(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def claim(*arguments: object) -> bool:
+        return True
+
+    monkeypatch.setattr(key_ledger.KeyLedger, "_claim", claim)
+    with pytest.raises(AssertionError):
+        _check(KNOWN[1])
+
+
+def test_key_runs_twice_without_memory_of_lost_homes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        key_homes.KeyHomes, "in_doubt", lambda *arguments: False
+    )
+    with pytest.raises(AssertionError):
+        _check(KNOWN[0])
--- a/packages/node/tests/test_streams.py
+++ b/packages/node/tests/test_streams.py
@@ -161,6 +161,7 @@
         counters,
         target,
         lambda: False,
+        typing.cast(typing.Any, None),
     )
     hello = messages.Hello("called", incarnation)
     return stream_server.StreamServer(hello, LOOPBACK, calls, time, counters)
--- a/packages/testing/src/balsamramp_testing/world.py
+++ b/packages/testing/src/balsamramp_testing/world.py
@@ -193,6 +193,7 @@
         path: str = "/",
         body: bytes = b"",
         timeout: datetime.timedelta = datetime.timedelta(seconds=2),
+        key: str = "",
     ) -> call_transport.Reply:
         """Send a call to ``node`` as a caller would."""
         return await self.nodes[node].core.calls.call(
@@ -204,5 +205,6 @@
                 body=body,
                 timeout=timeout,
                 retries=2,
+                idempotency_key=key,
             )
         )
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -28,6 +28,8 @@
     "ExchangeReply",
     "ExchangeRequest",
     "Hello",
+    "KeyClaimReply",
+    "KeyClaimRequest",
     "Load",
     "Member",
     "MemberState",
@@ -342,6 +344,27 @@
     address: settings.Address
 
 
+@attrs.frozen(kw_only=True)
+class KeyClaimReply:
+    """Whether the peer has the key, or a home that was lost may."""
+
+    taken: bool
+    in_doubt: bool
+
+
+@attrs.frozen(kw_only=True)
+class KeyClaimRequest(ControlRequest):
+    """Asks whether an idempotency key may be run by ``target``."""
+
+    method = "key-claim"
+    reply = KeyClaimReply
+
+    node: str
+    service: str
+    key: str
+    target: str
+
+
 @attrs.frozen
 class PushReply:
     """The version that the receiver has in force after the push."""
