--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,4 @@
 
 bench-calls: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.call_faults
+	$(BIN)/python -m balsamramp_testing.benches.added_time
