Operators' client with every command, tables and exit codes

Cause: the client printed raw JSON, replaced labels instead of merging them, had one node URL, and an operator who lost a race or an answer learned nothing.

Ruled out: a conflict on any change since the base version. A conflict is now a change of the same resources; dependencies are checked against the latest version as before.

Change: the node compares a submission with the changes since its base version, returns those that touch the same resources, and recognises a change id that was accepted before. Settings gain kinds (addresses, file, host, name, url) and choices; the node takes TLS files, token files and bounded headers from them; a port in use ends the start with its address.

--- /dev/null
+++ b/packages/client/src/balsamramp_client/commands/get.py
@@ -0,0 +1,70 @@
+"""Get: shows the resources in force."""
+
+import argparse
+import json
+
+from returns import result
+
+from balsamramp_client import api
+from balsamramp_client import command
+from balsamramp_client import edits
+from balsamramp_client import output
+from balsamramp_core import resource
+from balsamramp_core import resources
+
+__all__ = ["Get"]
+
+
+class Get(command.Command):
+    """``balsamramp get [KIND [NAME]]``: resources in force."""
+
+    name = "get"
+    doc = "show the resources in force"
+    example = "get route caja-all"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        parser.add_argument("kind", nargs="?")
+        parser.add_argument("resource", nargs="?")
+
+    async def run(
+        self, parsed: argparse.Namespace, context: command.Context
+    ) -> command.Outcome:
+        kind = None
+        if parsed.kind is not None:
+            try:
+                kind = resources.find_kind(parsed.kind).kind
+            except resources.KindNotFoundError as error:
+                return edits.usage(str(error))
+        read = await context.node.configuration()
+        if isinstance(read, result.Failure):
+            return read
+        current = read.unwrap()
+        found = []
+        for key in sorted(current.resources):
+            if kind is not None and key.kind != kind:
+                continue
+            if parsed.resource is not None and key.name != parsed.resource:
+                continue
+            found.append(current.resources[key])
+        if parsed.resource is not None and not found:
+            text = f"no {kind}/{parsed.resource} at version {current.version}"
+            return result.Failure(api.ApiError(text))
+        return result.Success(_describe(found, current.version))
+
+
+def _describe(found: list[resource.Resource], version: int) -> output.Output:
+    encoded = [resources.encode(item) for item in found]
+    rows = []
+    for item in encoded:
+        rest = {
+            name: value
+            for name, value in item.items()
+            if name not in ("kind", "name")
+        }
+        row = (item["kind"], item["name"], json.dumps(rest, sort_keys=True))
+        rows.append(row)
+    return output.Output(
+        {"version": version, "resources": encoded},
+        (output.Table(("KIND", "NAME", "FIELDS"), tuple(rows)),),
+        (f"{len(found)} resources at version {version}",),
+    )
--- a/packages/client/src/balsamramp_client/commands/label.py
+++ b/packages/client/src/balsamramp_client/commands/label.py
@@ -1,35 +1,44 @@
-"""Label: sets the labels of a target."""
+"""Label: changes the labels of a target."""
 
 import argparse
-import typing
 
 from returns import result
 
-from balsamramp_client import api
 from balsamramp_client import command
+from balsamramp_client import edits
+from balsamramp_core import resource
+from balsamramp_core.resources import labels
 
 __all__ = ["Label"]
 
 
 class Label(command.Command):
-    """``balsamramp label TARGET KEY=VALUE ...``: sets a target's labels."""
+    """``balsamramp label TARGET KEY=VALUE|KEY- ...``.
+
+    The pairs are merged with the operators' labels that are there; what
+    the target announces itself is left alone.
+    """
 
     name = "label"
-    doc = "set the labels of a target"
+    doc = "set or take away labels of a target"
+    example = "label caja-1 tier=gold canary-"
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         parser.add_argument("target")
-        parser.add_argument("labels", nargs="+", metavar="KEY=VALUE")
+        parser.add_argument("pairs", nargs="+", metavar="KEY=VALUE|KEY-")
 
     async def run(
-        self, parsed: argparse.Namespace, node: api.NodeApi
-    ) -> result.Result[typing.Any, api.ApiError]:
-        labels = {}
-        for pair in parsed.labels:
-            key, separator, value = pair.partition("=")
-            if not separator:
-                text = f"{pair!r} is not KEY=VALUE"
-                return result.Failure(api.ApiError(text))
-            labels[key] = value
-        item = {"kind": "labels", "name": parsed.target, "labels": labels}
-        return await node.submit({"author": parsed.author, "puts": [item]})
+        self, parsed: argparse.Namespace, context: command.Context
+    ) -> command.Outcome:
+        read = await context.node.configuration()
+        if isinstance(read, result.Failure):
+            return read
+        current = read.unwrap()
+        key = resource.ResourceKey(labels.Labels.kind, parsed.target)
+        known = current.resources.get(key)
+        present = known.labels if isinstance(known, labels.Labels) else {}
+        merged = edits.merge_pairs(str(key), present, parsed.pairs)
+        if isinstance(merged, result.Failure):
+            return merged
+        item = labels.Labels(name=parsed.target, labels=merged.unwrap())
+        return await edits.submit(context, current.version, [item])
--- a/packages/client/src/balsamramp_client/commands/zone.py
+++ b/packages/client/src/balsamramp_client/commands/zone.py
@@ -1,33 +1,65 @@
 """Zone: takes an availability zone out of service or back in."""
 
 import argparse
-import typing
 
 from returns import result
 
-from balsamramp_client import api
 from balsamramp_client import command
+from balsamramp_client import edits
+from balsamramp_client import output
+from balsamramp_core import configuration
+from balsamramp_core.resources import zone
 
 __all__ = ["Zone"]
 
 
 class Zone(command.Command):
-    """``balsamramp zone out|in ZONE``."""
+    """``balsamramp zone out|in ZONE`` and ``balsamramp zone list``."""
 
     name = "zone"
-    doc = "take an availability zone out or in"
+    doc = "take an availability zone out or in, or list the intents"
+    example = "zone out sur-uy-a"
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
-        parser.add_argument("direction", choices=["out", "in"])
-        parser.add_argument("zone")
+        parser.add_argument("action", choices=["out", "in", "list"])
+        parser.add_argument("zone", nargs="?")
 
     async def run(
-        self, parsed: argparse.Namespace, node: api.NodeApi
-    ) -> result.Result[typing.Any, api.ApiError]:
-        item = {
-            "kind": "zone",
-            "name": parsed.zone,
-            "out": parsed.direction == "out",
-            "author": parsed.author,
-        }
-        return await node.submit({"author": parsed.author, "puts": [item]})
+        self, parsed: argparse.Namespace, context: command.Context
+    ) -> command.Outcome:
+        listing = parsed.action == "list"
+        if listing == (parsed.zone is not None):
+            wanted = "no zone" if listing else "a zone"
+            return edits.usage(f"zone {parsed.action} takes {wanted}")
+        read = await context.node.configuration()
+        if isinstance(read, result.Failure):
+            return read
+        current = read.unwrap()
+        if listing:
+            return result.Success(_describe(current))
+        item = zone.Zone(
+            name=parsed.zone,
+            out=parsed.action == "out",
+            since=context.clock.now(),
+            author=context.author,
+        )
+        return await edits.submit(context, current.version, [item])
+
+
+def _describe(current: configuration.Configuration) -> output.Output:
+    rows = []
+    for item in current.of_kind(zone.Zone.kind):
+        if not isinstance(item, zone.Zone):
+            continue
+        state = "out" if item.out else "in"
+        rows.append((item.name, state, item.since.isoformat(), item.author))
+    document = [
+        {"zone": name, "state": state, "since": since, "author": author}
+        for name, state, since, author in rows
+    ]
+    headings = ("ZONE", "STATE", "SINCE", "AUTHOR")
+    return output.Output(
+        document,
+        (output.Table(headings, tuple(rows)),),
+        (f"{len(rows)} zones with an intent; the others are in",),
+    )
--- a/packages/core/src/balsamramp_core/kernel.py
+++ b/packages/core/src/balsamramp_core/kernel.py
@@ -6,7 +6,7 @@
 
 from absl import logging
 
-__all__ = ["Kernel", "KernelError", "Service"]
+__all__ = ["Kernel", "KernelError", "Service", "StartError"]
 
 ServiceT = typing.TypeVar("ServiceT", bound="Service")
 
@@ -15,6 +15,10 @@
     """A service is unknown, registered twice, or requires itself."""
 
 
+class StartError(Exception):
+    """A service could not start; the message is for the operator."""
+
+
 class Service(abc.ABC):
     """One part of a process, known by name to the others.
 
@@ -68,11 +72,15 @@
         """Start all services, each after those it requires.
 
         If one fails to start, those already running are stopped again
-        and the error is raised.
+        and the error is raised, an OSError as StartError.
         """
         for service in self._ordered():
             try:
                 await service.start()
+            except OSError as error:
+                await self.stop()
+                text = f"{service.name}: {error.strerror or error}"
+                raise StartError(text) from error
             except BaseException:
                 await self.stop()
                 raise
--- a/packages/core/src/balsamramp_core/settings.py
+++ b/packages/core/src/balsamramp_core/settings.py
@@ -3,25 +3,47 @@
 from collections import abc
 import configparser
 import datetime
+import os
 import pathlib
 import re
 import typing
+import urllib.parse
 
 import attrs
 from returns import result
 
+from balsamramp_core import resource
+
 __all__ = [
     "Address",
     "Option",
     "Settings",
     "SettingsError",
+    "describe",
     "parse",
+    "parse_address",
     "read",
     "render",
 ]
 
 Value = str | int | float | bool | datetime.timedelta | tuple[str, ...]
 
+KINDS = {
+    "addresses": "addresses host:port, separated by commas",
+    "bool": "true or false",
+    "duration": "number",
+    "file": "path of a readable file",
+    "float": "number",
+    "host": "IP address or host name",
+    "int": "whole number",
+    "list": "words separated by commas",
+    "name": "name of characters A-Z a-z 0-9 ._:-",
+    "str": "text",
+    "url": "URL http://host:port or https://host:port",
+}
+NO_SECTION = "\0"
+PORT_MAX = 65535
+HOST_PATTERN = re.compile(r"[A-Za-z0-9._-]+")
 TRUE_WORDS = frozenset(["true", "yes", "on", "1"])
 FALSE_WORDS = frozenset(["false", "no", "off", "0"])
 SECTION_PATTERN = re.compile(r"^\[([^]]+)\]")
@@ -43,9 +65,11 @@
 class Option:
     """One setting.
 
-    ``kind`` is one of str, int, float, bool, list and duration; a
-    duration is given in ``unit`` ("ms" or "s"). ``default`` None makes
-    the option required. ``low`` and ``high`` bound numbers, inclusive.
+    ``kind`` is a key of ``KINDS``. ``default`` None makes the option
+    required. ``low`` and ``high`` bound numbers, inclusive, and
+    ``choices`` lists the words that are allowed, if there are only some.
+    ``unit`` is what numbers are given in; that of a duration is "ms" or
+    "s".
     """
 
     section: str
@@ -56,6 +80,7 @@
     unit: str = ""
     low: float | None = None
     high: float | None = None
+    choices: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -73,12 +98,22 @@
 
 @attrs.frozen
 class Settings:
-    """Checked values of all options, read by section and name."""
+    """Checked values of all options, read by section and name.
+
+    ``file`` and ``lines`` tell where each given value stands.
+    """
 
     values: abc.Mapping[tuple[str, str], Value]
+    file: str = ""
+    lines: abc.Mapping[tuple[str, str], int] = attrs.field(factory=dict)
+
+    def error(self, section: str, name: str, expected: str) -> SettingsError:
+        """Return an error that names where the option stands."""
+        line = self.lines.get((section, name), 0)
+        return SettingsError(self.file, line, f"[{section}] {name}", expected)
 
     def text(self, section: str, name: str) -> str:
-        """Return a str option."""
+        """Return an option of kind file, host, name, str or url."""
         return typing.cast(str, self.values[section, name])
 
     def integer(self, section: str, name: str) -> int:
@@ -94,7 +129,7 @@
         return typing.cast(bool, self.values[section, name])
 
     def items(self, section: str, name: str) -> tuple[str, ...]:
-        """Return a list option."""
+        """Return an option of kind addresses or list."""
         return typing.cast(tuple[str, ...], self.values[section, name])
 
     def duration(self, section: str, name: str) -> datetime.timedelta:
@@ -119,37 +154,57 @@
     text: str, file: str, options: abc.Sequence[Option]
 ) -> result.Result[Settings, SettingsError]:
     """Check ``text`` as settings; ``file`` is named in errors."""
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section=NO_SECTION
+    )
     try:
         parser.read_string(text, file)
     except configparser.Error as error:
         line = getattr(error, "lineno", 0) or 0
         message = str(error).replace("\n", " ")
         return result.Failure(SettingsError(file, line, "syntax", message))
-    table = {(option.section, option.name): option for option in options}
     lines = _line_numbers(text)
-    for section in parser.sections():
-        for name in parser[section]:
-            if (section, name) in table:
-                continue
-            key = f"[{section}] {name}"
-            expected = _expected_key(section, options)
-            line = lines.get((section, name), 0)
-            return result.Failure(SettingsError(file, line, key, expected))
+    unknown = _unknown_key(parser, file, lines, options)
+    if unknown is not None:
+        return result.Failure(unknown)
     values: dict[tuple[str, str], Value] = {}
-    for place, option in table.items():
-        given = parser.get(*place, fallback=option.default)
+    for option in options:
+        place = (option.section, option.name)
+        given = parser.get(*place, fallback=None) or option.default
         line = lines.get(place, 0)
         key = f"[{option.section}] {option.name}"
         if given is None:
-            expected = f"missing; expected {_describe(option)}"
+            expected = f"missing; expected {describe(option)}"
             return result.Failure(SettingsError(file, line, key, expected))
         try:
             values[place] = _convert(option, given)
         except ValueError:
-            expected = f"{given!r} given; expected {_describe(option)}"
+            expected = f"{given!r} given; expected {describe(option)}"
             return result.Failure(SettingsError(file, line, key, expected))
-    return result.Success(Settings(values))
+    return result.Success(Settings(values, file, lines))
+
+
+def _unknown_key(
+    parser: configparser.ConfigParser,
+    file: str,
+    lines: abc.Mapping[tuple[str, str], int],
+    options: abc.Sequence[Option],
+) -> SettingsError | None:
+    known = {(option.section, option.name) for option in options}
+    sections = {option.section for option in options}
+    for section in parser.sections():
+        for name in parser[section]:
+            if (section, name) in known:
+                continue
+            key = f"[{section}] {name}"
+            line = lines.get((section, name), 0)
+            expected = _expected_key(section, options)
+            return SettingsError(file, line, key, expected)
+        if section not in sections:
+            line = lines.get((section, ""), 0)
+            expected = _expected_key(section, options)
+            return SettingsError(file, line, f"[{section}]", expected)
+    return None
 
 
 def render(settings: Settings, options: abc.Sequence[Option]) -> str:
@@ -161,7 +216,7 @@
             section = option.section
             lines += ["", f"[{section}]"]
         value = settings.values[option.section, option.name]
-        lines.append(f"# {option.doc} ({_describe(option)})")
+        lines.append(f"# {option.doc} ({describe(option)})")
         lines.append(f"{option.name} = {_as_text(option, value)}".rstrip())
     return "\n".join(lines[1:]) + "\n"
 
@@ -173,6 +228,7 @@
         header = SECTION_PATTERN.match(line)
         if header:
             section = header.group(1)
+            numbers[section, ""] = number
             continue
         key = KEY_PATTERN.match(line)
         if key:
@@ -188,22 +244,23 @@
     return f"unknown key; expected one of {', '.join(sorted(known))}"
 
 
-def _describe(option: Option) -> str:
-    text = option.kind
+def describe(option: Option) -> str:
+    """Return what the values of ``option`` look like, for people."""
+    if option.choices:
+        return f"one of {', '.join(option.choices)}"
+    text = KINDS[option.kind]
     if option.unit:
         text += f" in {option.unit}"
     if option.low is not None and option.high is not None:
-        text += f" from {option.low:g} to {option.high:g}"
+        text += f" from {_number(option.low)} to {_number(option.high)}"
     return text
 
 
 def _convert(option: Option, given: str) -> Value:
-    if option.kind == "str":
-        return given
-    if option.kind == "list":
-        return tuple(part.strip() for part in given.split(",") if part.strip())
-    if option.kind == "bool":
-        return _convert_bool(given)
+    if option.choices and given not in option.choices:
+        raise ValueError(given)
+    if option.kind in CHECKS:
+        return CHECKS[option.kind](given)
     number = int(given) if option.kind == "int" else float(given)
     if option.low is not None and not number >= option.low:
         raise ValueError(given)
@@ -216,6 +273,54 @@
     return datetime.timedelta(seconds=number)
 
 
+def parse_address(text: str) -> Address:
+    """Return the address written as ``host:port``; ValueError if not one."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isascii() or not port.isdigit():
+        raise ValueError(text)
+    if not 1 <= int(port) <= PORT_MAX:
+        raise ValueError(text)
+    return Address(_host(host), int(port))
+
+
+def _addresses(given: str) -> tuple[str, ...]:
+    parts = _list(given)
+    for part in parts:
+        parse_address(part)
+    return parts
+
+
+def _file(given: str) -> str:
+    if given and not os.access(given, os.R_OK):
+        raise ValueError(given)
+    return given
+
+
+def _host(given: str) -> str:
+    if not HOST_PATTERN.fullmatch(given):
+        raise ValueError(given)
+    return given
+
+
+def _list(given: str) -> tuple[str, ...]:
+    return tuple(part.strip() for part in given.split(",") if part.strip())
+
+
+def _name(given: str) -> str:
+    if resource.check_name("name", given):
+        raise ValueError(given)
+    return given
+
+
+def _url(given: str) -> str:
+    split = urllib.parse.urlsplit(given)
+    if split.scheme not in ("http", "https") or not split.hostname:
+        raise ValueError(given)
+    if split.port == 0 or split.query or split.fragment:
+        raise ValueError(given)
+    return given
+
+
 def _convert_bool(given: str) -> bool:
     if given.lower() in TRUE_WORDS:
         return True
@@ -231,5 +336,21 @@
         return ", ".join(value)
     if isinstance(value, datetime.timedelta):
         scale = 1000 if option.unit == "ms" else 1
-        return f"{value.total_seconds() * scale:g}"
+        return _number(value.total_seconds() * scale)
     return str(value)
+
+
+def _number(value: float) -> str:
+    return str(int(value)) if value == int(value) else repr(value)
+
+
+CHECKS: abc.Mapping[str, abc.Callable[[str], Value]] = {
+    "addresses": _addresses,
+    "bool": _convert_bool,
+    "file": _file,
+    "host": _host,
+    "list": _list,
+    "name": _name,
+    "str": str,
+    "url": _url,
+}
--- a/packages/node/src/balsamramp_node/acceptance.py
+++ b/packages/node/src/balsamramp_node/acceptance.py
@@ -46,11 +46,13 @@
 
     ``conflict`` tells a race with another operator from bad content, and
     ``accepted`` is None when it is unknown whether it was accepted.
+    ``changes`` are those that came between, for a conflict.
     """
 
     message: str
     conflict: bool = False
     accepted: bool | None = False
+    changes: tuple[configuration.Change, ...] = ()
 
 
 def log_key(version: int) -> str:
--- a/packages/node/src/balsamramp_node/app.py
+++ b/packages/node/src/balsamramp_node/app.py
@@ -14,9 +14,12 @@
 from balsamramp_node import http_server
 from balsamramp_node import ingress
 from balsamramp_node import operator_api
+from balsamramp_node import options
 from balsamramp_node import parts
 from balsamramp_node import stream_server
 from balsamramp_node import target_api
+from balsamramp_node import tls
+from balsamramp_node import tokens
 from balsamramp_wire import messages
 
 __all__ = ["Node"]
@@ -67,15 +70,20 @@
             time.time_ns(),
         )
         hello = messages.Hello(identity.node, identity.incarnation)
+        self._tls = tls.NodeTls(checked)
         outside, self._transport = parts.network_parts(
-            checked, hello, now, self._metrics
+            checked, hello, now, self._metrics, self._tls
         )
         choice = random.Random(f"{identity.node} {identity.incarnation}")
         self._core = core.Core(
             identity, checked, outside, now, self._metrics, choice
         )
         self._stream_server = stream_server.StreamServer(
-            hello, self._listen("stream_port"), self._core.door, self._metrics
+            hello,
+            self._listen("stream_port"),
+            self._core.door,
+            self._metrics,
+            self._tls.server_context(),
         )
         self._core.kernel.add(self._stream_server)
         self._callers = self._caller_server()
@@ -96,7 +104,11 @@
         )
 
     async def start(self) -> None:
-        """Start all services and announce the node to its peers."""
+        """Start all services and announce the node to its peers.
+
+        Raises kernel.StartError when a port cannot be bound.
+        """
+        self._warn_if_open()
         await self._core.kernel.start()
         bound = self.addresses()
         self._core.membership.set_addresses(
@@ -126,16 +138,38 @@
             ingress.make_application(self._core.calls, defaults),
             self._listen("call_port"),
             ("calls", "stream-server"),
+            self._tls.caller_files,
         )
 
     def _admin_server(self) -> http_server.HttpServer:
-        admin = falcon.asgi.App()
+        admin = falcon.asgi.App(middleware=self._token_checks())
         target_api.add_routes(admin, self._core.targets)
         operator_api.add_routes(admin, self._core.operations)
         return http_server.HttpServer(
-            "admin", admin, self._listen("admin_port"), ("source", "targets")
+            "admin",
+            admin,
+            self._listen("admin_port"),
+            ("source", "targets"),
+            self._tls.caller_files,
         )
 
+    def _token_checks(self) -> list[tokens.TokenCheck]:
+        operator = options.token(self._settings, "operator_token_file")
+        target = options.token(self._settings, "target_token_file")
+        return [
+            tokens.TokenCheck("operators'", operator, operator_api.PREFIXES),
+            tokens.TokenCheck("targets'", target, target_api.PREFIXES),
+        ]
+
+    def _warn_if_open(self) -> None:
+        if options.is_loopback(self._settings):
+            return
+        host = self._settings.text("listen", "host")
+        if not self._tls.between_nodes:
+            logging.warning("traffic between nodes on %s is not TLS", host)
+        if self._tls.caller_files is None:
+            logging.warning("traffic of callers on %s is not TLS", host)
+
     def _metrics_server(self) -> http_server.HttpServer:
         exposition = falcon.asgi.App()
         exposition.add_route("/metrics", _MetricsView(self._metrics))
--- /dev/null
+++ b/packages/node/src/balsamramp_node/bodies.py
@@ -0,0 +1,33 @@
+"""Bodies: reads the bounded JSON bodies of the admin application."""
+
+import typing
+
+import falcon
+import falcon.asgi
+import msgspec
+
+__all__ = ["read_json"]
+
+
+async def read_json(
+    req: falcon.asgi.Request, max_bytes: int
+) -> dict[str, typing.Any]:
+    """Return the JSON object in the body; refuse anything else."""
+    if (req.content_length or 0) > max_bytes:
+        raise falcon.HTTPContentTooLarge(
+            title=f"body is over {max_bytes} bytes"
+        )
+    body = await req.bounded_stream.read(max_bytes + 1)
+    if len(body) > max_bytes:
+        raise falcon.HTTPContentTooLarge(
+            title=f"body is over {max_bytes} bytes"
+        )
+    try:
+        document = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise falcon.HTTPBadRequest(
+            title="malformed JSON", description=str(error)
+        ) from error
+    if not isinstance(document, dict):
+        raise falcon.HTTPBadRequest(title="the body is not a JSON object")
+    return document
--- a/packages/node/src/balsamramp_node/cmdline.py
+++ b/packages/node/src/balsamramp_node/cmdline.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections import abc
 import logging as std_logging
+import os
 import pathlib
 import signal
 import sys
@@ -15,6 +16,7 @@
 import uvloop
 
 from balsamramp_core import clock
+from balsamramp_core import kernel
 from balsamramp_core import settings
 from balsamramp_node import app
 from balsamramp_node import options
@@ -22,7 +24,42 @@
 __all__ = ["main"]
 
 EXIT_OK = 0
+EXIT_START = 1
 EXIT_SETTINGS = 2
+EXIT_FORCED = 3
+
+
+class _PlaceFormatter(logging.PythonFormatter):
+    """Puts the node and its zone before the text of each line."""
+
+    def __init__(self, place: str) -> None:
+        super().__init__()
+        self._place = place
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        placed = std_logging.makeLogRecord(record.__dict__)
+        placed.msg = f"{self._place}: {record.getMessage()}"
+        placed.args = None
+        return super().format(placed)
+
+
+class _Stopping:
+    """Turns the first signal into a graceful stop, the second into an end."""
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+
+    def signal(self) -> None:
+        """Take note of one signal."""
+        if self._event.is_set():
+            logging.warning("second signal; ending at once")
+            logging.flush()
+            os._exit(EXIT_FORCED)
+        self._event.set()
+
+    async def wait(self) -> None:
+        """Wait for the first signal."""
+        await self._event.wait()
 
 
 def main(arguments: abc.Sequence[str] | None = None) -> int:
@@ -32,7 +69,7 @@
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     std_logging.getLogger("uvicorn").setLevel(std_logging.WARNING)
-    checked = settings.read(parsed.settings, options.OPTIONS)
+    checked = options.read(parsed.settings)
     if isinstance(checked, result.Failure):
         print(f"balsamrampd: {checked.failure()}", file=sys.stderr)
         return EXIT_SETTINGS
@@ -42,7 +79,12 @@
     if parsed.check:
         print(f"{parsed.settings}: ok")
         return EXIT_OK
-    uvloop.run(_run(checked.unwrap(), parsed.addresses))
+    _log_with_place(checked.unwrap())
+    try:
+        uvloop.run(_run(checked.unwrap(), parsed.addresses))
+    except kernel.StartError as error:
+        print(f"balsamrampd: cannot start: {error}", file=sys.stderr)
+        return EXIT_START
     return EXIT_OK
 
 
@@ -70,14 +112,20 @@
     return parser
 
 
+def _log_with_place(checked: settings.Settings) -> None:
+    place = f"{checked.text('node', 'id')} {checked.text('node', 'zone')}"
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_PlaceFormatter(place))
+
+
 async def _run(
     checked: settings.Settings, addresses: pathlib.Path | None
 ) -> None:
     node = app.Node(checked, clock.SystemClock())
-    stopping = asyncio.Event()
+    stopping = _Stopping()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, stopping.signal)
     await node.start()
     if addresses is not None:
         partial = addresses.with_suffix(".partial")
--- a/packages/node/src/balsamramp_node/core.py
+++ b/packages/node/src/balsamramp_node/core.py
@@ -26,7 +26,7 @@
 from balsamramp_node import targets
 from balsamramp_wire import messages
 
-__all__ = ["Core", "Identity", "parse_address"]
+__all__ = ["Core", "Identity"]
 
 
 @attrs.frozen
@@ -94,7 +94,7 @@
         seeds = self._settings.items("membership", "seeds")
         self.membership = membership.Membership(
             self._own_record(),
-            [parse_address(item) for item in seeds],
+            [settings.parse_address(item) for item in seeds],
             self._outside.control,
             self.store,
             self.distribution,
@@ -175,9 +175,3 @@
             self._settings.text("targets", "admission")
         )
         return limit_type(self._settings.integer("targets", "initial_limit"))
-
-
-def parse_address(text: str) -> settings.Address:
-    """Return the address written as ``host:port``."""
-    host, _, port = text.rpartition(":")
-    return settings.Address(host, int(port))
--- a/packages/node/src/balsamramp_node/http_server.py
+++ b/packages/node/src/balsamramp_node/http_server.py
@@ -8,19 +8,46 @@
 import typing
 
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
 
 from balsamramp_core import kernel
 from balsamramp_core import settings
+from balsamramp_node import tls
 
 __all__ = ["HttpServer"]
 
 BACKLOG_CONNECTIONS = 1024
+HEAD_MAX_BYTES = 64 * 1024
 START_CHECK_INTERVAL = datetime.timedelta(milliseconds=5)
 SHUTDOWN_TIMEOUT_SECONDS = 10
 
 AsgiApplication = abc.Callable[..., typing.Any]
 
 
+class _BoundedProtocol(httptools_impl.HttpToolsProtocol):
+    """Refuses a request whose line and headers do not end in time."""
+
+    _head_bytes = 0
+    _in_head = True
+
+    def data_received(self, data: bytes) -> None:
+        if self._in_head and self._head_bytes > HEAD_MAX_BYTES:
+            self.send_400_response(f"headers are over {HEAD_MAX_BYTES} bytes")
+            return
+        super().data_received(data)
+        if self._in_head:
+            self._head_bytes += len(data)
+
+    def on_message_begin(self) -> None:
+        self._head_bytes = 0
+        self._in_head = True
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        super().on_headers_complete()
+
+
 class _Server(uvicorn.Server):
     """Uvicorn without its signal handlers: the node has its own."""
 
@@ -32,7 +59,8 @@
 class HttpServer(kernel.Service):
     """Serves one ASGI application on one port.
 
-    Instances differ in ``name``, which is given when they are made.
+    Instances differ in ``name``, which is given when they are made, and
+    talk TLS when they have the files for it.
     """
 
     def __init__(
@@ -41,11 +69,13 @@
         application: AsgiApplication,
         listen: settings.Address,
         requires: tuple[str, ...] = (),
+        security: tls.CallerFiles | None = None,
     ) -> None:
         self.name = name  # type: ignore[misc]
         self.requires = requires  # type: ignore[misc]
         self._application = application
         self._listen = listen
+        self._security = security
         self._address = listen
         self._server: _Server | None = None
         self._task: asyncio.Task[None] | None = None
@@ -58,7 +88,12 @@
     async def start(self) -> None:
         bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bound.bind((self._listen.host, self._listen.port))
+        try:
+            bound.bind((self._listen.host, self._listen.port))
+        except OSError as error:
+            bound.close()
+            text = f"cannot listen on {self._listen}: {error.strerror}"
+            raise OSError(text) from error
         bound.listen(BACKLOG_CONNECTIONS)
         port = bound.getsockname()[1]
         self._address = settings.Address(self._listen.host, port)
@@ -67,7 +102,12 @@
             log_config=None,
             access_log=False,
             lifespan="off",
-            http="httptools",
+            http=_BoundedProtocol,
+            ws="none",
+            ssl_keyfile=self._security.key if self._security else None,
+            ssl_certfile=(
+                self._security.certificate if self._security else None
+            ),
             timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_SECONDS,
         )
         self._server = _Server(config)
--- a/packages/node/src/balsamramp_node/operations.py
+++ b/packages/node/src/balsamramp_node/operations.py
@@ -7,6 +7,7 @@
 
 from balsamramp_core import configuration
 from balsamramp_core import kernel
+from balsamramp_core import resource
 from balsamramp_core import resources
 from balsamramp_node import acceptance
 from balsamramp_node import membership
@@ -18,6 +19,7 @@
 __all__ = ["Operations"]
 
 ACCEPT_ATTEMPTS = 8
+REPEAT_MAX_CHANGES = 1024
 
 
 class Operations:
@@ -37,7 +39,13 @@
         self,
         submission: acceptance.Submission,
     ) -> result.Result[configuration.Change, acceptance.Rejection]:
-        """Accept ``submission`` behind the latest version."""
+        """Accept ``submission`` behind the latest version.
+
+        One that was accepted before, known by its change id, yields the
+        change that it became. One whose resources were changed after
+        its base version is a conflict, and the rejection holds the
+        changes that came between.
+        """
         configurations = self._kernel.find(store.ConfigurationStore)
         reader = self._kernel.find(source.ConfigurationSource)
         accepted: result.Result[configuration.Change, acceptance.Rejection] = (
@@ -49,7 +57,15 @@
                 text = f"platform: {read.failure().message}"
                 return result.Failure(acceptance.Rejection(text))
             base = configurations.current
-            refused = _check_base(base, submission)
+            between = configurations.changes_after(
+                base.version
+                if submission.base_version is None
+                else submission.base_version
+            )
+            repeated = _find_change(configurations, submission, between)
+            if repeated is not None:
+                return result.Success(repeated)
+            refused = _check_base(base, submission, between)
             if refused is not None:
                 return result.Failure(refused)
             accepted = await self._acceptor.accept(base, submission)
@@ -70,6 +86,7 @@
                 "node": member.node,
                 "zone": member.zone,
                 "state": member.state.value,
+                "admin": str(member.admin),
                 "version": versions.get(member.node),
                 "targets": msgspec.to_builtins(member.targets),
             }
@@ -84,11 +101,21 @@
             "zones_out": sorted(self._kernel.find(router.Router).zones_out),
         }
 
-    def document(self) -> list[dict[str, typing.Any]]:
-        """Return all resources in force as plain data."""
+    def document(self) -> dict[str, typing.Any]:
+        """Return all resources in force, and their version, as data."""
         current = self._kernel.find(store.ConfigurationStore).current
         keys = sorted(current.resources)
-        return [resources.encode(current.resources[key]) for key in keys]
+        return {
+            "version": current.version,
+            "resources": [
+                resources.encode(current.resources[key]) for key in keys
+            ],
+        }
+
+    def changes_after(self, version: int) -> list[configuration.Change] | None:
+        """Return the changes after ``version``, None if some are gone."""
+        configurations = self._kernel.find(store.ConfigurationStore)
+        return configurations.changes_after(version)
 
     def names(self) -> dict[str, int]:
         """Return unknown service names and how often each was used."""
@@ -99,11 +126,47 @@
         return self._kernel.dump()
 
 
+def _find_change(
+    configurations: store.ConfigurationStore,
+    submission: acceptance.Submission,
+    between: list[configuration.Change] | None,
+) -> configuration.Change | None:
+    current = configurations.current.version
+    oldest = max(0, current - REPEAT_MAX_CHANGES)
+    remembered = configurations.changes_after(oldest) or between or []
+    for change in remembered:
+        if change.change_id == submission.change_id:
+            return change
+    return None
+
+
 def _check_base(
-    base: configuration.Configuration, submission: acceptance.Submission
+    base: configuration.Configuration,
+    submission: acceptance.Submission,
+    between: list[configuration.Change] | None,
 ) -> acceptance.Rejection | None:
     wanted = submission.base_version
-    if wanted is None or wanted == base.version:
+    if wanted is None:
+        return None
+    if wanted > base.version:
+        text = f"base version {wanted} is not accepted yet"
+        return acceptance.Rejection(text)
+    if between is None:
+        text = (
+            f"the changes after version {wanted} are no longer held by this "
+            f"node; read again, the configuration is at {base.version}"
+        )
+        return acceptance.Rejection(text, conflict=True)
+    own = {item.key for item in submission.puts} | set(submission.deletes)
+    racing = [change for change in between if own & _touched(change)]
+    if not racing:
         return None
-    text = f"the configuration is at version {base.version}, not {wanted}"
-    return acceptance.Rejection(text, conflict=True)
+    names = sorted(
+        {str(key) for change in racing for key in own & _touched(change)}
+    )
+    text = f"changed since version {wanted}: {', '.join(names)}"
+    return acceptance.Rejection(text, conflict=True, changes=tuple(racing))
+
+
+def _touched(change: configuration.Change) -> set[resource.ResourceKey]:
+    return {item.key for item in change.puts} | set(change.deletes)
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -1,34 +1,47 @@
 """Options: every setting of the node, in one table."""
 
+import pathlib
+
+from returns import result
+
 from balsamramp_core import settings
+from balsamramp_node import admissions
+from balsamramp_node import pickers
 
-__all__ = ["OPTIONS"]
+__all__ = ["OPTIONS", "check", "is_loopback", "read", "token"]
 
 PORT = {"kind": "int", "low": 0, "high": 65535, "default": "0"}
+FILE = {"kind": "file", "default": ""}
+PAIRS = (
+    ("node_key", "node_certificate"),
+    ("node_key", "node_ca"),
+    ("caller_key", "caller_certificate"),
+)
+LOOPBACK = ("127.", "localhost")
 
 OPTIONS: tuple[settings.Option, ...] = (
     settings.Option(
         section="node",
         name="id",
-        kind="str",
+        kind="name",
         doc="name of this node, unique in the fleet",
     ),
     settings.Option(
         section="node",
         name="zone",
-        kind="str",
+        kind="name",
         doc="availability zone of this VM",
     ),
     settings.Option(
         section="node",
         name="region",
-        kind="str",
+        kind="name",
         doc="region of this VM",
     ),
     settings.Option(
         section="listen",
         name="host",
-        kind="str",
+        kind="host",
         doc="IP address on which all ports are bound",
     ),
     settings.Option(
@@ -64,7 +77,7 @@
     settings.Option(
         section="platform",
         name="url",
-        kind="str",
+        kind="url",
         doc="base URL of the platform's table service and object store",
     ),
     settings.Option(
@@ -90,7 +103,7 @@
     settings.Option(
         section="membership",
         name="seeds",
-        kind="list",
+        kind="addresses",
         default="",
         doc="control addresses, host:port, of nodes to join through",
     ),
@@ -118,15 +131,17 @@
         section="calls",
         name="body_max_bytes",
         kind="int",
+        unit="bytes",
         default="1048576",
         low=0,
         high=16000000,
-        doc="largest body of a call or an answer, in bytes",
+        doc="largest body of a call or an answer",
     ),
     settings.Option(
         section="calls",
         name="picker",
         kind="str",
+        choices=tuple(sorted(pickers.PICKERS)),
         default="least-of-two",
         doc="how a target is picked among those that match",
     ),
@@ -134,6 +149,7 @@
         section="calls",
         name="retries",
         kind="int",
+        unit="retries",
         default="2",
         low=0,
         high=10,
@@ -153,6 +169,7 @@
         section="targets",
         name="admission",
         kind="str",
+        choices=tuple(sorted(admissions.LIMITS)),
         default="fixed",
         doc="how the concurrency limit of a target is found",
     ),
@@ -160,9 +177,91 @@
         section="targets",
         name="initial_limit",
         kind="int",
+        unit="calls",
         default="4",
         low=1,
         high=1000,
         doc="concurrency limit of a fresh target",
     ),
+    settings.Option(
+        section="security",
+        name="operator_token_file",
+        doc="file with the token that operators' requests must carry",
+        **FILE,  # type: ignore[arg-type]
+    ),
+    settings.Option(
+        section="security",
+        name="target_token_file",
+        doc="file with the token that targets' requests must carry",
+        **FILE,  # type: ignore[arg-type]
+    ),
+    settings.Option(
+        section="tls",
+        name="node_key",
+        doc="private key of this node towards other nodes, PEM",
+        **FILE,  # type: ignore[arg-type]
+    ),
+    settings.Option(
+        section="tls",
+        name="node_certificate",
+        doc="certificate of this node, PEM; it names the IP address",
+        **FILE,  # type: ignore[arg-type]
+    ),
+    settings.Option(
+        section="tls",
+        name="node_ca",
+        doc="certificate of the authority that signs nodes, PEM",
+        **FILE,  # type: ignore[arg-type]
+    ),
+    settings.Option(
+        section="tls",
+        name="caller_key",
+        doc="private key towards callers, targets and operators, PEM",
+        **FILE,  # type: ignore[arg-type]
+    ),
+    settings.Option(
+        section="tls",
+        name="caller_certificate",
+        doc="certificate towards callers, targets and operators, PEM",
+        **FILE,  # type: ignore[arg-type]
+    ),
 )
+
+
+def read(
+    path: pathlib.Path,
+) -> result.Result[settings.Settings, settings.SettingsError]:
+    """Read and check the settings file of a node."""
+    checked = settings.read(path, OPTIONS)
+    if isinstance(checked, result.Failure):
+        return checked
+    error = check(checked.unwrap())
+    return checked if error is None else result.Failure(error)
+
+
+def check(checked: settings.Settings) -> settings.SettingsError | None:
+    """Return what is wrong with options taken together, if anything."""
+    for pair in PAIRS:
+        for name, other in (pair, pair[::-1]):
+            if not checked.text("tls", name) or checked.text("tls", other):
+                continue
+            expected = f"missing; expected because {name} is given"
+            return checked.error("tls", other, expected)
+    for name in ("operator_token_file", "target_token_file"):
+        if checked.text("security", name) and not token(checked, name):
+            expected = "the file is empty; expected a token"
+            return checked.error("security", name, expected)
+    return None
+
+
+def token(checked: settings.Settings, name: str) -> str:
+    """Return the token in the file that the option ``name`` gives."""
+    path = checked.text("security", name)
+    if not path:
+        return ""
+    return pathlib.Path(path).read_text(encoding="utf-8").strip()
+
+
+def is_loopback(checked: settings.Settings) -> bool:
+    """Tell whether the ports are bound on this machine alone."""
+    return checked.text("listen", "host").startswith(LOOPBACK)
--- a/packages/node/src/balsamramp_node/parts.py
+++ b/packages/node/src/balsamramp_node/parts.py
@@ -11,6 +11,7 @@
 from balsamramp_node import platform_client
 from balsamramp_node import stream_client
 from balsamramp_node import target_client
+from balsamramp_node import tls
 from balsamramp_node import transport
 from balsamramp_wire import control
 from balsamramp_wire import messages
@@ -39,6 +40,7 @@
     hello: messages.Hello,
     time: clock.Clock,
     counters: metrics.Metrics,
+    security: tls.NodeTls,
 ) -> tuple[Parts, control.GrpcTransport]:
     """Return the parts of a node that runs as a process.
 
@@ -52,9 +54,12 @@
         settings.Address(
             checked.text("listen", "host"),
             checked.integer("listen", "control_port"),
-        )
+        ),
+        security.credentials(),
+    )
+    streams = stream_client.StreamClient(
+        hello, time, counters, security.client_context()
     )
-    streams = stream_client.StreamClient(hello, time, counters)
     local = target_client.HttpTargetClient(
         checked.integer("calls", "body_max_bytes")
     )
--- a/packages/node/src/balsamramp_node/stream_client.py
+++ b/packages/node/src/balsamramp_node/stream_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import datetime
+import ssl
 import typing
 
 from balsamramp_core import clock
@@ -93,8 +94,10 @@
         hello: messages.Hello,
         time: clock.Clock,
         counters: metrics.Metrics,
+        security: ssl.SSLContext | None = None,
     ) -> None:
         self._hello = hello
+        self._security = security
         self._clock = time
         self._metrics = counters
         self._streams: dict[settings.Address, PeerStream] = {}
@@ -137,7 +140,7 @@
                 return known
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 reader, writer = await asyncio.open_connection(
-                    peer.host, peer.port
+                    peer.host, peer.port, ssl=self._security
                 )
             writer.write(frames.encode(self._hello))
             self._metrics.count("stream_connects_total")
--- a/packages/node/src/balsamramp_node/stream_server.py
+++ b/packages/node/src/balsamramp_node/stream_server.py
@@ -1,6 +1,7 @@
 """Stream server: takes in calls from other nodes."""
 
 import asyncio
+import ssl
 
 from balsamramp_core import kernel
 from balsamramp_core import metrics
@@ -25,8 +26,10 @@
         listen: settings.Address,
         calls: door.Door,
         counters: metrics.Metrics,
+        security: ssl.SSLContext | None = None,
     ) -> None:
         self._hello = hello
+        self._security = security
         self._listen = listen
         self._door = calls
         self._metrics = counters
@@ -41,7 +44,10 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
-            self._serve, self._listen.host, self._listen.port
+            self._serve,
+            self._listen.host,
+            self._listen.port,
+            ssl=self._security,
         )
         port = self._server.sockets[0].getsockname()[1]
         self._address = settings.Address(self._listen.host, port)
--- a/packages/node/src/balsamramp_node/target_api.py
+++ b/packages/node/src/balsamramp_node/target_api.py
@@ -2,15 +2,19 @@
 
 import typing
 
+import attrs
 import falcon
 import falcon.asgi
 import msgspec
 from returns import result
 
+from balsamramp_node import bodies
 from balsamramp_node import targets
 from balsamramp_wire import messages
 
-__all__ = ["add_routes"]
+__all__ = ["PREFIXES", "add_routes"]
+
+PREFIXES = ("/v1/targets/",)
 
 BODY_MAX_BYTES = 64 * 1024
 
@@ -27,7 +31,8 @@
         resp: falcon.asgi.Response,
         target: str,
     ) -> None:
-        body = await read_json(req)
+        body = await bodies.read_json(req, BODY_MAX_BYTES)
+        _check_fields(body)
         try:
             announcement = msgspec.convert(
                 {**body, "target": target}, targets.Announcement
@@ -82,19 +87,11 @@
     application.add_route("/v1/targets/{target}/drain", _Drain(local))
 
 
-async def read_json(req: falcon.asgi.Request) -> dict[str, typing.Any]:
-    """Return the JSON object in the body; refuse anything else."""
-    body = await req.bounded_stream.read(BODY_MAX_BYTES + 1)
-    if len(body) > BODY_MAX_BYTES:
-        raise falcon.HTTPContentTooLarge(
-            title=f"body is over {BODY_MAX_BYTES} bytes"
-        )
-    try:
-        document = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+def _check_fields(body: dict[str, typing.Any]) -> None:
+    fields = {field.name for field in attrs.fields(targets.Announcement)}
+    unknown = sorted(set(body) - fields)
+    if unknown:
         raise falcon.HTTPBadRequest(
-            title="malformed JSON", description=str(error)
-        ) from error
-    if not isinstance(document, dict):
-        raise falcon.HTTPBadRequest(title="the body is not a JSON object")
-    return document
+            title="malformed announcement",
+            description=f"unknown field {unknown[0]!r}",
+        )
--- a/packages/wire/src/balsamramp_wire/control.py
+++ b/packages/wire/src/balsamramp_wire/control.py
@@ -9,6 +9,7 @@
 import datetime
 import typing
 
+import attrs
 import grpc
 import grpc.aio
 import msgspec
@@ -18,7 +19,7 @@
 from balsamramp_core import verdict
 from balsamramp_wire import messages
 
-__all__ = ["GrpcTransport", "Handler", "PeerTransport"]
+__all__ = ["Credentials", "GrpcTransport", "Handler", "PeerTransport"]
 
 SERVICE = "balsamramp.Control"
 MESSAGE_MAX_BYTES = 64 * 1024 * 1024
@@ -48,11 +49,27 @@
         """Send ``request`` and return its reply."""
 
 
+@attrs.frozen
+class Credentials:
+    """What a node proves itself with, and demands of its peers."""
+
+    server: grpc.ServerCredentials
+    channel: grpc.ChannelCredentials
+
+
 class GrpcTransport(PeerTransport):
-    """Control requests over gRPC, one channel a peer."""
+    """Control requests over gRPC, one channel a peer.
 
-    def __init__(self, listen: settings.Address) -> None:
+    Without ``credentials`` the requests travel in clear text.
+    """
+
+    def __init__(
+        self,
+        listen: settings.Address,
+        credentials: Credentials | None = None,
+    ) -> None:
         self._listen = listen
+        self._credentials = credentials
         self._handlers: dict[str, grpc.RpcMethodHandler] = {}
         self._channels: dict[settings.Address, grpc.aio.Channel] = {}
         self._server: grpc.aio.Server | None = None
@@ -80,11 +97,14 @@
         self._handlers[request_type.method] = method
 
     async def start(self) -> None:
-        """Bind the port and serve the registered handlers."""
+        """Bind the port and serve the registered handlers.
+
+        Raises OSError when the port cannot be bound.
+        """
         server = grpc.aio.server(options=_options())
         generic = grpc.method_handlers_generic_handler(SERVICE, self._handlers)
         server.add_generic_rpc_handlers((generic,))
-        port = server.add_insecure_port(str(self._listen))
+        port = self._bind(server)
         self._address = settings.Address(self._listen.host, port)
         await server.start()
         self._server = server
@@ -106,7 +126,7 @@
     ) -> result.Result[typing.Any, verdict.Failure]:
         channel = self._channels.get(peer)
         if channel is None:
-            channel = grpc.aio.insecure_channel(str(peer), _options())
+            channel = self._open(peer)
             self._channels[peer] = channel
         decoder: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
             request.reply
@@ -122,6 +142,22 @@
             return result.Failure(_failure(peer, error))
         return result.Success(reply)
 
+    def _bind(self, server: grpc.aio.Server) -> int:
+        address = str(self._listen)
+        try:
+            if self._credentials is None:
+                return server.add_insecure_port(address)
+            return server.add_secure_port(address, self._credentials.server)
+        except RuntimeError as error:
+            raise OSError(f"cannot listen on {address}: {error}") from error
+
+    def _open(self, peer: settings.Address) -> grpc.aio.Channel:
+        if self._credentials is None:
+            return grpc.aio.insecure_channel(str(peer), _options())
+        return grpc.aio.secure_channel(
+            str(peer), self._credentials.channel, _options()
+        )
+
 
 def _options() -> list[tuple[str, int]]:
     return [
