--- a/packages/node/src/balsamramp_node/operator_api.py
+++ b/packages/node/src/balsamramp_node/operator_api.py
@@ -130,17 +130,20 @@
     unknown = sorted(set(body) - FIELDS)
     if unknown:
         raise _malformed(f"unknown field {unknown[0]!r}")
-    return acceptance.Submission(
+    submission = acceptance.Submission(
         change_id=_text(body, "change_id") or uuid.uuid4().hex,
         author=_text(body, "author"),
         puts=_puts(_items(body, "puts")),
         deletes=_deletes(_items(body, "deletes")),
         base_version=_base_version(body),
     )
+    if not submission.puts and not submission.deletes:
+        raise _malformed("puts and deletes are both empty")
+    return submission
 
 
 def _text(body: dict[str, typing.Any], field: str) -> str:
-    given = body.get(field) or ""
+    given = body.get(field, "")
     if not isinstance(given, str):
         raise _malformed(f"{field} is not a string")
     if len(given) > AUTHOR_MAX_CHARACTERS:
@@ -151,7 +154,7 @@
 
 
 def _items(body: dict[str, typing.Any], field: str) -> list[typing.Any]:
-    given = body.get(field) or []
+    given = body.get(field, [])
     if not isinstance(given, list):
         raise _malformed(f"{field} is not a list")
     if len(given) > ITEMS_MAX:
