--- a/packages/client/src/balsamramp_client/api.py
+++ b/packages/client/src/balsamramp_client/api.py
@@ -13,7 +13,6 @@
 from returns import result
 
 from balsamramp_core import configuration
-from balsamramp_core import resource
 from balsamramp_core import resources
 
 __all__ = ["ApiError", "ErrorKind", "NodeApi", "new_change_id"]
@@ -110,16 +109,16 @@
         if isinstance(viewed, result.Failure):
             return viewed
         document = viewed.unwrap()
-        items: dict[resource.ResourceKey, resource.Resource] = {}
+        items = []
         for described in document["resources"]:
             decoded = resources.decode(described)
             if isinstance(decoded, result.Failure):
                 return result.Failure(ApiError(decoded.failure()))
-            item = decoded.unwrap()
-            items[item.key] = item
-        digest = 0
+            items.append(decoded.unwrap())
         return result.Success(
-            configuration.Configuration(document["version"], items, digest)
+            configuration.merge(
+                configuration.EMPTY, document["version"], items, ()
+            )
         )
 
     async def submit(
--- a/packages/client/src/balsamramp_client/differences.py
+++ b/packages/client/src/balsamramp_client/differences.py
@@ -4,13 +4,15 @@
 import enum
 
 import attrs
+from returns import result
 
 from balsamramp_client import output
+from balsamramp_core import clock
 from balsamramp_core import configuration
 from balsamramp_core import resource
 from balsamramp_core import resources
 
-__all__ = ["Difference", "Step", "between", "describe", "refusals"]
+__all__ = ["Difference", "Step", "between", "describe", "refusal"]
 
 
 class Step(enum.Enum):
@@ -48,20 +50,19 @@
     return found
 
 
-def refusals(
+def refusal(
     current: configuration.Configuration,
     items: abc.Sequence[resource.Resource],
-) -> list[str]:
-    """Return why the nodes would refuse to put ``items``."""
-    merged = configuration.merge(current, items, ())
-    present = merged.resources
-    found = []
-    for item in items:
-        found += [f"{item.key}: {text}" for text in item.problems()]
-        for needed in item.dependencies():
-            if needed not in present:
-                found.append(f"{item.key} needs {needed}, which is not there")
-    return found
+    time: clock.Clock,
+) -> str:
+    """Return why a node would refuse to put ``items``, or nothing."""
+    change = configuration.make_change(
+        current, current.version + 1, "", "", time.now(), tuple(items)
+    )
+    applied = configuration.apply_change(current, change)
+    if isinstance(applied, result.Success):
+        return ""
+    return applied.failure().message
 
 
 def describe(
--- a/packages/node/src/balsamramp_node/app.py
+++ b/packages/node/src/balsamramp_node/app.py
@@ -82,6 +82,7 @@
             hello,
             self._listen("stream_port"),
             self._core.door,
+            now,
             self._metrics,
             self._tls.server_context(),
         )
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -100,6 +100,15 @@
         high=60000,
         doc="time between two reads of the log by a reader",
     ),
+    settings.Option(
+        section="snapshots",
+        name="versions",
+        kind="int",
+        default="512",
+        low=4,
+        high=100000,
+        doc="versions between two snapshots in the object store",
+    ),
     settings.Option(
         section="membership",
         name="seeds",
@@ -142,7 +151,7 @@
         name="picker",
         kind="str",
         choices=tuple(sorted(pickers.PICKERS)),
-        default="least-of-two",
+        default="zone-first",
         doc="how a target is picked among those that match",
     ),
     settings.Option(
@@ -170,7 +179,7 @@
         name="admission",
         kind="str",
         choices=tuple(sorted(admissions.LIMITS)),
-        default="fixed",
+        default="adaptive",
         doc="how the concurrency limit of a target is found",
     ),
     settings.Option(
--- a/packages/node/src/balsamramp_node/parts.py
+++ b/packages/node/src/balsamramp_node/parts.py
@@ -1,5 +1,7 @@
 """Parts: what a node reaches the outside with, made anew or faked."""
 
+import functools
+
 import attrs
 
 from balsamramp_core import clock
@@ -58,7 +60,12 @@
         security.credentials(),
     )
     streams = stream_client.StreamClient(
-        hello, time, counters, security.client_context()
+        hello,
+        time,
+        counters,
+        functools.partial(
+            stream_client.connect_tcp, security=security.client_context()
+        ),
     )
     local = target_client.HttpTargetClient(
         checked.integer("calls", "body_max_bytes")
