--- a/packages/core/src/balsamramp_core/resources/rollout.py
+++ b/packages/core/src/balsamramp_core/resources/rollout.py
@@ -1,12 +1,22 @@
 """Rollout: the intent that a new version takes over by a time."""
 
 import datetime
+import enum
 
 import attrs
 
 from balsamramp_core import resource
 
-__all__ = ["Rollout"]
+__all__ = ["Late", "Rollout"]
+
+KEEP_OLD_SECONDS = 600
+
+
+class Late(enum.Enum):
+    """What becomes of a rollout that is not complete at its deadline."""
+
+    HOLD = "hold"
+    TAKE_BACK = "take-back"
 
 
 @attrs.frozen(kw_only=True)
@@ -16,6 +26,12 @@
     Versions are values of the target label ``version``. Traffic starts
     to move at ``start`` and has moved completely at ``deadline``.
     ``aborted_by`` names the operator who ended it, or is empty.
+
+    Options: ``keep_old_seconds`` (default 600), how long after the last
+    step the old version must stay ready to take everything back;
+    ``late`` (default ``take-back``), what happens when the deadline
+    passes before the last step: ``hold`` keeps the share and completes
+    late once evidence and capacity allow.
     """
 
     kind = "rollout"
@@ -27,6 +43,13 @@
     start: datetime.datetime
     deadline: datetime.datetime
     aborted_by: str = ""
+    keep_old_seconds: int = KEEP_OLD_SECONDS
+    late: Late = Late.TAKE_BACK
+
+    @property
+    def keep_old(self) -> datetime.timedelta:
+        """Return how long the old version stays ready after the end."""
+        return datetime.timedelta(seconds=self.keep_old_seconds)
 
     def dependencies(self) -> tuple[resource.ResourceKey, ...]:
         return (resource.ResourceKey("service", self.service),)
@@ -37,6 +60,8 @@
         found += resource.check_name("new", self.new)
         if self.old == self.new:
             found.append(f"old and new are both {self.old!r}")
+        if self.keep_old_seconds < 0:
+            found.append("keep_old_seconds is negative")
         for field in ("start", "deadline"):
             if getattr(self, field).tzinfo is None:
                 found.append(f"{field} has no time zone")
--- a/packages/core/src/balsamramp_core/verdict.py
+++ b/packages/core/src/balsamramp_core/verdict.py
@@ -33,6 +33,7 @@
     TOO_LARGE = "too-large"
     TRUNCATED = "truncated"
     UNKNOWN_SERVICE = "unknown-service"
+    VERSION_CONDEMNED = "version-condemned"
     ZONE_OUT = "zone-out"
 
 
--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls.py
@@ -82,7 +82,9 @@
         while True:
             candidates = [
                 candidate
-                for candidate in self._router.candidates(found, call_id)
+                for candidate in self._router.candidates(
+                    found, call_id, bool(tried)
+                )
                 if candidate.record.target not in tried
             ]
             left = deadline - self._clock.monotonic()
--- a/packages/node/src/balsamramp_node/core.py
+++ b/packages/node/src/balsamramp_node/core.py
@@ -16,14 +16,19 @@
 from balsamramp_node import door
 from balsamramp_node import membership
 from balsamramp_node import operations
+from balsamramp_node import outcome_watch
 from balsamramp_node import parts
 from balsamramp_node import pickers
 from balsamramp_node import policies
+from balsamramp_node import rollout_record
+from balsamramp_node import rollout_recorder
+from balsamramp_node import rollout_spread
 from balsamramp_node import rollouts
 from balsamramp_node import router
 from balsamramp_node import source
 from balsamramp_node import store
 from balsamramp_node import targets
+from balsamramp_node import zone_states
 from balsamramp_wire import messages
 
 __all__ = ["Core", "Identity", "parse_address"]
@@ -66,6 +71,7 @@
             self.kernel.add(service)
         self._add_configuration()
         self._add_membership()
+        self._add_rollouts()
         self._add_routing()
         self._add_calls()
         self.operations = operations.Operations(
@@ -122,15 +128,45 @@
         host = self._settings.text("listen", "host")
         return settings.Address(host, self._settings.integer("listen", option))
 
-    def _add_routing(self) -> None:
+    def _add_rollouts(self) -> None:
+        recorder = rollout_recorder.Recorder(
+            self.identity.node, self.identity.incarnation, self.identity.zone
+        )
+        policy_type = policies.find_policy(
+            self._settings.text("rollouts", "policy")
+        )
         self.rollouts = rollouts.Rollouts(
-            self.store,
-            policies.find_policy("by-time")(),
+            self.store, policy_type(), self._clock, self._metrics, recorder
+        )
+        self.rollout_spread = rollout_spread.RolloutSpread(
+            self.rollouts,
+            recorder,
+            self.membership,
+            self._outside.control,
+            self._clock,
+            self._metrics,
+            self._random,
+            bool(self._settings.items("membership", "seeds")),
+        )
+        self.rollout_record = rollout_record.RolloutRecord(
+            self._outside.table,
+            self.rollouts,
+            self.rollout_spread,
             self._clock,
             self._metrics,
+            self._random,
         )
+        self.kernel.add(self.rollouts)
+        self.kernel.add(self.rollout_spread)
+        self.kernel.add(self.rollout_record)
+
+    def _add_routing(self) -> None:
         self.router = router.Router(
-            self.store, self.membership, self.rollouts, self._metrics
+            self.store,
+            self.membership,
+            self.rollouts,
+            zone_states.ZoneStates(self._clock),
+            self._metrics,
         )
         self.targets = targets.LocalTargets(
             self.membership,
@@ -138,7 +174,6 @@
             self._metrics,
             self._settings.duration("targets", "lease"),
         )
-        self.kernel.add(self.rollouts)
         self.kernel.add(self.router)
         self.kernel.add(self.targets)
 
@@ -151,6 +186,12 @@
             self._metrics,
             self._outside.targets,
             self._is_zone_out,
+            outcome_watch.OutcomeWatch(
+                self.router,
+                self.rollouts,
+                self.rollout_spread.is_ready,
+                self._clock,
+            ),
         )
         picker_type = pickers.find_picker(
             self._settings.text("calls", "picker")
--- a/packages/node/src/balsamramp_node/door.py
+++ b/packages/node/src/balsamramp_node/door.py
@@ -14,6 +14,7 @@
 from balsamramp_core import verdict
 from balsamramp_node import admission
 from balsamramp_node import call_transport
+from balsamramp_node import outcome_watch
 from balsamramp_node import target_client
 from balsamramp_node import targets
 from balsamramp_wire import messages
@@ -62,6 +63,7 @@
         counters: metrics.Metrics,
         client: target_client.TargetClient,
         is_zone_out: abc.Callable[[], bool],
+        watch: outcome_watch.OutcomeWatch,
     ) -> None:
         self._incarnation = incarnation
         self._targets = local
@@ -70,6 +72,7 @@
         self._metrics = counters
         self._client = client
         self._is_zone_out = is_zone_out
+        self._watch = watch
         self._admitted: dict[str, _Admitted] = {}
         self._gates: dict[str, _Gate] = {}
 
@@ -130,8 +133,12 @@
                 verdict.Reason.DRAINING,
                 f"target {request.target} is {target.state.value}",
             )
+        condemned = self._watch.refusal(target)
+        if condemned is not None:
+            return condemned
         gate = self._gate(target)
         if gate.in_flight >= gate.limit.limit:
+            self._watch.refused(request, target)
             return _not_run(
                 verdict.Reason.OVERLOADED,
                 f"target {request.target} has no free slot",
@@ -168,11 +175,15 @@
         gate.in_flight += 1
         started = self._clock.monotonic()
         outcome = admission.Outcome.CANCELLED
+        reply: call_transport.Reply | None = None
         try:
             reply, outcome = await self._call_target(request, target)
         finally:
             now = self._clock.monotonic()
             gate.limit.finish(now, now - started, outcome, gate.in_flight)
+            self._watch.finished(
+                request, target, reply, outcome, now - started
+            )
             gate.in_flight -= 1
             self._metrics.count("target_calls_total", outcome=outcome.value)
         return reply
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -139,6 +139,13 @@
         high=10,
         doc="retry budget of a call that brings none",
     ),
+    settings.Option(
+        section="rollouts",
+        name="policy",
+        kind="str",
+        default="evidence",
+        doc="how a rollout's share is decided, alike on all nodes",
+    ),
     settings.Option(
         section="targets",
         name="lease",
--- /dev/null
+++ b/packages/node/src/balsamramp_node/outcome_watch.py
@@ -0,0 +1,114 @@
+"""Outcome watch: what rollouts ask of the door to this VM's targets."""
+
+from collections import abc
+import datetime
+
+from balsamramp_core import clock
+from balsamramp_core import verdict
+from balsamramp_node import admission
+from balsamramp_node import call_transport
+from balsamramp_node import rollout_recorder
+from balsamramp_node import rollouts
+from balsamramp_node import router
+from balsamramp_node import targets
+from balsamramp_wire import messages
+
+__all__ = ["OutcomeWatch"]
+
+STATUS_FAILED_MIN = 500
+WARMUP = datetime.timedelta(seconds=10)
+
+
+class OutcomeWatch:
+    """Refuses calls to condemned versions and counts calls as evidence.
+
+    A target is timed only from ten seconds after its first call on, so
+    that a cold start does not count as slowness.
+    """
+
+    def __init__(
+        self,
+        routes: router.Router,
+        held: rollouts.Rollouts,
+        is_ready: abc.Callable[[], bool],
+        time: clock.Clock,
+    ) -> None:
+        self._router = routes
+        self._rollouts = held
+        self._is_ready = is_ready
+        self._clock = time
+        self._first_call: dict[str, tuple[str, datetime.timedelta]] = {}
+
+    def refusal(self, target: targets.LocalTarget) -> verdict.Failure | None:
+        """Return why no call may run at ``target``, or None."""
+        if not self._is_ready():
+            return verdict.Failure(
+                verdict.Verdict.NOT_RUN,
+                verdict.Reason.NOT_READY,
+                "the node does not know yet which versions are condemned",
+            )
+        service = target.announcement.service
+        version = self._version(target)
+        if not self._rollouts.is_condemned(service, version):
+            return None
+        return verdict.Failure(
+            verdict.Verdict.NOT_RUN,
+            verdict.Reason.VERSION_CONDEMNED,
+            f"version {version} of {service} takes no calls",
+        )
+
+    def refused(
+        self, request: messages.CallRequest, target: targets.LocalTarget
+    ) -> None:
+        """Count a call that the door had no capacity for."""
+        self._record(request, target, False, True, None)
+
+    def finished(
+        self,
+        request: messages.CallRequest,
+        target: targets.LocalTarget,
+        reply: call_transport.Reply | None,
+        outcome: admission.Outcome,
+        latency: datetime.timedelta,
+    ) -> None:
+        """Count a call that ran; ``reply`` is None if it was cancelled."""
+        shed = outcome is admission.Outcome.SHED
+        failed = isinstance(reply, messages.CallFailure)
+        if isinstance(reply, messages.CallAnswer) and not shed:
+            failed = reply.status >= STATUS_FAILED_MIN
+        timed = None if self._is_warming_up(target) else latency
+        self._record(request, target, failed, shed, timed)
+
+    def _record(
+        self,
+        request: messages.CallRequest,
+        target: targets.LocalTarget,
+        failed: bool,
+        refused: bool,
+        latency: datetime.timedelta | None,
+    ) -> None:
+        service = target.announcement.service
+        if not self._rollouts.is_watched(service):
+            return
+        record = rollout_recorder.CallRecord(
+            route=self._router.route_name(service, request.path),
+            version=self._version(target),
+            failed=failed,
+            refused=refused,
+            latency=latency,
+        )
+        self._rollouts.record(service, record)
+
+    def _version(self, target: targets.LocalTarget) -> str:
+        seen = self._router.effective_labels(target.record())
+        return seen.get("version", "")
+
+    def _is_warming_up(self, target: targets.LocalTarget) -> bool:
+        now = self._clock.monotonic()
+        name = target.announcement.target
+        instance = target.announcement.instance
+        known = self._first_call.get(name)
+        if known is None or known[0] != instance:
+            known = (instance, now)
+            self._first_call[name] = known
+        return now - known[1] < WARMUP
--- a/packages/node/src/balsamramp_node/policies/__init__.py
+++ b/packages/node/src/balsamramp_node/policies/__init__.py
@@ -2,11 +2,18 @@
 
 from balsamramp_node import rollout_policy
 from balsamramp_node.policies import by_time
+from balsamramp_node.policies import error_rate
+from balsamramp_node.policies import evidence
 
 __all__ = ["POLICIES", "PolicyNotFoundError", "find_policy"]
 
 POLICIES: dict[str, type[rollout_policy.RolloutPolicy]] = {
-    item.name: item for item in (by_time.ByTime,)
+    item.name: item
+    for item in (
+        by_time.ByTime,
+        error_rate.ErrorRate,
+        evidence.EvidencePolicy,
+    )
 }
 
 
--- a/packages/node/src/balsamramp_node/policies/by_time.py
+++ b/packages/node/src/balsamramp_node/policies/by_time.py
@@ -2,14 +2,16 @@
 
 import datetime
 
-import attrs
-
 from balsamramp_core.resources import rollout
+from balsamramp_node import rollout_evidence
 from balsamramp_node import rollout_policy
+from balsamramp_node import rollout_state
+from balsamramp_wire import rollout_messages
 
 __all__ = ["ByTime"]
 
 STEPS = 10
+PHASE = rollout_state.RolloutPhase
 
 
 class ByTime(rollout_policy.RolloutPolicy):
@@ -17,35 +19,27 @@
 
     name = "by-time"
     doc = "equal steps between start and deadline, whatever calls show"
+    shares = tuple(step / STEPS for step in range(STEPS + 1))
 
     def decide(
         self,
         intent: rollout.Rollout,
-        state: rollout_policy.RolloutState,
-        evidence: rollout_policy.Evidence,
+        state: rollout_messages.RolloutState,
+        evidence: rollout_evidence.Evidence,
         now: datetime.datetime,
-    ) -> rollout_policy.RolloutState:
-        if state.phase is rollout_policy.RolloutPhase.TAKEN_BACK:
+    ) -> rollout_messages.RolloutState:
+        state = rollout_policy.end_by_operator(intent, state, now)
+        if rollout_state.phase(state) is PHASE.TAKEN_BACK:
             return state
-        if intent.aborted_by:
-            return attrs.evolve(
-                state,
-                phase=rollout_policy.RolloutPhase.TAKEN_BACK,
-                reason=f"aborted by {intent.aborted_by}",
-                decided_at=now,
-            )
         if now < intent.start:
             return state
+        state = rollout_state.enter(state, PHASE.MOVING, now)
         part = (now - intent.start) / (intent.deadline - intent.start)
-        step = max(state.step, min(STEPS, int(part * STEPS) + 1))
-        phase = rollout_policy.RolloutPhase.MOVING
-        if step == STEPS:
-            phase = rollout_policy.RolloutPhase.COMPLETED
-        if phase is state.phase:
-            return attrs.evolve(state, step=step)
-        return attrs.evolve(state, step=step, phase=phase, decided_at=now)
-
-    def share(self, state: rollout_policy.RolloutState) -> float:
-        if state.phase is rollout_policy.RolloutPhase.TAKEN_BACK:
-            return 0.0
-        return state.step / STEPS
+        step = min(STEPS, int(part * STEPS) + 1)
+        state = rollout_state.raise_step(state, step, now)
+        if step < STEPS:
+            return state
+        state = rollout_state.enter(state, PHASE.COMPLETED, now)
+        if now < intent.deadline + intent.keep_old:
+            return state
+        return rollout_state.enter(state, PHASE.FINISHED, now)
--- /dev/null
+++ b/packages/node/src/balsamramp_node/policies/evidence.py
@@ -0,0 +1,309 @@
+"""Evidence: a rollout policy that compares new with old side by side."""
+
+import datetime
+import functools
+import math
+
+import attrs
+
+from balsamramp_core.resources import rollout
+from balsamramp_node import rollout_evidence
+from balsamramp_node import rollout_policy
+from balsamramp_node import rollout_state
+from balsamramp_node import sequential_test
+from balsamramp_wire import rollout_messages
+
+__all__ = ["EvidencePolicy", "FALSE_ALARM", "SHARE_CAP"]
+
+FALSE_ALARM = 0.01
+MISS = 0.05
+BAD_RATE = 0.05
+ROUTE_BAD_RATE = 0.15
+SHARE_CAP = 0.05
+ROUTE_SHARE_MIN = 0.05
+DOUBT_RATIO = 100.0
+SUSPICION_RATIO = 20.0
+DOUBTED_SHARE = 0.5
+REFUSED_SHARE_MAX = 0.05
+MOVING_PART = 0.8
+DWELL_PART = 0.04
+DWELL_MIN = datetime.timedelta(seconds=2)
+TESTS_PER_GROUP = 2
+RECORD_WEIGHT = 4
+
+CALLS_NEEDED = math.ceil(math.log(MISS) / math.log1p(-BAD_RATE))
+ROUTE_CALLS_NEEDED = math.ceil(math.log(MISS) / math.log1p(-ROUTE_BAD_RATE))
+
+PHASE = rollout_state.RolloutPhase
+State = rollout_messages.RolloutState
+Evidence = rollout_evidence.Evidence
+
+
+@attrs.frozen
+class _Finding:
+    """A comparison in which the new version looked worst."""
+
+    ratio: float
+    cause: rollout_state.Cause
+    text: str
+
+
+class EvidencePolicy(rollout_policy.RolloutPolicy):
+    """Raises the share on schedule while the evidence allows it.
+
+    The new version gets 5% of the calls until 59 calls, and 19 on each
+    route with at least 5% of the traffic, were seen: a version that fails
+    one call in 20 (one in 7 on one route) shows a failure by then with a
+    chance of 95%. Each further step needs as many calls at the present
+    one, fewer than 5% refusals for lack of capacity, and no suspicion.
+    The steps are planned in the first 80% of the time, which leaves room
+    for holds.
+
+    A sequential test (see ``sequential_test``) compares failures and
+    slowness, on each route and overall. The chance that a version as good
+    as the old one is taken back is at most 1% for each span of 120
+    windows (two planned durations).
+    """
+
+    name = "evidence"
+    doc = "on schedule while a side-by-side test finds new no worse than old"
+    shares = (0.0, SHARE_CAP, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0)
+
+    def decide(
+        self,
+        intent: rollout.Rollout,
+        state: State,
+        evidence: Evidence,
+        now: datetime.datetime,
+    ) -> State:
+        state = rollout_policy.end_by_operator(intent, state, now)
+        phase = rollout_state.phase(state)
+        if phase in (PHASE.TAKEN_BACK, PHASE.FINISHED) or now < intent.start:
+            return state
+        if phase is PHASE.COMPLETED:
+            return self._watch(intent, state, evidence, now)
+        worst = _worst(evidence, _test_epoch(state))
+        if worst.ratio >= _threshold(evidence):
+            return rollout_state.enter(
+                state, PHASE.TAKEN_BACK, now, worst.cause.value, worst.text
+            )
+        if phase is PHASE.DOUBTED:
+            return _finish(intent, state, now)
+        return self._move(intent, state, evidence, now, worst.ratio)
+
+    def share(self, state: State) -> float:
+        if rollout_state.phase(state) is PHASE.DOUBTED:
+            return DOUBTED_SHARE
+        return super().share(state)
+
+    def waits_for(
+        self,
+        intent: rollout.Rollout,
+        state: State,
+        evidence: Evidence,
+        now: datetime.datetime,
+    ) -> str:
+        """Return why the next step is not granted yet; empty if it is."""
+        return self._obstacle(
+            intent, state, evidence, now, _worst(evidence, 0).ratio
+        )
+
+    def due(self, intent: rollout.Rollout, step: int) -> datetime.datetime:
+        """Return when ``step`` is planned."""
+        part = MOVING_PART * (step - 1) / (self.last_step - 1)
+        return intent.start + part * (intent.deadline - intent.start)
+
+    def _move(
+        self,
+        intent: rollout.Rollout,
+        state: State,
+        evidence: Evidence,
+        now: datetime.datetime,
+        ratio: float,
+    ) -> State:
+        state = rollout_state.enter(state, PHASE.MOVING, now)
+        step = rollout_state.step(state)
+        if step == 0:
+            return rollout_state.raise_step(state, 1, now)
+        obstacle = self._obstacle(intent, state, evidence, now, ratio)
+        if obstacle:
+            return _late(intent, state, now, obstacle)
+        state = rollout_state.raise_step(state, step + 1, now)
+        if step + 1 < self.last_step:
+            return state
+        return rollout_state.enter(state, PHASE.COMPLETED, now)
+
+    def _obstacle(
+        self,
+        intent: rollout.Rollout,
+        state: State,
+        evidence: Evidence,
+        now: datetime.datetime,
+        ratio: float,
+    ) -> str:
+        step = rollout_state.step(state)
+        stepped = rollout_state.stepped_at(state) or intent.start
+        if now < self.due(intent, step + 1):
+            return "the next step is not due"
+        planned = intent.deadline - intent.start
+        if now < stepped + max(DWELL_MIN, DWELL_PART * planned):
+            return "the last step is too recent"
+        if ratio >= SUSPICION_RATIO:
+            return f"the new version is {ratio:.0f} times likelier worse"
+        return _missing(evidence, step) or _lacks_capacity(evidence, step)
+
+    def _watch(
+        self,
+        intent: rollout.Rollout,
+        state: State,
+        evidence: Evidence,
+        now: datetime.datetime,
+    ) -> State:
+        for route in (None, *evidence.routes()):
+            for name, bad in _kinds(evidence, route):
+                strata = _against_record(evidence, route, self.last_step, bad)
+                ratio = sequential_test.evidence_ratio(
+                    strata, rollout_evidence.KEPT_WINDOWS
+                )
+                if ratio < DOUBT_RATIO:
+                    continue
+                text = f"more {name.value} than before on {route or 'all'}"
+                return rollout_state.enter(
+                    state, PHASE.DOUBTED, now, name.value, text
+                )
+        return _finish(intent, state, now)
+
+
+def _finish(
+    intent: rollout.Rollout, state: State, now: datetime.datetime
+) -> State:
+    if now < state.marks[PHASE.COMPLETED.value].at + intent.keep_old:
+        return state
+    return rollout_state.enter(state, PHASE.FINISHED, now)
+
+
+def _late(
+    intent: rollout.Rollout,
+    state: State,
+    now: datetime.datetime,
+    obstacle: str,
+) -> State:
+    if now < intent.deadline:
+        return state
+    text = f"not complete by {intent.deadline.isoformat()}: {obstacle}"
+    if intent.late is rollout.Late.HOLD:
+        return rollout_state.note_late(state, now, text)
+    return rollout_state.enter(
+        state,
+        PHASE.TAKEN_BACK,
+        now,
+        rollout_state.Cause.LATE.value,
+        text,
+    )
+
+
+def _test_epoch(state: State) -> int:
+    if PHASE.DOUBTED.value in state.marks:
+        return rollout_state.epoch(state)
+    return 0
+
+
+def _threshold(evidence: Evidence) -> float:
+    groups = 1 + len(evidence.routes())
+    return TESTS_PER_GROUP * groups / FALSE_ALARM
+
+
+def _kinds(
+    evidence: Evidence, route: str | None
+) -> list[tuple[rollout_state.Cause, functools.partial[int]]]:
+    kinds = [
+        (rollout_state.Cause.FAILURES, functools.partial(_failures)),
+    ]
+    bucket = evidence.slow_bucket(route)
+    if bucket is not None:
+        slow = functools.partial(_slow, bucket)
+        kinds.append((rollout_state.Cause.SLOWNESS, slow))
+    return kinds
+
+
+def _failures(counts: rollout_evidence.Counts) -> int:
+    return counts.failures
+
+
+def _slow(bucket: int, counts: rollout_evidence.Counts) -> int:
+    return counts.slower_than(bucket)
+
+
+def _worst(evidence: Evidence, epoch: int) -> _Finding:
+    worst = _Finding(0.0, rollout_state.Cause.FAILURES, "")
+    for route in (None, *evidence.routes()):
+        for name, bad in _kinds(evidence, route):
+            ratio = sequential_test.evidence_ratio(
+                evidence.strata(route, bad, epoch),
+                rollout_evidence.KEPT_WINDOWS,
+            )
+            if ratio <= worst.ratio:
+                continue
+            old = evidence.total(False, route, epoch)
+            new = evidence.total(True, route, epoch)
+            where = f"route {route}" if route else "all routes"
+            text = (
+                f"{name.value} on {where}: new {bad(new)} of {new.calls} "
+                f"calls, old {bad(old)} of {old.calls}"
+            )
+            worst = _Finding(ratio, name, text)
+    return worst
+
+
+def _missing(evidence: Evidence, epoch: int) -> str:
+    new = evidence.total(True, None, epoch)
+    if new.calls < CALLS_NEEDED:
+        return f"{new.calls} of {CALLS_NEEDED} calls seen at this step"
+    everything = evidence.total(False).calls + evidence.total(True).calls
+    for route in evidence.routes():
+        seen = evidence.total(True, route, epoch).calls
+        carried = evidence.total(False, route).calls + seen
+        if carried < ROUTE_SHARE_MIN * everything:
+            continue
+        if seen < ROUTE_CALLS_NEEDED:
+            return (
+                f"{seen} of {ROUTE_CALLS_NEEDED} calls seen at this step "
+                f"on route {route}"
+            )
+    return ""
+
+
+def _lacks_capacity(evidence: Evidence, epoch: int) -> str:
+    new = evidence.total(True, None, epoch)
+    asked = new.calls + new.refused
+    if new.refused <= REFUSED_SHARE_MAX * asked:
+        return ""
+    return f"new targets refused {new.refused} of {asked} calls"
+
+
+def _against_record(
+    evidence: Evidence,
+    route: str | None,
+    epoch: int,
+    bad: functools.partial[int],
+) -> list[list[sequential_test.Stratum]]:
+    """Compare each window since the completion with the record.
+
+    The record is the old version over all windows kept; it is scaled to
+    at most four times the calls of the window.
+    """
+    record = evidence.total(False, route)
+    windows = []
+    for strata in evidence.strata(route, bad, epoch):
+        new_calls = sum(item.new_calls for item in strata)
+        new_bad = sum(item.new_bad for item in strata)
+        if not record.calls or not new_calls:
+            continue
+        scale = min(1.0, RECORD_WEIGHT * new_calls / record.calls)
+        old_calls = max(1, round(scale * record.calls))
+        old_bad = min(old_calls, math.ceil(scale * bad(record)))
+        stratum = sequential_test.Stratum(
+            old_calls, old_bad, new_calls, new_bad
+        )
+        windows.append([stratum])
+    return windows
--- /dev/null
+++ b/packages/node/src/balsamramp_node/rollout_deciders.py
@@ -0,0 +1,114 @@
+"""Rollout deciders: the nodes that gather evidence and decide."""
+
+import datetime
+
+import xxhash
+
+from balsamramp_core import clock
+from balsamramp_core import settings
+from balsamramp_node import membership
+from balsamramp_wire import messages
+
+__all__ = ["Deciders"]
+
+DECIDERS_PER_ZONE = 2
+DECIDERS_PER_OTHER_ZONE = 1
+INDEX_INTERVAL = datetime.timedelta(seconds=1)
+UNREACHABLE_TIMEOUT = datetime.timedelta(seconds=5)
+
+Zones = dict[str, list[messages.Member]]
+
+
+class Deciders:
+    """Finds the deciders of a service by rendezvous hashing.
+
+    They are a few of the nodes with targets of that service, in each
+    zone, or of all nodes if it has none. The choice follows from the list
+    of members, so nobody appoints them, and it leaves out nodes that did
+    not answer lately: a node cut off from all others decides alone.
+    """
+
+    def __init__(
+        self, members: membership.Membership, time: clock.Clock
+    ) -> None:
+        self._members = members
+        self._clock = time
+        self._by_service: dict[str, Zones] = {}
+        self._all: Zones = {}
+        self._generation = -1
+        self._indexed_at = datetime.timedelta()
+        self._unreachable: dict[settings.Address, datetime.timedelta] = {}
+
+    def note_failure(self, peer: settings.Address) -> None:
+        """Leave ``peer`` out for a while."""
+        until = self._clock.monotonic() + UNREACHABLE_TIMEOUT
+        self._unreachable[peer] = until
+
+    def note_answer(self, peer: settings.Address) -> None:
+        """Take ``peer`` in again."""
+        self._unreachable.pop(peer, None)
+
+    def is_decider(self, service: str) -> bool:
+        """Tell whether this node decides on rollouts of ``service``."""
+        own = self._members.own
+        zones = self._zones(service)
+        ranked = self._ranked(service, zones.get(own.zone, []))
+        for member in ranked[:DECIDERS_PER_ZONE]:
+            if member.node == own.node:
+                return True
+        return not ranked and self._is_only_reachable(service, zones)
+
+    def others(self, service: str) -> list[settings.Address]:
+        """Return the control addresses of the other deciders."""
+        own = self._members.own
+        found = []
+        for zone, members in self._zones(service).items():
+            count = DECIDERS_PER_OTHER_ZONE
+            if zone == own.zone:
+                count = DECIDERS_PER_ZONE
+            for member in self._ranked(service, members)[:count]:
+                if member.node != own.node:
+                    found.append(member.control)
+        return found
+
+    def _is_only_reachable(self, service: str, zones: Zones) -> bool:
+        for members in zones.values():
+            if self._ranked(service, members):
+                return False
+        return True
+
+    def _zones(self, service: str) -> Zones:
+        now = self._clock.monotonic()
+        fresh = now < self._indexed_at + INDEX_INTERVAL
+        if self._generation < 0 or not fresh:
+            self._index()
+        return self._by_service.get(service, self._all)
+
+    def _index(self) -> None:
+        self._indexed_at = self._clock.monotonic()
+        if self._generation == self._members.generation:
+            return
+        self._generation = self._members.generation
+        self._by_service = {}
+        self._all = {}
+        for member in self._members.members():
+            if member.state is not messages.MemberState.ALIVE:
+                continue
+            self._all.setdefault(member.zone, []).append(member)
+            for service in {item.service for item in member.targets}:
+                zones = self._by_service.setdefault(service, {})
+                zones.setdefault(member.zone, []).append(member)
+
+    def _ranked(
+        self, service: str, members: list[messages.Member]
+    ) -> list[messages.Member]:
+        now = self._clock.monotonic()
+        ranked = []
+        for member in members:
+            until = self._unreachable.get(member.control)
+            if until is not None and now < until:
+                continue
+            key = f"{service} {member.node}".encode()
+            ranked.append((xxhash.xxh64_intdigest(key), member.node, member))
+        ranked.sort(key=lambda item: item[:2])
+        return [member for _, _, member in ranked]
--- /dev/null
+++ b/packages/node/src/balsamramp_node/rollout_evidence.py
@@ -0,0 +1,237 @@
+"""Rollout evidence: what calls showed of two versions, side by side."""
+
+from collections import abc
+import datetime
+import math
+
+import attrs
+
+from balsamramp_core.resources import rollout
+from balsamramp_node import sequential_test
+from balsamramp_wire import rollout_messages
+
+__all__ = [
+    "Counts",
+    "Evidence",
+    "KEPT_WINDOWS",
+    "latency_bucket",
+    "window_length",
+    "window_of",
+]
+
+BUCKET_UNIT = datetime.timedelta(microseconds=100)
+BUCKETS_PER_DOUBLING = 2
+KEPT_WINDOWS = 120
+WINDOWS_PER_ROLLOUT = 60
+WINDOW_MIN = datetime.timedelta(seconds=1)
+SLOW_QUANTILE = 0.9
+
+Row = rollout_messages.EvidenceRow
+RowKey = tuple[str, int, str, int, int, str, bool]
+
+
+def latency_bucket(latency: datetime.timedelta) -> int:
+    """Return the bucket of ``latency``; two buckets are a factor of 2."""
+    units = latency / BUCKET_UNIT
+    if units <= 1.0:
+        return 0
+    return math.ceil(BUCKETS_PER_DOUBLING * math.log2(units))
+
+
+def window_length(intent: rollout.Rollout) -> datetime.timedelta:
+    """Return the length of the windows in which versions are compared."""
+    planned = intent.deadline - intent.start
+    return max(WINDOW_MIN, planned / WINDOWS_PER_ROLLOUT)
+
+
+def window_of(intent: rollout.Rollout, at: datetime.datetime) -> int:
+    """Return the number of the window in which ``at`` lies."""
+    return math.floor((at - intent.start) / window_length(intent))
+
+
+@attrs.define(eq=False)
+class Counts:
+    """Sum of rows of one version, route, window and zone."""
+
+    calls: int = 0
+    failures: int = 0
+    refused: int = 0
+    latencies: dict[int, int] = attrs.field(factory=dict)
+
+    def add(self, row: Row, sign: int = 1) -> None:
+        """Add what ``row`` counted, or take it away."""
+        self.calls += sign * row.calls
+        self.failures += sign * row.failures
+        self.refused += sign * row.refused
+        for bucket, count in row.latencies.items():
+            known = self.latencies.get(bucket, 0)
+            self.latencies[bucket] = known + sign * count
+
+    def slower_than(self, bucket: int) -> int:
+        """Return how many calls took longer than ``bucket`` allows."""
+        return sum(
+            count for item, count in self.latencies.items() if item > bucket
+        )
+
+
+CountsKey = tuple[int, int, str, str, bool]
+Zones = dict[str, tuple[Counts, Counts]]
+
+
+class Evidence:
+    """Evidence of one rollout: rows of many nodes, and their sums.
+
+    Rows join by maximum, so they may arrive in any order and twice.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[RowKey, Row] = {}
+        self._sums: dict[CountsKey, Counts] = {}
+
+    def rows(self) -> list[Row]:
+        """Return all rows held."""
+        return list(self._rows.values())
+
+    def merge(self, row: Row) -> bool:
+        """Take in ``row``; tell whether it added anything."""
+        key = _row_key(row)
+        known = self._rows.get(key)
+        merged = row if known is None else _join(known, row)
+        if merged == known:
+            return False
+        counts = self._sums.setdefault(_counts_key(row), Counts())
+        if known is not None:
+            counts.add(known, -1)
+        counts.add(merged)
+        self._rows[key] = merged
+        return True
+
+    def forget(self, before: int, kept: abc.Container[int]) -> None:
+        """Drop windows before ``before``, except those in ``kept``."""
+        for key, row in list(self._rows.items()):
+            if row.window >= before or row.window in kept:
+                continue
+            del self._rows[key]
+            self._sums.pop(_counts_key(row), None)
+
+    def routes(self) -> list[str]:
+        """Return the routes on which any call was seen."""
+        return sorted({route for _, _, route, _, _ in self._sums})
+
+    def total(
+        self, new: bool, route: str | None = None, epoch: int = 0
+    ) -> Counts:
+        """Return the sum since ``epoch``, without a route over all."""
+        total = Counts()
+        for key, counts in self._sums.items():
+            _, its_epoch, its_route, _, is_new = key
+            if is_new is not new or route not in (None, its_route):
+                continue
+            if its_epoch < epoch:
+                continue
+            _accumulate(total, counts)
+        return total
+
+    def strata(
+        self,
+        route: str | None,
+        bad: abc.Callable[[Counts], int],
+        epoch: int = 0,
+    ) -> list[list[sequential_test.Stratum]]:
+        """Return the windows in order, each with a stratum per zone.
+
+        A change of the share starts a new window.
+
+        Zones without any call of the old version are compared with the
+        old version of all zones in the same window.
+        """
+        windows: dict[tuple[int, int], Zones] = {}
+        for key, counts in self._sums.items():
+            window, its_epoch, its_route, zone, is_new = key
+            if its_epoch < epoch or route not in (None, its_route):
+                continue
+            zones = windows.setdefault((window, its_epoch), {})
+            both = zones.setdefault(zone, (Counts(), Counts()))
+            _accumulate(both[int(is_new)], counts)
+        return [
+            _window_strata(windows[number], bad) for number in sorted(windows)
+        ]
+
+    def slow_bucket(self, route: str | None) -> int | None:
+        """Return the bucket above which a call counts as slow.
+
+        It is one bucket above that of the 0.9 quantile of the old
+        version, so a version is slow from a factor of 2 on and never
+        below a factor of 1.4; None without calls of the old version.
+        """
+        old = self.total(False, route)
+        timed = sum(old.latencies.values())
+        if timed == 0:
+            return None
+        passed = 0
+        for bucket in sorted(old.latencies):
+            passed += old.latencies[bucket]
+            if passed >= SLOW_QUANTILE * timed:
+                return bucket + 1
+        return None
+
+
+def _window_strata(
+    zones: Zones,
+    bad: abc.Callable[[Counts], int],
+) -> list[sequential_test.Stratum]:
+    strata = []
+    alone = Counts()
+    pooled = Counts()
+    for old, new in zones.values():
+        _accumulate(pooled, old)
+        if not old.calls:
+            _accumulate(alone, new)
+            continue
+        strata.append(_stratum(old, new, bad))
+    if alone.calls:
+        strata.append(_stratum(pooled, alone, bad))
+    return strata
+
+
+def _stratum(
+    old: Counts, new: Counts, bad: abc.Callable[[Counts], int]
+) -> sequential_test.Stratum:
+    return sequential_test.Stratum(old.calls, bad(old), new.calls, bad(new))
+
+
+def _accumulate(total: Counts, more: Counts) -> None:
+    total.calls += more.calls
+    total.failures += more.failures
+    total.refused += more.refused
+    for bucket, count in more.latencies.items():
+        total.latencies[bucket] = total.latencies.get(bucket, 0) + count
+
+
+def _row_key(row: Row) -> RowKey:
+    return (
+        row.node,
+        row.incarnation,
+        row.zone,
+        row.window,
+        row.epoch,
+        row.route,
+        row.new,
+    )
+
+
+def _counts_key(row: Row) -> CountsKey:
+    return row.window, row.epoch, row.route, row.zone, row.new
+
+
+def _join(left: Row, right: Row) -> Row:
+    latencies = dict(left.latencies)
+    for bucket, count in right.latencies.items():
+        latencies[bucket] = max(latencies.get(bucket, 0), count)
+    return attrs.evolve(
+        left,
+        calls=max(left.calls, right.calls),
+        failures=max(left.failures, right.failures),
+        refused=max(left.refused, right.refused),
+        latencies=latencies,
+    )
--- a/packages/node/src/balsamramp_node/rollout_policy.py
+++ b/packages/node/src/balsamramp_node/rollout_policy.py
@@ -2,98 +2,94 @@
 
 import abc
 import datetime
-import enum
 import typing
 
-import attrs
-
 from balsamramp_core.resources import rollout
+from balsamramp_node import rollout_evidence
+from balsamramp_node import rollout_state
+from balsamramp_wire import rollout_messages
 
-__all__ = [
-    "Evidence",
-    "RolloutPhase",
-    "RolloutPolicy",
-    "RolloutState",
-    "VersionEvidence",
-    "join",
-]
-
-
-class RolloutPhase(enum.Enum):
-    """Where a rollout stands; later ones override earlier ones."""
-
-    WAITING = "waiting"
-    MOVING = "moving"
-    COMPLETED = "completed"
-    TAKEN_BACK = "taken-back"
-
-
-PHASE_RANKS = {phase: rank for rank, phase in enumerate(RolloutPhase)}
-
-
-@attrs.frozen(kw_only=True)
-class RolloutState:
-    """State of one rollout; states of different nodes join by maximum.
-
-    ``step`` counts the steps of share already granted. ``reason`` says
-    why the new version was taken back, and ``decided_at`` when the last
-    phase was entered.
-    """
-
-    rollout: str
-    step: int = 0
-    phase: RolloutPhase = RolloutPhase.WAITING
-    reason: str = ""
-    decided_at: datetime.datetime | None = None
-
-
-@attrs.frozen(kw_only=True)
-class VersionEvidence:
-    """Calls of one version: how many, how many failed, how slow."""
-
-    calls: int = 0
-    failures: int = 0
-    latency_sum: datetime.timedelta = datetime.timedelta()
-
-
-@attrs.frozen(kw_only=True)
-class Evidence:
-    """What calls showed of the old and the new version, per route."""
-
-    old: dict[str, VersionEvidence] = attrs.field(factory=dict)
-    new: dict[str, VersionEvidence] = attrs.field(factory=dict)
+__all__ = ["RolloutPolicy", "end_by_operator"]
 
 
 class RolloutPolicy(abc.ABC):
     """Decides the next state of a rollout from time and evidence.
 
-    A subclass declares ``name`` and ``doc``.
+    A subclass declares ``name``, ``doc`` and ``shares``, the share of
+    calls for the new version at each step; the first is 0, the last 1.
     """
 
     name: typing.ClassVar[str]
     doc: typing.ClassVar[str]
+    shares: typing.ClassVar[tuple[float, ...]]
+
+    @property
+    def last_step(self) -> int:
+        """Return the step at which the new version has all calls."""
+        return len(self.shares) - 1
 
     @abc.abstractmethod
     def decide(
         self,
         intent: rollout.Rollout,
-        state: RolloutState,
-        evidence: Evidence,
+        state: rollout_messages.RolloutState,
+        evidence: rollout_evidence.Evidence,
         now: datetime.datetime,
-    ) -> RolloutState:
+    ) -> rollout_messages.RolloutState:
         """Return the state that should follow ``state``."""
 
-    @abc.abstractmethod
-    def share(self, state: RolloutState) -> float:
-        """Return the share of calls, 0 to 1, for the new version."""
+    def waits_for(
+        self,
+        intent: rollout.Rollout,
+        state: rollout_messages.RolloutState,
+        evidence: rollout_evidence.Evidence,
+        now: datetime.datetime,
+    ) -> str:
+        """Return why the next step is not granted yet, or nothing."""
+        return ""
 
+    def due(self, intent: rollout.Rollout, step: int) -> datetime.datetime:
+        """Return when ``step`` is planned."""
+        part = (step - 1) / self.last_step
+        return intent.start + part * (intent.deadline - intent.start)
 
-def join(left: RolloutState, right: RolloutState) -> RolloutState:
-    """Return the later of two states of the same rollout.
+    def forecast(
+        self,
+        intent: rollout.Rollout,
+        state: rollout_messages.RolloutState,
+        now: datetime.datetime,
+    ) -> datetime.datetime:
+        """Return when the last step is expected.
 
-    The step only rises, and a version that was taken back stays so.
-    """
-    first, second = sorted(
-        (left, right), key=lambda state: PHASE_RANKS[state.phase]
+        A plain extrapolation: the steps left take as long as planned, and
+        the next one is as late as it is by now.
+        """
+        following = min(rollout_state.step(state) + 1, self.last_step)
+        delay = max(now - self.due(intent, following), datetime.timedelta())
+        return self.due(intent, self.last_step) + delay
+
+    def share(self, state: rollout_messages.RolloutState) -> float:
+        """Return the share of calls, 0 to 1, for the new version."""
+        phase = rollout_state.phase(state)
+        if phase is rollout_state.RolloutPhase.TAKEN_BACK:
+            return 0.0
+        return self.shares[min(rollout_state.step(state), self.last_step)]
+
+
+def end_by_operator(
+    intent: rollout.Rollout,
+    state: rollout_messages.RolloutState,
+    now: datetime.datetime,
+) -> rollout_messages.RolloutState:
+    """Return ``state`` taken back if an operator has aborted it."""
+    if not intent.aborted_by:
+        return state
+    if rollout_state.phase(state) is rollout_state.RolloutPhase.FINISHED:
+        return state
+    return rollout_state.enter(
+        state,
+        rollout_state.RolloutPhase.TAKEN_BACK,
+        now,
+        rollout_state.Cause.ABORTED.value,
+        f"aborted by {intent.aborted_by}",
     )
-    return attrs.evolve(second, step=max(first.step, second.step))
--- /dev/null
+++ b/packages/node/src/balsamramp_node/rollout_record.py
@@ -0,0 +1,151 @@
+"""Rollout record: outcomes kept on the platform, written and read."""
+
+import asyncio
+import datetime
+import random
+
+import msgspec
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import metrics
+from balsamramp_core import platform
+from balsamramp_node import rollout_spread
+from balsamramp_node import rollout_state
+from balsamramp_node import rollouts
+from balsamramp_wire import rollout_messages
+
+__all__ = ["KEY_PREFIX", "RolloutRecord"]
+
+KEY_PREFIX = "outcomes/"
+INTERVAL = datetime.timedelta(seconds=1)
+READ_MAX_ROWS = 256
+RETRY_MAX = datetime.timedelta(seconds=30)
+PHASE = rollout_state.RolloutPhase
+
+State = rollout_messages.RolloutState
+
+
+class RolloutRecord(kernel.Service):
+    """Reads what became of rollouts from the table, and writes it.
+
+    Only the deciders of a service do so. They read its rows once, before
+    the first step of an intent that nobody vouches for, and write a row
+    when a phase is entered; several writers join what is there and do no
+    harm.
+    """
+
+    name = "rollout-record"
+    requires = ("rollout-spread",)
+
+    def __init__(
+        self,
+        table: platform.Table,
+        held: rollouts.Rollouts,
+        spread: rollout_spread.RolloutSpread,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+        choice: random.Random,
+    ) -> None:
+        self._table = table
+        self._rollouts = held
+        self._spread = spread
+        self._clock = time
+        self._metrics = counters
+        self._random = choice
+        self._scanned: set[str] = set()
+        self._written: dict[str, frozenset[str]] = {}
+        self._wait = INTERVAL
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            reachable = await self._synchronise()
+            self._wait = min(2 * self._wait, RETRY_MAX)
+            if reachable:
+                self._wait = INTERVAL
+            jitter = 0.5 + self._random.random()
+            await self._clock.sleep(self._wait * jitter)
+
+    async def _synchronise(self) -> bool:
+        for state in self._rollouts.states():
+            if not self._spread.is_decider(state.service):
+                continue
+            if not await self._read(state.service):
+                return False
+            phases = _phases(state)
+            if self._written.get(state.intent, frozenset()) >= phases:
+                continue
+            if not await self._write(state):
+                return False
+        return True
+
+    async def _read(self, service: str) -> bool:
+        """Read the outcomes of ``service`` once and vouch for them."""
+        if service not in self._scanned:
+            prefix = f"{KEY_PREFIX}{service}/"
+            scanned = await self._table.scan(prefix, "", READ_MAX_ROWS)
+            if isinstance(scanned, result.Failure):
+                return False
+            self._scanned.add(service)
+            self._rollouts.merge(
+                [_decode(row.value) for row in scanned.unwrap()]
+            )
+        for state in self._rollouts.states():
+            if state.service == service:
+                self._rollouts.vouch(state.intent)
+        return True
+
+    async def _write(self, state: State) -> bool:
+        """Write what is known of ``state``, joined with what is there."""
+        key = f"{KEY_PREFIX}{state.service}/{state.intent}"
+        read = await self._table.read(key)
+        if isinstance(read, result.Failure):
+            return False
+        row = read.unwrap()
+        if row is not None:
+            there = _decode(row.value)
+            self._rollouts.merge([there])
+            state = rollout_state.join(state, there)
+            if _phases(there) >= _phases(state):
+                self._written[state.intent] = _phases(state)
+                return True
+        return await self._commit(key, row, state)
+
+    async def _commit(
+        self, key: str, row: platform.Row | None, state: State
+    ) -> bool:
+        revision = row.revision if row else 0
+        transaction = platform.Transaction(
+            conditions=(platform.Condition(key, revision),),
+            writes=(platform.Write(key, msgspec.msgpack.encode(state)),),
+        )
+        committed = await self._table.commit(transaction)
+        ok = isinstance(committed, result.Success)
+        self._metrics.count("outcome_writes_total", ok=str(ok).lower())
+        if ok:
+            self._written[state.intent] = _phases(state)
+            return True
+        kind = platform.PlatformErrorKind.UNAVAILABLE
+        return committed.failure().kind is not kind
+
+
+def _phases(state: State) -> frozenset[str]:
+    return frozenset(
+        phase.value
+        for phase in PHASE
+        if phase.value in state.marks and phase is not PHASE.MOVING
+    )
+
+
+def _decode(value: bytes) -> State:
+    return msgspec.msgpack.decode(value, type=State)
--- /dev/null
+++ b/packages/node/src/balsamramp_node/rollout_report.py
@@ -0,0 +1,139 @@
+"""Rollout report: what operators are told of a rollout."""
+
+import datetime
+import typing
+
+import attrs
+import msgspec
+
+from balsamramp_core.resources import rollout
+from balsamramp_node import rollout_evidence
+from balsamramp_node import rollout_policy
+from balsamramp_node import rollout_state
+from balsamramp_wire import rollout_messages
+
+__all__ = ["RolloutReport", "describe", "plain"]
+
+PHASE = rollout_state.RolloutPhase
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """One entry of a rollout's history."""
+
+    event: str
+    at: datetime.datetime
+    cause: str = ""
+    text: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class VersionCalls:
+    """Calls of one version in the evidence held on this node."""
+
+    calls: int
+    failures: int
+    refused: int
+
+
+@attrs.frozen(kw_only=True)
+class RolloutReport:
+    """Where one rollout stands.
+
+    ``outcome`` is empty until the rollout has ended: "completed",
+    "completed late" or "taken back", with when and why. ``waits_for``
+    says why the next step is not granted, ``forecast`` when the last step
+    is expected and ``on_time`` whether that is before the deadline.
+    """
+
+    intent: str
+    rollout: str
+    service: str
+    old: str
+    new: str
+    start: datetime.datetime
+    deadline: datetime.datetime | None
+    phase: str
+    step: int
+    share: float
+    outcome: str
+    waits_for: str
+    forecast: datetime.datetime | None
+    on_time: bool | None
+    old_calls: VersionCalls
+    new_calls: VersionCalls
+    history: tuple[Event, ...]
+
+
+def describe(
+    policy: rollout_policy.RolloutPolicy,
+    intent: rollout.Rollout | None,
+    state: rollout_messages.RolloutState,
+    evidence: rollout_evidence.Evidence,
+    now: datetime.datetime,
+) -> RolloutReport:
+    """Return the report of ``state``; ``intent`` is None if deleted."""
+    forecast = None
+    waits_for = ""
+    phase = rollout_state.phase(state)
+    if intent is not None and phase is PHASE.MOVING:
+        forecast = policy.forecast(intent, state, now)
+        waits_for = policy.waits_for(intent, state, evidence, now)
+    if not rollout_state.is_vouched(state) and phase is PHASE.WAITING:
+        waits_for = "a peer or the platform that knows what happened so far"
+    deadline = intent.deadline if intent else None
+    on_time = None
+    if forecast is not None and deadline is not None:
+        on_time = forecast <= deadline
+    return RolloutReport(
+        intent=state.intent,
+        rollout=state.rollout,
+        service=state.service,
+        old=state.old,
+        new=state.new,
+        start=state.start,
+        deadline=deadline,
+        phase=phase.value,
+        step=rollout_state.step(state),
+        share=policy.share(state),
+        outcome=_outcome(state),
+        waits_for=waits_for,
+        forecast=forecast,
+        on_time=on_time,
+        old_calls=_calls(evidence, False),
+        new_calls=_calls(evidence, True),
+        history=_history(state),
+    )
+
+
+def plain(report: RolloutReport) -> dict[str, typing.Any]:
+    """Return ``report`` as plain data."""
+    return msgspec.to_builtins(report)
+
+
+def _outcome(state: rollout_messages.RolloutState) -> str:
+    taken_back = state.marks.get(PHASE.TAKEN_BACK.value)
+    if taken_back is not None:
+        return f"taken back at {taken_back.at.isoformat()}: {taken_back.text}"
+    completed = state.marks.get(PHASE.COMPLETED.value)
+    if completed is None:
+        return ""
+    late = state.marks.get(rollout_state.LATE_MARK)
+    if late is None:
+        return f"completed at {completed.at.isoformat()}"
+    return f"completed late at {completed.at.isoformat()}: {late.text}"
+
+
+def _calls(evidence: rollout_evidence.Evidence, new: bool) -> VersionCalls:
+    counts = evidence.total(new)
+    return VersionCalls(
+        calls=counts.calls, failures=counts.failures, refused=counts.refused
+    )
+
+
+def _history(state: rollout_messages.RolloutState) -> tuple[Event, ...]:
+    events = [
+        Event(event=name, at=mark.at, cause=mark.cause, text=mark.text)
+        for name, mark in state.marks.items()
+    ]
+    return tuple(sorted(events, key=lambda item: (item.at, item.event)))
--- a/packages/node/src/balsamramp_node/rollouts.py
+++ b/packages/node/src/balsamramp_node/rollouts.py
@@ -1,12 +1,11 @@
 """Rollouts: carries out the rollout intents of the configuration."""
 
-import asyncio
 from collections import abc
 import datetime
 import typing
 
 from absl import logging
-import msgspec
+import attrs
 import xxhash
 
 from balsamramp_core import clock
@@ -14,17 +13,41 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core.resources import rollout
+from balsamramp_node import rollout_evidence
 from balsamramp_node import rollout_policy
+from balsamramp_node import rollout_recorder
+from balsamramp_node import rollout_report
+from balsamramp_node import rollout_state
 from balsamramp_node import store
+from balsamramp_wire import rollout_messages
 
 __all__ = ["Rollouts"]
 
-DECISION_INTERVAL = datetime.timedelta(milliseconds=200)
 HASH_SPACE = 1 << 64
+PHASE = rollout_state.RolloutPhase
+FINAL = (PHASE.TAKEN_BACK, PHASE.FINISHED)
+
+State = rollout_messages.RolloutState
+Listener = abc.Callable[[State], None]
+
+
+@attrs.frozen
+class _Split:
+    """How the calls of one service are divided among versions."""
+
+    intent: rollout.Rollout | None
+    intent_id: str
+    epoch: int
+    share: float
+    excluded: frozenset[str]
 
 
 class Rollouts(kernel.Service):
-    """Holds the state of each rollout and tells the share of versions."""
+    """Holds the state of each rollout and tells the share of versions.
+
+    It decides when ``decide`` is called; ``RolloutSpread`` does so on the
+    nodes that hold the evidence and carries states between nodes.
+    """
 
     name = "rollouts"
     requires = ("configuration",)
@@ -35,75 +58,340 @@
         policy: rollout_policy.RolloutPolicy,
         time: clock.Clock,
         counters: metrics.Metrics,
+        recorder: rollout_recorder.Recorder,
     ) -> None:
         self._policy = policy
         self._clock = time
         self._metrics = counters
+        self._recorder = recorder
+        self._born = time.now()
         self._intents: dict[str, rollout.Rollout] = {}
-        self._states: dict[str, rollout_policy.RolloutState] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._states: dict[str, State] = {}
+        self._evidence: dict[str, rollout_evidence.Evidence] = {}
+        self._splits: dict[str, _Split] = {}
+        self._by_service: dict[str, set[str]] = {}
+        self._digest = 0
+        self._listeners: list[Listener] = []
         configurations.listen(self._read_intents)
 
-    async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+    @property
+    def digest(self) -> int:
+        """Return a number that is equal where all states are equal."""
+        return self._digest
+
+    @property
+    def intents(self) -> abc.Mapping[str, rollout.Rollout]:
+        """Return the intents in the configuration by their identity."""
+        return self._intents
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with each state that changes."""
+        self._listeners.append(listener)
 
-    async def stop(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+    def states(self) -> list[State]:
+        """Return the states of all rollouts known."""
+        return list(self._states.values())
 
-    def allowed(self, service: str, version: str, call_id: str) -> bool:
-        """Tell whether the call may go to ``version`` of ``service``."""
+    def state(self, intent_id: str) -> State | None:
+        """Return the state of one intent."""
+        return self._states.get(intent_id)
+
+    def allowed(
+        self,
+        service: str,
+        version: str,
+        call_id: str,
+        retried: bool = False,
+    ) -> bool:
+        """Tell whether the call may go to ``version`` of ``service``.
+
+        A call belongs to the new version if the hash of its id is below
+        the share. When it is ``retried``, the old version takes it, as
+        long as it is ready to.
+        """
+        split = self._splits.get(service)
+        if split is None:
+            return True
+        if version in split.excluded:
+            return False
+        intent = split.intent
+        if intent is None or version not in (intent.old, intent.new):
+            return True
         position = xxhash.xxh64_intdigest(call_id.encode()) / HASH_SPACE
-        for intent in self._intents.values():
-            if intent.service != service:
-                continue
-            to_new = position < self._policy.share(self._states[intent.name])
-            if version == intent.new and not to_new:
-                return False
-            if version == intent.old and to_new:
-                return False
-        return True
-
-    def merge(self, states: abc.Iterable[rollout_policy.RolloutState]) -> None:
-        """Join what another node says of rollouts into what is held."""
+        to_new = position < split.share
+        if version == intent.new:
+            return to_new
+        return not to_new or retried
+
+    def is_condemned(self, service: str, version: str) -> bool:
+        """Tell whether no call may run at ``version`` of ``service``."""
+        split = self._splits.get(service)
+        return split is not None and version in split.excluded
+
+    def is_watched(self, service: str) -> bool:
+        """Tell whether calls of ``service`` are evidence for a rollout."""
+        split = self._splits.get(service)
+        return split is not None and split.intent is not None
+
+    def record(self, service: str, call: rollout_recorder.CallRecord) -> None:
+        """Count a call to a target of this VM as evidence."""
+        split = self._splits.get(service)
+        if split is None or split.intent is None:
+            return
+        intent = split.intent
+        if call.version not in (intent.old, intent.new):
+            return
+        now = self._clock.now()
+        self._recorder.record(intent, split.intent_id, split.epoch, call, now)
+
+    def merge(self, states: abc.Iterable[State]) -> None:
+        """Join what another node says of rollouts into what is held.
+
+        A state whose intent is not in the configuration is taken in only
+        if the version was taken back.
+        """
         for state in states:
-            known = self._states.get(state.rollout)
+            known = self._states.get(state.intent)
             if known is None:
+                if rollout_state.phase(state) is not PHASE.TAKEN_BACK:
+                    continue
+                self._put(state)
+                continue
+            joined = rollout_state.join(known, state)
+            if joined != known:
+                self._put(joined)
+
+    def merge_evidence(
+        self, rows: abc.Iterable[rollout_messages.EvidenceRow]
+    ) -> int:
+        """Join rows of evidence into what is held; return how many."""
+        taken = 0
+        for row in rows:
+            if row.intent not in self._intents:
                 continue
-            self._states[state.rollout] = rollout_policy.join(known, state)
+            evidence = self._evidence.get(row.intent)
+            if evidence is None:
+                evidence = rollout_evidence.Evidence()
+                self._evidence[row.intent] = evidence
+            taken += int(evidence.merge(row))
+        return taken
+
+    def evidence(self, intent_id: str) -> rollout_evidence.Evidence:
+        """Return the evidence held here for one intent."""
+        return self._evidence.get(intent_id) or rollout_evidence.Evidence()
+
+    def vouch(self, intent_id: str) -> None:
+        """Note that the platform's record of this intent was read."""
+        known = self._states.get(intent_id)
+        if known is not None and not rollout_state.is_vouched(known):
+            self._put(rollout_state.vouch(known, self._clock.now()))
+
+    def decide(self, may_decide: abc.Callable[[str], bool]) -> None:
+        """Let the policy decide on the services this node decides for."""
+        now = self._clock.now()
+        self._forget(now)
+        self._split_started(now)
+        for intent_id, intent in list(self._intents.items()):
+            state = self._states[intent_id]
+            if rollout_state.phase(state) in FINAL:
+                continue
+            if not rollout_state.is_vouched(state):
+                continue
+            if not may_decide(intent.service):
+                continue
+            later = self._decided(intent_id, intent, state, now)
+            if later != state:
+                self._put(later)
+
+    def report(self) -> list[rollout_report.RolloutReport]:
+        """Return where each rollout stands, for operators."""
+        now = self._clock.now()
+        reports = []
+        for intent_id, state in self._states.items():
+            intent = self._intents.get(intent_id)
+            evidence = self.evidence(intent_id)
+            reports.append(
+                rollout_report.describe(
+                    self._policy, intent, state, evidence, now
+                )
+            )
+        return sorted(reports, key=lambda item: (item.service, item.start))
 
     def dump(self) -> abc.Mapping[str, typing.Any]:
         return {
-            name: msgspec.to_builtins(state)
-            for name, state in sorted(self._states.items())
+            state.intent: rollout_report.plain(report)
+            for state, report in zip(
+                sorted(
+                    self._states.values(),
+                    key=lambda item: (item.service, item.start),
+                ),
+                self.report(),
+                strict=True,
+            )
         }
 
+    def _decided(
+        self,
+        intent_id: str,
+        intent: rollout.Rollout,
+        state: State,
+        now: datetime.datetime,
+    ) -> State:
+        ruling = self._ruling(intent.service, now)
+        if ruling in (None, intent_id) or intent.start > now:
+            return self._policy.decide(
+                intent, state, self.evidence(intent_id), now
+            )
+        if rollout_state.phase(state) in (PHASE.COMPLETED, PHASE.DOUBTED):
+            return rollout_state.enter(state, PHASE.FINISHED, now)
+        assert ruling is not None
+        return rollout_state.enter(
+            state,
+            PHASE.TAKEN_BACK,
+            now,
+            rollout_state.Cause.SUPERSEDED.value,
+            f"superseded by rollout {self._intents[ruling].name}",
+        )
+
+    def _put(self, state: State) -> None:
+        known = self._states.get(state.intent)
+        if known is not None:
+            self._digest ^= rollout_state.hash_of(known)
+        self._digest ^= rollout_state.hash_of(state)
+        self._states[state.intent] = state
+        self._by_service.setdefault(state.service, set()).add(state.intent)
+        before = rollout_state.phase(known) if known else PHASE.WAITING
+        entered = rollout_state.phase(state)
+        if entered is not before:
+            logging.info("rollout %s is %s", state.rollout, entered.value)
+            self._metrics.count("rollout_phases_total", phase=entered.value)
+        self._split(state.service)
+        for listener in self._listeners:
+            listener(state)
+
     def _read_intents(self, current: configuration.Configuration) -> None:
         intents: dict[str, rollout.Rollout] = {}
         for item in current.of_kind(rollout.Rollout.kind):
             intent = typing.cast(rollout.Rollout, item)
-            intents[intent.name] = intent
-            if intent.name in self._states:
-                continue
-            fresh = rollout_policy.RolloutState(rollout=intent.name)
-            self._states[intent.name] = fresh
+            intents[rollout_state.intent_id(intent)] = intent
         self._intents = intents
+        now = self._clock.now()
+        for intent_id, intent in intents.items():
+            state = self._states.get(intent_id)
+            if state is None:
+                state = rollout_state.fresh(intent)
+                if intent.start >= self._born:
+                    state = rollout_state.vouch(state, intent.start)
+            ended = rollout_policy.end_by_operator(intent, state, now)
+            if ended != self._states.get(intent_id):
+                self._put(ended)
+        self._drop_deleted()
+        for service in list(self._by_service):
+            self._split(service)
 
-    async def _run(self) -> None:
-        while True:
-            self._decide()
-            await self._clock.sleep(DECISION_INTERVAL)
+    def _drop_deleted(self) -> None:
+        for intent_id, state in list(self._states.items()):
+            if intent_id in self._intents:
+                continue
+            self._evidence.pop(intent_id, None)
+            condemned = rollout_state.phase(state) is PHASE.TAKEN_BACK
+            if condemned and not self._is_named_later(state):
+                continue
+            del self._states[intent_id]
+            self._by_service[state.service].discard(intent_id)
+            self._digest ^= rollout_state.hash_of(state)
 
-    def _decide(self) -> None:
-        now = self._clock.now()
-        for name, intent in self._intents.items():
-            state = self._states[name]
-            evidence = rollout_policy.Evidence()
-            later = self._policy.decide(intent, state, evidence, now)
-            if later.phase is not state.phase:
-                logging.info("rollout %s is %s", name, later.phase.value)
-                self._metrics.count(
-                    "rollout_phases_total", phase=later.phase.value
-                )
-            self._states[name] = later
+    def _is_named_later(self, state: State) -> bool:
+        for intent in self._intents.values():
+            if intent.service != state.service:
+                continue
+            named = state.new in (intent.old, intent.new)
+            if named and intent.start > state.start:
+                return True
+        return False
+
+    def _ruling(self, service: str, now: datetime.datetime) -> str | None:
+        """Return the started intent of ``service`` with the latest start."""
+        found: str | None = None
+        latest: tuple[datetime.datetime, str] | None = None
+        for intent_id in self._by_service.get(service, ()):
+            intent = self._intents.get(intent_id)
+            if intent is None or intent.start > now:
+                continue
+            order = (intent.start, intent.name)
+            if latest is None or order > latest:
+                found, latest = intent_id, order
+        return found
+
+    def _split_started(self, now: datetime.datetime) -> None:
+        for service, split in list(self._splits.items()):
+            ruling = self._ruling(service, now)
+            if (ruling or "") != split.intent_id:
+                self._split(service)
+
+    def _split(self, service: str) -> None:
+        states = [
+            self._states[item] for item in self._by_service.get(service, ())
+        ]
+        ruling = self._ruling(service, self._clock.now())
+        if not states:
+            self._splits.pop(service, None)
+            return
+        if ruling is None:
+            split = _Split(None, "", 0, 0.0, _excluded(states, None))
+            self._splits[service] = split
+            return
+        state = self._states[ruling]
+        self._splits[service] = _Split(
+            self._intents[ruling],
+            ruling,
+            rollout_state.epoch(state),
+            self._policy.share(state),
+            _excluded(states, state),
+        )
+
+    def _forget(self, now: datetime.datetime) -> None:
+        oldest: dict[str, int] = {}
+        for intent_id, intent in self._intents.items():
+            state = self._states[intent_id]
+            if rollout_state.phase(state) in FINAL:
+                self._evidence.pop(intent_id, None)
+                continue
+            kept = rollout_evidence.KEPT_WINDOWS
+            first = rollout_evidence.window_of(intent, now) - kept
+            oldest[intent_id] = first
+            evidence = self._evidence.get(intent_id)
+            if evidence is None:
+                continue
+            mark = state.marks.get(PHASE.COMPLETED.value)
+            record = range(0)
+            if mark is not None:
+                end = rollout_evidence.window_of(intent, mark.at)
+                record = range(end - kept, end + 1)
+            evidence.forget(first, record)
+        self._recorder.forget(oldest)
+
+
+def _excluded(
+    states: abc.Iterable[State], ruling: State | None
+) -> frozenset[str]:
+    """Return the versions that may run no call.
+
+    A version is excluded while the intent that named it last has not
+    granted it a step or was taken back. What the ruling intent names goes
+    before what others do.
+    """
+    latest: dict[str, State] = {}
+    for state in sorted(states, key=lambda item: (item.start, item.rollout)):
+        latest[state.old] = state
+        latest[state.new] = state
+    if ruling is not None:
+        latest[ruling.old] = ruling
+        latest[ruling.new] = ruling
+    found = []
+    for version, state in latest.items():
+        if version != state.new:
+            continue
+        if rollout_state.phase(state) in (PHASE.WAITING, PHASE.TAKEN_BACK):
+            found.append(version)
+    return frozenset(found)
--- a/packages/node/src/balsamramp_node/router.py
+++ b/packages/node/src/balsamramp_node/router.py
@@ -15,11 +15,11 @@
 from balsamramp_core.resources import labels
 from balsamramp_core.resources import route
 from balsamramp_core.resources import service
-from balsamramp_core.resources import zone
 from balsamramp_node import membership
 from balsamramp_node import picker
 from balsamramp_node import rollouts
 from balsamramp_node import store
+from balsamramp_node import zone_states
 from balsamramp_wire import messages
 
 __all__ = ["Resolved", "Router"]
@@ -47,16 +47,17 @@
         configurations: store.ConfigurationStore,
         members: membership.Membership,
         shares: rollouts.Rollouts,
+        zones: zone_states.ZoneStates,
         counters: metrics.Metrics,
     ) -> None:
         self._members = members
         self._rollouts = shares
+        self._zones = zones
         self._metrics = counters
         self._services: dict[str, service.Service] = {}
         self._aliases: dict[str, str] = {}
         self._routes: dict[str, list[route.Route]] = {}
         self._labels: dict[str, dict[str, str]] = {}
-        self._zones_out: frozenset[str] = frozenset()
         self._unknown: dict[str, int] = {}
         self._stats: dict[str, picker.TargetStats] = {}
         self._generation = -1
@@ -66,7 +67,7 @@
     @property
     def zones_out(self) -> frozenset[str]:
         """Return the zones that operators have taken out of service."""
-        return self._zones_out
+        return self._zones.out
 
     def unknown_names(self) -> abc.Mapping[str, int]:
         """Return the unknown service names and how often each was used."""
@@ -90,22 +91,47 @@
             )
         )
 
+    def route_name(self, name: str, path: str) -> str:
+        """Return the name of the route of service ``name`` for ``path``."""
+        for item in self._routes.get(name, ()):
+            if path.startswith(item.path_prefix):
+                return item.name
+        return ""
+
     def candidates(
-        self, resolved: Resolved, call_id: str
+        self, resolved: Resolved, call_id: str, retried: bool = False
+    ) -> list[picker.Candidate]:
+        """Return the targets that may take the call now.
+
+        A call that is ``retried`` or finds no target of a new version may
+        also go to the old one. Zones that return take only their part of
+        the calls unless no other has a target.
+        """
+        matching = self._candidates(resolved, call_id, retried)
+        if not matching and not retried:
+            matching = self._candidates(resolved, call_id, True)
+        admitted = [
+            candidate
+            for candidate in matching
+            if self._zones.admits(candidate.member.zone, call_id)
+        ]
+        return admitted or matching
+
+    def _candidates(
+        self, resolved: Resolved, call_id: str, retried: bool
     ) -> list[picker.Candidate]:
-        """Return the targets that may take the call now."""
         if self._generation != self._members.generation:
             self._index()
         matching = []
         for candidate in self._by_service.get(resolved.service.name, ()):
-            if candidate.member.zone in self._zones_out:
+            if candidate.member.zone in self._zones.out:
                 continue
             seen = self.effective_labels(candidate.record)
             if not _matches(resolved.route.selector, seen):
                 continue
             version = seen.get("version", "")
             if not self._rollouts.allowed(
-                resolved.service.name, version, call_id
+                resolved.service.name, version, call_id, retried
             ):
                 continue
             matching.append(candidate)
@@ -123,7 +149,7 @@
     def dump(self) -> abc.Mapping[str, typing.Any]:
         return {
             "services": sorted(self._services),
-            "zones_out": sorted(self._zones_out),
+            "zones_out": sorted(self._zones.out),
             "unknown_names": dict(sorted(self._unknown.items())),
         }
 
@@ -143,11 +169,7 @@
             for item in current.of_kind(labels.Labels.kind)
             if isinstance(item, labels.Labels)
         }
-        self._zones_out = frozenset(
-            item.name
-            for item in current.of_kind(zone.Zone.kind)
-            if isinstance(item, zone.Zone) and item.out
-        )
+        self._zones.read(current)
         routes: dict[str, list[route.Route]] = {}
         for item in current.of_kind(route.Route.kind):
             if isinstance(item, route.Route):
--- /dev/null
+++ b/packages/node/src/balsamramp_node/sequential_test.py
@@ -0,0 +1,87 @@
+"""Sequential test: whether the new version does worse than the old.
+
+Each stratum (one availability zone, one time window) is a two-by-two
+table of calls and bad calls of both versions. For fixed rates ``a`` of
+the old and ``b`` of the new version the likelihood under (a, b) divided
+by that under their pooled rate has an expectation of at most 1 if both
+versions have the same rate, whatever that rate is. Products over strata
+and means over rates and over the window of the change keep this, so the
+chance that the mean ever reaches ``1 / alpha`` is at most ``alpha``,
+however often one looks (Ville's inequality).
+"""
+
+from collections import abc
+import functools
+import math
+
+import attrs
+
+__all__ = ["Stratum", "evidence_ratio"]
+
+OLD_RATES = (0.002, 0.02, 0.1, 0.3)
+NEW_RATES = (0.02, 0.08, 0.25, 0.6, 0.95)
+RATIO_MIN = 2.0
+EXPONENT_MAX = 600.0
+CACHE_ENTRIES = 65536
+
+RATES = tuple(
+    (old, new)
+    for old in OLD_RATES
+    for new in NEW_RATES
+    if new >= RATIO_MIN * old
+)
+
+
+@attrs.frozen
+class Stratum:
+    """Calls and bad calls of both versions, seen side by side."""
+
+    old_calls: int
+    old_bad: int
+    new_calls: int
+    new_bad: int
+
+
+@functools.lru_cache(CACHE_ENTRIES)
+def _log_ratios(stratum: Stratum) -> tuple[float, ...]:
+    calls = stratum.old_calls + stratum.new_calls
+    bad = stratum.old_bad + stratum.new_bad
+    found = []
+    for old, new in RATES:
+        weighted = stratum.old_calls * old + stratum.new_calls * new
+        pooled = weighted / calls
+        alternative = _log_likelihood(
+            stratum.old_calls, stratum.old_bad, old
+        ) + _log_likelihood(stratum.new_calls, stratum.new_bad, new)
+        found.append(alternative - _log_likelihood(calls, bad, pooled))
+    return tuple(found)
+
+
+def _log_likelihood(calls: int, bad: int, rate: float) -> float:
+    return bad * math.log(rate) + (calls - bad) * math.log1p(-rate)
+
+
+def evidence_ratio(
+    windows: abc.Sequence[abc.Sequence[Stratum]], starts: int
+) -> float:
+    """Return how many times likelier "new is worse" is than "equal".
+
+    ``windows`` holds the strata of each window in order of time. The new
+    version may have turned bad at the start of any one of them, each
+    with weight ``1 / starts``.
+    """
+    sums = [0.0] * len(RATES)
+    total = 0.0
+    for strata in reversed(windows):
+        informative = False
+        for stratum in strata:
+            if not stratum.old_calls or not stratum.new_calls:
+                continue
+            informative = True
+            for index, value in enumerate(_log_ratios(stratum)):
+                sums[index] += value
+        if not informative:
+            continue
+        for value in sums:
+            total += math.exp(min(value, EXPONENT_MAX))
+    return total / (starts * len(RATES))
