Rollouts: state machine of merges, error rates, trial on whole nodes

Cause: nothing showed that merges in any order with restarts keep the step, the condemnation and the cap. Ruled out: a hand-written list of interleavings. Change: Hypothesis state machine on three nodes; tests of the sequential test's false alarms and misses; a trial that runs one rollout on whole nodes; evidence kept as running sums, decided at once only on failures. The machine fails with the join replaced, with vouching granted to all, and with the calls needed dropped.

--- a/packages/node/src/balsamramp_node/policies/evidence.py
+++ b/packages/node/src/balsamramp_node/policies/evidence.py
@@ -18,7 +18,8 @@
 FALSE_ALARM = 0.01
 MISS = 0.05
 BAD_RATE = 0.05
-ROUTE_BAD_RATE = 0.15
+STEP_BAD_RATE = 0.15
+ROUTE_BAD_RATE = 1 / 3
 SHARE_CAP = 0.05
 ROUTE_SHARE_MIN = 0.05
 DOUBT_RATIO = 100.0
@@ -32,6 +33,7 @@
 RECORD_WEIGHT = 4
 
 CALLS_NEEDED = math.ceil(math.log(MISS) / math.log1p(-BAD_RATE))
+STEP_CALLS_NEEDED = math.ceil(math.log(MISS) / math.log1p(-STEP_BAD_RATE))
 ROUTE_CALLS_NEEDED = math.ceil(math.log(MISS) / math.log1p(-ROUTE_BAD_RATE))
 
 PHASE = rollout_state.RolloutPhase
@@ -51,11 +53,12 @@
 class EvidencePolicy(rollout_policy.RolloutPolicy):
     """Raises the share on schedule while the evidence allows it.
 
-    The new version gets 5% of the calls until 59 calls, and 19 on each
+    The new version gets 5% of the calls until 59 calls, and 8 on each
     route with at least 5% of the traffic, were seen: a version that fails
-    one call in 20 (one in 7 on one route) shows a failure by then with a
-    chance of 95%. Each further step needs as many calls at the present
-    one, fewer than 5% refusals for lack of capacity, and no suspicion.
+    one call in 20 (one in 3 on one route) shows a failure by then with a
+    chance of 95%. Each further step needs 19 calls at the present one (one
+    failing in 7 at that load shows), at most 5% refusals for lack of
+    capacity, and no suspicion.
     The steps are planned in the first 80% of the time, which leaves room
     for holds.
 
@@ -255,20 +258,20 @@
     return worst
 
 
-def _missing(evidence: Evidence, epoch: int) -> str:
-    new = evidence.total(True, None, epoch)
-    if new.calls < CALLS_NEEDED:
-        return f"{new.calls} of {CALLS_NEEDED} calls seen at this step"
+def _missing(evidence: Evidence, step: int) -> str:
+    needed = CALLS_NEEDED if step <= 1 else STEP_CALLS_NEEDED
+    at_step = evidence.total(True, None, step)
+    if at_step.calls < needed:
+        return f"{at_step.calls} of {needed} calls seen at this step"
     everything = evidence.total(False).calls + evidence.total(True).calls
     for route in evidence.routes():
-        seen = evidence.total(True, route, epoch).calls
+        seen = evidence.total(True, route).calls
         carried = evidence.total(False, route).calls + seen
         if carried < ROUTE_SHARE_MIN * everything:
             continue
         if seen < ROUTE_CALLS_NEEDED:
             return (
-                f"{seen} of {ROUTE_CALLS_NEEDED} calls seen at this step "
-                f"on route {route}"
+                f"{seen} of {ROUTE_CALLS_NEEDED} calls seen on route {route}"
             )
     return ""
 
--- a/packages/node/src/balsamramp_node/rollout_evidence.py
+++ b/packages/node/src/balsamramp_node/rollout_evidence.py
@@ -75,7 +75,33 @@
 
 
 CountsKey = tuple[int, int, str, str, bool]
-Zones = dict[str, tuple[Counts, Counts]]
+TotalKey = tuple[int, str, bool]
+
+
+@attrs.define(eq=False)
+class _Pair:
+    """Calls and bad calls of both versions in one window and zone."""
+
+    old_calls: int = 0
+    old_bad: int = 0
+    new_calls: int = 0
+    new_bad: int = 0
+
+    def add(self, new: bool, calls: int, bad: int) -> None:
+        if new:
+            self.new_calls += calls
+            self.new_bad += bad
+            return
+        self.old_calls += calls
+        self.old_bad += bad
+
+    def stratum(self) -> sequential_test.Stratum:
+        return sequential_test.Stratum(
+            self.old_calls, self.old_bad, self.new_calls, self.new_bad
+        )
+
+
+Zones = dict[str, _Pair]
 
 
 class Evidence:
@@ -87,6 +113,7 @@
     def __init__(self) -> None:
         self._rows: dict[RowKey, Row] = {}
         self._sums: dict[CountsKey, Counts] = {}
+        self._totals: dict[TotalKey, Counts] = {}
 
     def rows(self) -> list[Row]:
         """Return all rows held."""
@@ -99,10 +126,9 @@
         merged = row if known is None else _join(known, row)
         if merged == known:
             return False
-        counts = self._sums.setdefault(_counts_key(row), Counts())
         if known is not None:
-            counts.add(known, -1)
-        counts.add(merged)
+            self._add(known, -1)
+        self._add(merged)
         self._rows[key] = merged
         return True
 
@@ -112,24 +138,24 @@
             if row.window >= before or row.window in kept:
                 continue
             del self._rows[key]
+            self._add(row, -1)
             self._sums.pop(_counts_key(row), None)
 
     def routes(self) -> list[str]:
         """Return the routes on which any call was seen."""
-        return sorted({route for _, _, route, _, _ in self._sums})
+        return sorted({route for _, route, _ in self._totals})
 
     def total(
         self, new: bool, route: str | None = None, epoch: int = 0
     ) -> Counts:
         """Return the sum since ``epoch``, without a route over all."""
         total = Counts()
-        for key, counts in self._sums.items():
-            _, its_epoch, its_route, _, is_new = key
+        for key, counts in self._totals.items():
+            its_epoch, its_route, is_new = key
             if is_new is not new or route not in (None, its_route):
                 continue
-            if its_epoch < epoch:
-                continue
-            _accumulate(total, counts)
+            if its_epoch >= epoch:
+                _accumulate(total, counts)
         return total
 
     def strata(
@@ -151,11 +177,15 @@
             if its_epoch < epoch or route not in (None, its_route):
                 continue
             zones = windows.setdefault((window, its_epoch), {})
-            both = zones.setdefault(zone, (Counts(), Counts()))
-            _accumulate(both[int(is_new)], counts)
-        return [
-            _window_strata(windows[number], bad) for number in sorted(windows)
-        ]
+            pair = zones.setdefault(zone, _Pair())
+            pair.add(is_new, counts.calls, bad(counts))
+        return [_window_strata(windows[item]) for item in sorted(windows)]
+
+    def _add(self, row: Row, sign: int = 1) -> None:
+        counts = self._sums.setdefault(_counts_key(row), Counts())
+        counts.add(row, sign)
+        key = (row.epoch, row.route, row.new)
+        self._totals.setdefault(key, Counts()).add(row, sign)
 
     def slow_bucket(self, route: str | None) -> int | None:
         """Return the bucket above which a call counts as slow.
@@ -176,30 +206,20 @@
         return None
 
 
-def _window_strata(
-    zones: Zones,
-    bad: abc.Callable[[Counts], int],
-) -> list[sequential_test.Stratum]:
+def _window_strata(zones: Zones) -> list[sequential_test.Stratum]:
     strata = []
-    alone = Counts()
-    pooled = Counts()
-    for old, new in zones.values():
-        _accumulate(pooled, old)
-        if not old.calls:
-            _accumulate(alone, new)
+    alone = _Pair()
+    for pair in zones.values():
+        alone.add(False, pair.old_calls, pair.old_bad)
+        if pair.old_calls:
+            strata.append(pair.stratum())
             continue
-        strata.append(_stratum(old, new, bad))
-    if alone.calls:
-        strata.append(_stratum(pooled, alone, bad))
+        alone.add(True, pair.new_calls, pair.new_bad)
+    if alone.new_calls:
+        strata.append(alone.stratum())
     return strata
 
 
-def _stratum(
-    old: Counts, new: Counts, bad: abc.Callable[[Counts], int]
-) -> sequential_test.Stratum:
-    return sequential_test.Stratum(old.calls, bad(old), new.calls, bad(new))
-
-
 def _accumulate(total: Counts, more: Counts) -> None:
     total.calls += more.calls
     total.failures += more.failures
--- a/packages/node/src/balsamramp_node/rollout_spread.py
+++ b/packages/node/src/balsamramp_node/rollout_spread.py
@@ -39,7 +39,8 @@
     A changed state is pushed at once to four random nodes, which push on
     what was new to them; exchanges of digests repair what was lost.
     Evidence goes straight from the door that saw it to the deciders of
-    its service: at once if it shows failures, else once a second.
+    its service once a second, or at the next tick of 250 ms if a call of
+    a new version failed; they decide at the same times.
     """
 
     name = "rollout-spread"
@@ -69,6 +70,7 @@
         self._sent_to: dict[str, Addresses] = {}
         self._held_back: list[rollout_messages.EvidenceRow] = []
         self._is_ready = not has_seeds
+        self._is_urgent = False
         self._tasks: list[asyncio.Task[None]] = []
         self._sending: set[asyncio.Task[None]] = set()
         held.listen(self._note_change)
@@ -126,8 +128,11 @@
         tick = 0
         while True:
             tick += 1
-            self._spread_evidence(tick % TICKS_BETWEEN_REPORTS == 0)
-            self._rollouts.decide(self.is_decider)
+            full = tick % TICKS_BETWEEN_REPORTS == 0
+            self._spread_evidence(full)
+            if full or self._is_urgent:
+                self._is_urgent = False
+                self._rollouts.decide(self.is_decider)
             if tick % TICKS_BETWEEN_EXCHANGES == 0:
                 for peer in self._some_peers(1):
                     self._spawn(self._exchange(peer, ()))
@@ -168,7 +173,7 @@
         self._rollouts.merge_evidence(rows)
         latest = {_key(row): row for row in (*self._held_back, *rows)}
         self._held_back = list(latest.values())
-        urgent = any(row.failures or row.refused for row in rows)
+        urgent = self._note_urgent(rows)
         if not everything and not urgent:
             return
         by_service: dict[str, list[rollout_messages.EvidenceRow]] = {}
@@ -180,6 +185,15 @@
         for service, found in by_service.items():
             self._send_rows(service, found)
 
+    def _note_urgent(
+        self, rows: abc.Iterable[rollout_messages.EvidenceRow]
+    ) -> bool:
+        for row in rows:
+            if row.new and row.failures:
+                self._is_urgent = True
+                return True
+        return False
+
     def _send_rows(
         self, service: str, rows: list[rollout_messages.EvidenceRow]
     ) -> None:
@@ -243,6 +257,7 @@
         self, request: rollout_messages.EvidenceRequest
     ) -> rollout_messages.EvidenceReply:
         taken = self._rollouts.merge_evidence(request.rows)
+        self._note_urgent(request.rows)
         return rollout_messages.EvidenceReply(taken)
 
 
--- /dev/null
+++ b/packages/node/tests/test_rollout_machine.py
@@ -0,0 +1,177 @@
+"""State machine: nodes merge rollout states in any order and restart."""
+
+import datetime
+import functools
+import typing
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from balsamramp_node import rollout_evidence
+from balsamramp_node import rollout_state
+from balsamramp_node.policies import evidence
+from balsamramp_testing import rollout_node
+from balsamramp_wire import rollout_messages
+
+INTENT = rollout_node.INTENT
+INTENT_ID = rollout_state.intent_id(INTENT)
+NODES = strategies.integers(0, 2)
+BATCH_CALLS = 20
+PHASE = rollout_state.RolloutPhase
+
+
+class RolloutMachine(stateful.RuleBasedStateMachine):
+    """Three nodes; messages arrive in any order, twice, late or never."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.time = rollout_node.ManualClock()
+        self.nodes = [rollout_node.make(self.time, INTENT) for _ in range(3)]
+        self.sent: list[rollout_messages.RolloutState] = []
+        self.new_calls = 0
+        self.batches = 0
+        self.condemned = False
+        self.heard = [True, True, True]
+        self.highest = [0, 0, 0]
+        self.knew_condemned = [False, False, False]
+
+    def state(self, node: int) -> rollout_messages.RolloutState:
+        found = self.nodes[node].state(INTENT_ID)
+        assert found is not None
+        return found
+
+    @stateful.rule(seconds=strategies.integers(1, 15))
+    def wait(self, seconds: int) -> None:
+        self.time.passed += datetime.timedelta(seconds=seconds)
+
+    @stateful.rule(node=NODES, bad=strategies.sampled_from([0, 0, 10]))
+    def see_calls(self, node: int, bad: int) -> None:
+        state = self.state(node)
+        if rollout_state.step(state) == 0:
+            return
+        self.batches += 1
+        self.new_calls += BATCH_CALLS
+        make_row = functools.partial(
+            rollout_messages.EvidenceRow,
+            intent=INTENT_ID,
+            node=f"target-{self.batches}",
+            incarnation=1,
+            zone="zone-a",
+            window=rollout_evidence.window_of(INTENT, self.time.now()),
+            epoch=rollout_state.epoch(state),
+            route="caja-all",
+            calls=BATCH_CALLS,
+        )
+        rows = [make_row(new=False), make_row(new=True, failures=bad)]
+        self.nodes[node].merge_evidence(rows)
+
+    @stateful.rule(node=NODES)
+    def decide(self, node: int) -> None:
+        self.nodes[node].decide(lambda name: True)
+
+    @stateful.rule(node=NODES)
+    def send(self, node: int) -> None:
+        self.sent.append(self.state(node))
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(node=NODES, data=strategies.data())
+    def deliver(self, node: int, data: typing.Any) -> None:
+        index = data.draw(strategies.integers(0, len(self.sent) - 1))
+        self.nodes[node].merge([self.sent[index]])
+        self.heard[node] = True
+
+    @stateful.rule(node=NODES)
+    def restart(self, node: int) -> None:
+        self.nodes[node] = rollout_node.make(self.time, INTENT)
+        started = self.time.now() > INTENT.start
+        self.heard[node] = not started
+        self.highest[node] = 0
+        self.knew_condemned[node] = False
+
+    @stateful.invariant()
+    def step_never_falls(self) -> None:
+        for node in range(3):
+            step = rollout_state.step(self.state(node))
+            assert step >= self.highest[node]
+            self.highest[node] = step
+
+    @stateful.invariant()
+    def condemned_never_lifts(self) -> None:
+        for node in range(3):
+            phase = rollout_state.phase(self.state(node))
+            knows = phase is PHASE.TAKEN_BACK
+            assert knows or not self.knew_condemned[node]
+            self.knew_condemned[node] = knows
+            self.condemned = self.condemned or knows
+            if knows:
+                assert self.nodes[node].is_condemned("caja", "v2")
+                assert not self.nodes[node].allowed("caja", "v2", "call")
+
+    @stateful.invariant()
+    def cap_is_not_passed(self) -> None:
+        if self.new_calls >= evidence.CALLS_NEEDED:
+            return
+        policy = evidence.EvidencePolicy()
+        for node in range(3):
+            assert policy.share(self.state(node)) <= evidence.SHARE_CAP
+
+    @stateful.invariant()
+    def restarted_node_grants_nothing(self) -> None:
+        for node in range(3):
+            if not self.heard[node]:
+                assert rollout_state.step(self.state(node)) == 0
+
+    def teardown(self) -> None:
+        states = [self.state(node) for node in range(3)] + self.sent
+        for node in range(3):
+            self.nodes[node].merge(states[node:] + states[:node])
+        assert len({node.digest for node in self.nodes}) == 1
+        known = any(
+            rollout_state.phase(state) is PHASE.TAKEN_BACK for state in states
+        )
+        for node in self.nodes:
+            assert node.is_condemned("caja", "v2") or not known
+
+
+MACHINE_SETTINGS = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=40,
+    database=None,
+    phases=[hypothesis.Phase.generate],
+    report_multiple_bugs=False,
+)
+
+
+def test_states_only_rise() -> None:
+    stateful.run_state_machine_as_test(
+        RolloutMachine, settings=MACHINE_SETTINGS
+    )
+
+
+def _take_right(
+    left: rollout_messages.RolloutState, right: rollout_messages.RolloutState
+) -> rollout_messages.RolloutState:
+    return right
+
+
+MECHANISMS = {
+    "join of the marks": (rollout_state, "join", _take_right),
+    "vouching": (rollout_state, "is_vouched", lambda state: True),
+    "calls needed": (evidence, "_missing", lambda held, step: ""),
+}
+
+
+@pytest.mark.parametrize("mechanism", MECHANISMS)
+def test_machine_fails_without(
+    mechanism: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    module, name, replacement = MECHANISMS[mechanism]
+    monkeypatch.setattr(module, name, replacement)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            RolloutMachine, settings=MACHINE_SETTINGS
+        )
--- /dev/null
+++ b/packages/node/tests/test_rollout_parts.py
@@ -0,0 +1,185 @@
+"""Parts of rollouts: the test's error rates, joins, shares, zones."""
+
+import datetime
+import random
+import uuid
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from balsamramp_node import rollout_evidence
+from balsamramp_node import rollout_state
+from balsamramp_node import sequential_test
+from balsamramp_node.policies import evidence
+from balsamramp_testing import rollout_node
+from balsamramp_wire import rollout_messages
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+ALL_TESTS = 2 * 3
+THRESHOLD = ALL_TESTS / evidence.FALSE_ALARM
+TRIALS = 200
+WINDOWS = 40
+LOOKS_PER_WINDOW = 2
+
+
+def _is_alarmed(
+    choice: random.Random, old: float, new: float, calls: int, share: float
+) -> bool:
+    windows: list[list[sequential_test.Stratum]] = []
+    for look in range(LOOKS_PER_WINDOW * WINDOWS):
+        if look % LOOKS_PER_WINDOW == 0:
+            counts = [0, 0, 0, 0]
+            windows.append([])
+        for _ in range(calls // LOOKS_PER_WINDOW):
+            is_new = choice.random() < share
+            counts[2 * is_new] += 1
+            bad = choice.random() < (new if is_new else old)
+            counts[2 * is_new + 1] += bad
+        windows[-1] = [sequential_test.Stratum(*counts)]
+        ratio = sequential_test.evidence_ratio(
+            windows, rollout_evidence.KEPT_WINDOWS
+        )
+        if ratio >= THRESHOLD:
+            return True
+    return False
+
+
+@pytest.mark.parametrize("rate", [0.0, 0.01, 0.1, 0.5])
+@pytest.mark.parametrize("share", [0.05, 0.5])
+def test_false_alarms_are_within_the_stated_rate(
+    rate: float, share: float
+) -> None:
+    choice = random.Random(f"{rate} {share}")
+    alarms = sum(
+        _is_alarmed(choice, rate, rate, 20, share) for _ in range(TRIALS)
+    )
+    assert alarms <= evidence.FALSE_ALARM * TRIALS
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "share"),
+    [(0.0, 0.3, 0.05), (0.01, 0.3, 0.05), (0.1, 0.6, 0.05), (0.0, 0.1, 0.5)],
+)
+def test_misses_are_within_the_stated_rate(
+    old: float, new: float, share: float
+) -> None:
+    choice = random.Random(f"{old} {new} {share}")
+    missed = sum(
+        not _is_alarmed(choice, old, new, 40, share) for _ in range(TRIALS)
+    )
+    assert missed <= evidence.MISS * TRIALS
+
+
+def test_alarms_hang_on_the_comparison_with_the_old_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        sequential_test, "_log_ratios", lambda stratum: (stratum.new_bad,)
+    )
+    with pytest.raises(AssertionError):
+        test_false_alarms_are_within_the_stated_rate(0.1, 0.5)
+
+
+MARKS = strategies.builds(
+    rollout_messages.Mark,
+    at=strategies.sampled_from(
+        [START + datetime.timedelta(seconds=number) for number in range(3)]
+    ),
+    cause=strategies.sampled_from(["", "failures"]),
+    text=strategies.sampled_from(["", "a", "b"]),
+)
+NAMES = strategies.sampled_from(
+    ["vouched", "step-1", "step-2", "moving", "completed", "taken-back"]
+)
+STATES = strategies.builds(
+    rollout_messages.RolloutState,
+    intent=strategies.just("caja-v2.1"),
+    rollout=strategies.just("caja-v2"),
+    service=strategies.just("caja"),
+    old=strategies.just("v1"),
+    new=strategies.just("v2"),
+    start=strategies.just(START),
+    marks=strategies.dictionaries(NAMES, MARKS),
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, database=None)
+@hypothesis.given(STATES, STATES, STATES)
+def test_join_is_a_semilattice(
+    a: rollout_messages.RolloutState,
+    b: rollout_messages.RolloutState,
+    c: rollout_messages.RolloutState,
+) -> None:
+    join = rollout_state.join
+    assert join(a, b) == join(b, a)
+    assert join(join(a, b), c) == join(a, join(b, c))
+    assert join(a, a) == a
+    joined = join(a, b)
+    assert rollout_state.step(joined) == max(
+        rollout_state.step(a), rollout_state.step(b)
+    )
+
+
+ROWS = strategies.builds(
+    rollout_messages.EvidenceRow,
+    intent=strategies.just("caja-v2.1"),
+    node=strategies.sampled_from(["n1", "n2"]),
+    incarnation=strategies.integers(1, 2),
+    zone=strategies.just("zone-a"),
+    window=strategies.integers(0, 2),
+    epoch=strategies.integers(0, 1),
+    route=strategies.sampled_from(["r1", "r2"]),
+    new=strategies.booleans(),
+    calls=strategies.integers(0, 5),
+    failures=strategies.integers(0, 5),
+    latencies=strategies.dictionaries(
+        strategies.integers(0, 2), strategies.integers(0, 3)
+    ),
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, database=None)
+@hypothesis.given(strategies.lists(ROWS, max_size=12), strategies.randoms())
+def test_evidence_is_the_same_in_any_order(
+    rows: list[rollout_messages.EvidenceRow], choice: random.Random
+) -> None:
+    first, second = rollout_evidence.Evidence(), rollout_evidence.Evidence()
+    mixed = [*rows, *rows]
+    choice.shuffle(mixed)
+    for row in rows:
+        first.merge(row)
+    for row in mixed:
+        second.merge(row)
+    for held in (first, second):
+        held.forget(1, range(0))
+    for route in (None, "r1", "r2"):
+        for new in (False, True):
+            left, right = (held.total(new, route) for held in (first, second))
+            assert (left.calls, left.failures, left.slower_than(0)) == (
+                right.calls,
+                right.failures,
+                right.slower_than(0),
+            )
+    assert all(row.window >= 1 for row in second.rows())
+
+
+def test_share_of_the_fleet_is_not_rounded_up_by_its_nodes() -> None:
+    """19,000 nodes with ten calls each, as 190,000 independent calls.
+
+    The number of calls to the new version is binomial; it may pass its
+    mean by four standard deviations.
+    """
+    choice = random.Random(1)
+    calls = 190_000
+    share = evidence.SHARE_CAP
+    time = rollout_node.ManualClock()
+    node = rollout_node.make(time, rollout_node.INTENT)
+    time.passed = datetime.timedelta(seconds=11)
+    node.decide(lambda service: True)
+    taken = 0
+    for _ in range(calls):
+        call_id = uuid.UUID(int=choice.getrandbits(128)).hex
+        taken += node.allowed("caja", "v2", call_id)
+    deviation = (calls * share * (1 - share)) ** 0.5
+    assert abs(taken - share * calls) <= 4 * deviation
--- /dev/null
+++ b/packages/testing/src/balsamramp_testing/rollout_trial.py
@@ -0,0 +1,385 @@
+"""Rollout trial: one rollout on whole nodes in virtual time, measured."""
+
+import asyncio
+from collections import abc
+import datetime
+import random
+import typing
+
+import attrs
+
+from balsamramp_core import clock
+from balsamramp_node import rollout_report
+from balsamramp_node import rollout_state
+from balsamramp_node import target_client
+from balsamramp_testing import memory_target
+from balsamramp_testing import virtual_time
+from balsamramp_testing import world as world_module
+from balsamramp_wire import messages
+
+__all__ = ["Fault", "Plan", "Trial", "TrialResult", "run"]
+
+SERVICE = "caja"
+ROUTES = {"caja-rest": "/", "caja-pagos": "/pagos"}
+PAGOS_SHARE = 0.2
+ZONES = ("zone-a", "zone-b", "zone-c")
+OLD = "v1"
+NEW = "v2"
+SETTLING = datetime.timedelta(seconds=3)
+AFTER_END = datetime.timedelta(seconds=4)
+CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
+STATUS_OK = 200
+STATUS_FAILED = 500
+STATUS_SHED = 503
+DELAY_SPREAD = (0.8, 1.5)
+LOAD_WINDOW = datetime.timedelta(seconds=1)
+EXTRA = """\
+[targets]
+lease = 600000
+initial_limit = {limit}
+[rollouts]
+policy = {policy}
+"""
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """How calls go wrong, and when.
+
+    ``versions`` and ``zones`` name the targets concerned; empty means
+    all. ``begins`` and ``ends`` count from the start of the rollout;
+    ``above_calls_per_second`` lets the fault show only on a target under
+    that load. A call under a path starting with ``path`` fails with the
+    chance ``failing`` and takes ``slower`` times as long.
+    """
+
+    versions: tuple[str, ...] = ()
+    zones: tuple[str, ...] = ()
+    begins: float = 0.0
+    ends: float = float("inf")
+    path: str = "/"
+    above_calls_per_second: float = 0.0
+    failing: float = 0.0
+    slower: float = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """What one trial does; times are in seconds of virtual time.
+
+    ``platform_down`` counts from the start of the rollout. ``cold_slots``
+    is how many calls a new target bears in its first ``cold`` seconds.
+    """
+
+    policy: str = "evidence"
+    seed: int = 1
+    faults: tuple[Fault, ...] = ()
+    calls_per_second: float = 40.0
+    duration: float = 60.0
+    keep_old: int = 30
+    platform_down: tuple[float, float] | None = None
+    targets_per_zone: int = 1
+    slots: int = 20
+    cold_slots: int = 20
+    cold: float = 0.0
+    limit: int = 20
+    late: str = "take-back"
+    horizon: float = 0.0
+
+
+@attrs.define(eq=False)
+class TrialResult:
+    """What became of the rollout and of the calls during it.
+
+    ``share`` is the part of all calls between start and end that new
+    targets ran. Seconds count from the start of the rollout.
+    """
+
+    report: rollout_report.RolloutReport
+    cause: str
+    calls: int
+    answered: int
+    failed: int
+    refused: int
+    new_calls: int
+    new_bad: int
+    first_sign: float | None
+    last_new_call: float | None
+    ended: float
+
+    @property
+    def share(self) -> float:
+        """Return the part of the calls that new targets ran."""
+        return self.new_calls / max(1, self.calls)
+
+    @property
+    def sign_to_last(self) -> float | None:
+        """Return the time from the first bad call to the last call."""
+        if self.first_sign is None or self.last_new_call is None:
+            return None
+        return self.last_new_call - self.first_sign
+
+
+class TrialTarget(memory_target.MemoryTarget):
+    """A target with the faults of a plan."""
+
+    def __init__(self, name: str, version: str, zone: str, trial: "Trial"):
+        super().__init__(name, slots=trial.plan.slots)
+        self._version = version
+        self._zone = zone
+        self._trial = trial
+        self._recent: list[datetime.timedelta] = []
+
+    async def answer(
+        self, request: messages.CallRequest, time: clock.Clock
+    ) -> target_client.TargetAnswer:
+        trial = self._trial
+        now = time.monotonic()
+        self._recent = [at for at in self._recent if now - at < LOAD_WINDOW]
+        self._recent.append(now)
+        if self.in_flight >= trial.slots(self._version):
+            return self._reply(STATUS_SHED)
+        failing, slower = self._effect(request.path)
+        bad = trial.random.random() < failing
+        trial.note_run(self._version, bad or slower > 1.0)
+        self.in_flight += 1
+        try:
+            spread = trial.random.uniform(*DELAY_SPREAD)
+            await time.sleep(self.delay * slower * spread)
+        finally:
+            self.in_flight -= 1
+        return self._reply(STATUS_FAILED if bad else STATUS_OK)
+
+    def _reply(self, status: int) -> target_client.TargetAnswer:
+        return target_client.TargetAnswer(
+            status=status, headers=(), body=self.name.encode()
+        )
+
+    def _effect(self, path: str) -> tuple[float, float]:
+        failing, slower = 0.0, 1.0
+        for fault in self._trial.plan.faults:
+            if not self._applies(fault, path):
+                continue
+            failing = max(failing, fault.failing)
+            slower = max(slower, fault.slower)
+        return failing, slower
+
+    def _applies(self, fault: Fault, path: str) -> bool:
+        if fault.versions and self._version not in fault.versions:
+            return False
+        if fault.zones and self._zone not in fault.zones:
+            return False
+        if not path.startswith(fault.path):
+            return False
+        if len(self._recent) < fault.above_calls_per_second:
+            return False
+        return fault.begins <= self._trial.elapsed() < fault.ends
+
+
+class Trial:
+    """One running trial; tests may disturb its world as it goes."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.random = random.Random(plan.seed)
+        self.world = world_module.World(seed=plan.seed)
+        self.started = self.world.clock.now() + 2 * SETTLING
+        self.old_nodes: list[str] = []
+        self.new_nodes: list[str] = []
+        self.zone_of: dict[str, str] = {}
+        self.counts: dict[str, int] = {}
+        self.first_sign: float | None = None
+        self.new_runs: list[float] = []
+        self._callers: asyncio.Task[None] | None = None
+        self._in_flight: set[asyncio.Task[None]] = set()
+
+    def elapsed(self) -> float:
+        """Return the seconds since the start of the rollout."""
+        return (self.world.clock.now() - self.started).total_seconds()
+
+    def slots(self, version: str) -> int:
+        """Return how many calls a target of ``version`` bears now."""
+        cold = version == NEW and self.elapsed() < self.plan.cold
+        return self.plan.cold_slots if cold else self.plan.slots
+
+    def note_run(self, version: str, bad: bool) -> None:
+        """Note that a target ran a call."""
+        if version != NEW:
+            return
+        self.new_runs.append(self.elapsed())
+        if not bad:
+            return
+        self.counts["new_bad"] = self.counts.get("new_bad", 0) + 1
+        if self.first_sign is None:
+            self.first_sign = self.elapsed()
+
+    async def start(self) -> None:
+        """Start the nodes and the callers and declare the rollout."""
+        for number in range(self.plan.targets_per_zone):
+            for zone in ZONES:
+                self.old_nodes.append(
+                    await self.start_node(f"{zone}-old-{number}", zone, OLD)
+                )
+                self.new_nodes.append(
+                    await self.start_node(f"{zone}-new-{number}", zone, NEW)
+                )
+        await self.world.clock.sleep(SETTLING)
+        documents: list[dict[str, typing.Any]] = [
+            {"kind": "service", "name": SERVICE}
+        ]
+        for name, prefix in ROUTES.items():
+            documents.append(
+                {
+                    "kind": "route",
+                    "name": name,
+                    "service": SERVICE,
+                    "path_prefix": prefix,
+                }
+            )
+        documents.append(self.intent())
+        await self.world.apply(self.old_nodes[0], *documents)
+        await self.world.clock.sleep(SETTLING)
+        self._callers = asyncio.create_task(self._run_callers())
+
+    def intent(self, **changes: typing.Any) -> dict[str, typing.Any]:
+        """Return the rollout as a document, with ``changes``."""
+        duration = datetime.timedelta(seconds=self.plan.duration)
+        return {
+            "kind": "rollout",
+            "name": "caja-v2",
+            "service": SERVICE,
+            "old": OLD,
+            "new": NEW,
+            "start": self.started.isoformat(),
+            "deadline": (self.started + duration).isoformat(),
+            "keep_old_seconds": self.plan.keep_old,
+            "late": self.plan.late,
+            **changes,
+        }
+
+    async def start_node(self, name: str, zone: str, version: str) -> str:
+        """Start a node with one target; return the node's name."""
+        extra = EXTRA.format(policy=self.plan.policy, limit=self.plan.limit)
+        node = await self.world.start_node(name, zone, extra)
+        target = f"{name}-target"
+        node.targets.targets[target] = TrialTarget(target, version, zone, self)
+        self.world.announce(name, target, SERVICE, version)
+        self.zone_of[name] = zone
+        return name
+
+    def report(self) -> rollout_report.RolloutReport:
+        """Return the report of a node that decides, else of any."""
+        reports = [
+            node.core.rollouts.report()[0]
+            for node in self.world.nodes.values()
+            if node.core.rollouts.report()
+        ]
+        return max(reports, key=lambda item: item.old_calls.calls)
+
+    async def wait(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        await self.world.clock.sleep(datetime.timedelta(seconds=seconds))
+
+    async def until(self, elapsed: float) -> None:
+        """Let virtual time pass until so long after the start."""
+        await self.wait(max(0.0, elapsed - self.elapsed()))
+
+    async def until_ended(self) -> None:
+        """Wait until every node has heard of the end, and a little on."""
+        plan = self.plan
+        horizon = plan.horizon or plan.duration + plan.keep_old + 5.0
+        while self.elapsed() < horizon:
+            self._switch_platform()
+            await self.world.clock.sleep(CHECK_INTERVAL)
+            phases = {
+                report.phase
+                for node in self.world.nodes.values()
+                for report in node.core.rollouts.report()
+            }
+            final = {"finished", "taken-back"}
+            if phases and phases <= final:
+                await self.world.clock.sleep(AFTER_END)
+                return
+
+    async def stop(self) -> TrialResult:
+        """Stop everything and return what was measured."""
+        assert self._callers is not None
+        self._callers.cancel()
+        await asyncio.gather(
+            self._callers, *self._in_flight, return_exceptions=True
+        )
+        report = self.report()
+        causes = [
+            event.cause
+            for event in report.history
+            if event.event == rollout_state.RolloutPhase.TAKEN_BACK.value
+        ]
+        measured = TrialResult(
+            report=report,
+            cause=causes[0] if causes else "",
+            calls=self.counts.get("calls", 0),
+            answered=self.counts.get("answered", 0),
+            failed=self.counts.get("failed", 0),
+            refused=self.counts.get("refused", 0),
+            new_calls=len(self.new_runs),
+            new_bad=self.counts.get("new_bad", 0),
+            first_sign=self.first_sign,
+            last_new_call=self.new_runs[-1] if self.new_runs else None,
+            ended=self.elapsed(),
+        )
+        await self.world.stop()
+        return measured
+
+    def _switch_platform(self) -> None:
+        down = self.plan.platform_down
+        if down is not None:
+            self.world.faults.down = down[0] <= self.elapsed() < down[1]
+
+    async def _run_callers(self) -> None:
+        while True:
+            gap = self.random.expovariate(self.plan.calls_per_second)
+            await asyncio.sleep(gap)
+            if self.elapsed() < 0 or not self.world.nodes:
+                continue
+            node = self.random.choice(sorted(self.world.nodes))
+            task = asyncio.create_task(self._call(node))
+            self._in_flight.add(task)
+            task.add_done_callback(self._in_flight.discard)
+
+    async def _call(self, node: str) -> None:
+        path = "/rest"
+        if self.random.random() < PAGOS_SHARE:
+            path = "/pagos"
+        reply = await self.world.call(node, SERVICE, path=path)
+        self._count("calls")
+        if isinstance(reply, messages.CallFailure):
+            self._count("refused")
+        elif reply.status >= STATUS_FAILED:
+            self._count("failed")
+        else:
+            self._count("answered")
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+
+Disturbance = abc.Callable[
+    [Trial], abc.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+def run(plan: Plan, disturb: Disturbance | None = None) -> TrialResult:
+    """Run one trial, disturbed by ``disturb``, and return its result."""
+
+    async def _main() -> TrialResult:
+        trial = Trial(plan)
+        await trial.start()
+        disturbing = None
+        if disturb is not None:
+            disturbing = asyncio.create_task(disturb(trial))
+        await trial.until_ended()
+        if disturbing is not None:
+            await disturbing
+        return await trial.stop()
+
+    return virtual_time.run(_main())
