Rollouts: named scenarios; one decider a zone; expiry gives way

Cause: with two deciders a zone the second saw only its own zone's rows and ended a good rollout as late ('31 of 59 calls seen'); refusals of a cold start held the step until the deadline because they were counted from its beginning. Ruled out: sending every row to every decider (twice the bytes). Change: one decider a zone, the next in rank when it does not answer; capacity judged by the last 5 s; a rollout that expires is a phase of its own that gives way to a completion entered before the deadline elsewhere.

--- a/packages/node/src/balsamramp_node/policies/evidence.py
+++ b/packages/node/src/balsamramp_node/policies/evidence.py
@@ -29,6 +29,7 @@
 MOVING_PART = 0.8
 DWELL_PART = 0.04
 DWELL_MIN = datetime.timedelta(seconds=2)
+RECENT = datetime.timedelta(seconds=5)
 TESTS_PER_GROUP = 2
 RECORD_WEIGHT = 4
 
@@ -37,6 +38,7 @@
 ROUTE_CALLS_NEEDED = math.ceil(math.log(MISS) / math.log1p(-ROUTE_BAD_RATE))
 
 PHASE = rollout_state.RolloutPhase
+FINAL = (*rollout_state.BACK, PHASE.FINISHED)
 State = rollout_messages.RolloutState
 Evidence = rollout_evidence.Evidence
 
@@ -58,7 +60,7 @@
     one call in 20 (one in 3 on one route) shows a failure by then with a
     chance of 95%. Each further step needs 19 calls at the present one (one
     failing in 7 at that load shows), at most 5% refusals for lack of
-    capacity, and no suspicion.
+    capacity in the last 5 s, and no suspicion.
     The steps are planned in the first 80% of the time, which leaves room
     for holds.
 
@@ -81,7 +83,7 @@
     ) -> State:
         state = rollout_policy.end_by_operator(intent, state, now)
         phase = rollout_state.phase(state)
-        if phase in (PHASE.TAKEN_BACK, PHASE.FINISHED) or now < intent.start:
+        if phase in FINAL or now < intent.start:
             return state
         if phase is PHASE.COMPLETED:
             return self._watch(intent, state, evidence, now)
@@ -153,7 +155,9 @@
             return "the last step is too recent"
         if ratio >= SUSPICION_RATIO:
             return f"the new version is {ratio:.0f} times likelier worse"
-        return _missing(evidence, step) or _lacks_capacity(evidence, step)
+        return _missing(evidence, step) or _lacks_capacity(
+            evidence, step, rollout_evidence.window_of(intent, now - RECENT)
+        )
 
     def _watch(
         self,
@@ -198,7 +202,7 @@
         return rollout_state.note_late(state, now, text)
     return rollout_state.enter(
         state,
-        PHASE.TAKEN_BACK,
+        PHASE.EXPIRED,
         now,
         rollout_state.Cause.LATE.value,
         text,
@@ -276,8 +280,8 @@
     return ""
 
 
-def _lacks_capacity(evidence: Evidence, epoch: int) -> str:
-    new = evidence.total(True, None, epoch)
+def _lacks_capacity(evidence: Evidence, epoch: int, window: int) -> str:
+    new = evidence.recent(True, epoch, window)
     asked = new.calls + new.refused
     if new.refused <= REFUSED_SHARE_MAX * asked:
         return ""
--- a/packages/node/src/balsamramp_node/rollout_deciders.py
+++ b/packages/node/src/balsamramp_node/rollout_deciders.py
@@ -11,8 +11,6 @@
 
 __all__ = ["Deciders"]
 
-DECIDERS_PER_ZONE = 2
-DECIDERS_PER_OTHER_ZONE = 1
 INDEX_INTERVAL = datetime.timedelta(seconds=1)
 UNREACHABLE_TIMEOUT = datetime.timedelta(seconds=5)
 
@@ -22,8 +20,8 @@
 class Deciders:
     """Finds the deciders of a service by rendezvous hashing.
 
-    They are a few of the nodes with targets of that service, in each
-    zone, or of all nodes if it has none. The choice follows from the list
+    They are one of the nodes with targets of that service in each zone, or
+    one of all nodes there if it has none. The choice follows from the list
     of members, so nobody appoints them, and it leaves out nodes that did
     not answer lately: a node cut off from all others decides alone.
     """
@@ -53,20 +51,16 @@
         own = self._members.own
         zones = self._zones(service)
         ranked = self._ranked(service, zones.get(own.zone, []))
-        for member in ranked[:DECIDERS_PER_ZONE]:
-            if member.node == own.node:
-                return True
-        return not ranked and self._is_only_reachable(service, zones)
+        if ranked:
+            return ranked[0].node == own.node
+        return self._is_only_reachable(service, zones)
 
     def others(self, service: str) -> list[settings.Address]:
         """Return the control addresses of the other deciders."""
         own = self._members.own
         found = []
-        for zone, members in self._zones(service).items():
-            count = DECIDERS_PER_OTHER_ZONE
-            if zone == own.zone:
-                count = DECIDERS_PER_ZONE
-            for member in self._ranked(service, members)[:count]:
+        for members in self._zones(service).values():
+            for member in self._ranked(service, members)[:1]:
                 if member.node != own.node:
                     found.append(member.control)
         return found
--- a/packages/node/src/balsamramp_node/rollout_evidence.py
+++ b/packages/node/src/balsamramp_node/rollout_evidence.py
@@ -158,6 +158,17 @@
                 _accumulate(total, counts)
         return total
 
+    def recent(self, new: bool, epoch: int, window: int) -> Counts:
+        """Return the sum of all routes since ``epoch`` and ``window``."""
+        total = Counts()
+        for key, counts in self._sums.items():
+            its_window, its_epoch, _, _, is_new = key
+            if is_new is not new or its_epoch < epoch:
+                continue
+            if its_window >= window:
+                _accumulate(total, counts)
+        return total
+
     def strata(
         self,
         route: str | None,
--- a/packages/node/src/balsamramp_node/rollout_policy.py
+++ b/packages/node/src/balsamramp_node/rollout_policy.py
@@ -70,8 +70,7 @@
 
     def share(self, state: rollout_messages.RolloutState) -> float:
         """Return the share of calls, 0 to 1, for the new version."""
-        phase = rollout_state.phase(state)
-        if phase is rollout_state.RolloutPhase.TAKEN_BACK:
+        if rollout_state.phase(state) in rollout_state.BACK:
             return 0.0
         return self.shares[min(rollout_state.step(state), self.last_step)]
 
--- a/packages/node/src/balsamramp_node/rollout_report.py
+++ b/packages/node/src/balsamramp_node/rollout_report.py
@@ -112,8 +112,9 @@
 
 
 def _outcome(state: rollout_messages.RolloutState) -> str:
-    taken_back = state.marks.get(PHASE.TAKEN_BACK.value)
-    if taken_back is not None:
+    phase = rollout_state.phase(state)
+    taken_back = state.marks.get(phase.value)
+    if phase in rollout_state.BACK and taken_back is not None:
         return f"taken back at {taken_back.at.isoformat()}: {taken_back.text}"
     completed = state.marks.get(PHASE.COMPLETED.value)
     if completed is None:
--- a/packages/node/src/balsamramp_node/rollout_state.py
+++ b/packages/node/src/balsamramp_node/rollout_state.py
@@ -11,6 +11,7 @@
 from balsamramp_wire import rollout_messages
 
 __all__ = [
+    "BACK",
     "Cause",
     "RolloutPhase",
     "digest_of",
@@ -39,12 +40,16 @@
 class RolloutPhase(enum.Enum):
     """Where a rollout stands; later ones override earlier ones.
 
-    In ``DOUBTED`` the new version had all traffic, then looked worse than
-    the record; the old one gets a part again for a side-by-side test.
+    ``EXPIRED`` is a rollout taken back because its deadline passed; it
+    gives way to ``COMPLETED``, entered before the deadline by nodes that
+    were cut off from those that saw too little. In ``DOUBTED`` the new
+    version had all traffic, then looked worse than the record; the old
+    one gets a part again for a side-by-side test.
     """
 
     WAITING = "waiting"
     MOVING = "moving"
+    EXPIRED = "expired"
     COMPLETED = "completed"
     DOUBTED = "doubted"
     FINISHED = "finished"
@@ -61,6 +66,7 @@
     SUPERSEDED = "superseded"
 
 
+BACK = (RolloutPhase.EXPIRED, RolloutPhase.TAKEN_BACK)
 PHASES_LAST_FIRST = tuple(reversed(RolloutPhase))
 
 
--- a/packages/node/src/balsamramp_node/rollouts.py
+++ b/packages/node/src/balsamramp_node/rollouts.py
@@ -25,7 +25,8 @@
 
 HASH_SPACE = 1 << 64
 PHASE = rollout_state.RolloutPhase
-FINAL = (PHASE.TAKEN_BACK, PHASE.FINISHED)
+BACK = rollout_state.BACK
+FINAL = (*BACK, PHASE.FINISHED)
 
 State = rollout_messages.RolloutState
 Listener = abc.Callable[[State], None]
@@ -153,7 +154,7 @@
         for state in states:
             known = self._states.get(state.intent)
             if known is None:
-                if rollout_state.phase(state) is not PHASE.TAKEN_BACK:
+                if rollout_state.phase(state) not in BACK:
                     continue
                 self._put(state)
                 continue
@@ -294,7 +295,7 @@
             if intent_id in self._intents:
                 continue
             self._evidence.pop(intent_id, None)
-            condemned = rollout_state.phase(state) is PHASE.TAKEN_BACK
+            condemned = rollout_state.phase(state) in BACK
             if condemned and not self._is_named_later(state):
                 continue
             del self._states[intent_id]
@@ -392,6 +393,6 @@
     for version, state in latest.items():
         if version != state.new:
             continue
-        if rollout_state.phase(state) in (PHASE.WAITING, PHASE.TAKEN_BACK):
+        if rollout_state.phase(state) in (PHASE.WAITING, *BACK):
             found.append(version)
     return frozenset(found)
--- a/packages/testing/src/balsamramp_testing/rollout_trial.py
+++ b/packages/testing/src/balsamramp_testing/rollout_trial.py
@@ -296,7 +296,7 @@
                 for node in self.world.nodes.values()
                 for report in node.core.rollouts.report()
             }
-            final = {"finished", "taken-back"}
+            final = {"finished", "expired", "taken-back"}
             if phases and phases <= final:
                 await self.world.clock.sleep(AFTER_END)
                 return
@@ -312,7 +312,8 @@
         causes = [
             event.cause
             for event in report.history
-            if event.event == rollout_state.RolloutPhase.TAKEN_BACK.value
+            if event.event == report.phase
+            and event.event in {item.value for item in rollout_state.BACK}
         ]
         measured = TrialResult(
             report=report,
--- /dev/null
+++ b/packages/testing/tests/test_rollout_scenarios.py
@@ -0,0 +1,315 @@
+"""Named scenarios of rollouts on whole nodes in virtual time."""
+
+import attrs
+import pytest
+
+from balsamramp_core import verdict
+from balsamramp_node import rollout_record
+from balsamramp_testing import rollout_trial
+from balsamramp_wire import messages
+
+NEW = (rollout_trial.NEW,)
+STOP_BOUND_SECONDS = 2.0
+CAP = 0.05
+FAILS = rollout_trial.Fault(versions=NEW, failing=1.0)
+NIGHT = rollout_trial.Plan(
+    calls_per_second=2.0,
+    duration=900.0,
+    horizon=1500.0,
+    faults=(attrs.evolve(FAILS, begins=60.0),),
+    platform_down=(3.0, 1e9),
+)
+
+
+@attrs.frozen(kw_only=True)
+class Scenario:
+    """A plan and what must come of it.
+
+    ``new_calls_max`` bounds the calls that the new version ran.
+    """
+
+    plan: rollout_trial.Plan
+    outcome: str
+    cause: str = ""
+    new_calls_max: int | None = None
+
+
+def _bad(**changes: object) -> rollout_trial.Plan:
+    fault = attrs.evolve(FAILS, **changes)
+    return rollout_trial.Plan(faults=(fault,))
+
+
+SCENARIOS = {
+    "good": Scenario(plan=rollout_trial.Plan(), outcome="completed at"),
+    "bad at once": Scenario(
+        plan=_bad(), outcome="taken back", cause="failures", new_calls_max=20
+    ),
+    "bad later": Scenario(
+        plan=_bad(begins=40.0), outcome="taken back", cause="failures"
+    ),
+    "bad only under load": Scenario(
+        plan=_bad(above_calls_per_second=4.0),
+        outcome="taken back",
+        cause="failures",
+    ),
+    "bad only on one route": Scenario(
+        plan=_bad(path="/pagos"), outcome="taken back", cause="failures"
+    ),
+    "slow rather than failing": Scenario(
+        plan=_bad(failing=0.0, slower=4.0),
+        outcome="taken back",
+        cause="slowness",
+    ),
+    "good but its zone is sick": Scenario(
+        plan=rollout_trial.Plan(
+            faults=(
+                rollout_trial.Fault(
+                    zones=("zone-c",), failing=0.5, begins=5.0, ends=30.0
+                ),
+            )
+        ),
+        outcome="completed at",
+    ),
+    "old version sick too": Scenario(
+        plan=rollout_trial.Plan(faults=(rollout_trial.Fault(failing=0.2),)),
+        outcome="completed at",
+    ),
+    "bad after full promotion": Scenario(
+        plan=_bad(begins=62.0), outcome="taken back", cause="failures"
+    ),
+    "too little traffic for the schedule": Scenario(
+        plan=rollout_trial.Plan(calls_per_second=4.0),
+        outcome="taken back",
+        cause="late",
+    ),
+    "no capacity for the schedule": Scenario(
+        plan=rollout_trial.Plan(cold_slots=0, cold=1e9),
+        outcome="taken back",
+        cause="late",
+    ),
+    "too little traffic, held": Scenario(
+        plan=rollout_trial.Plan(
+            calls_per_second=20.0, late="hold", duration=30.0, horizon=200.0
+        ),
+        outcome="completed late at",
+    ),
+    "cold start": Scenario(
+        plan=rollout_trial.Plan(cold_slots=0, cold=15.0),
+        outcome="completed at",
+    ),
+}
+
+
+def _check_end(found: rollout_trial.TrialResult) -> None:
+    """No new call two seconds after the decision, on any node."""
+    marks = {event.event: event.at for event in found.report.history}
+    taken_back = (
+        marks[found.report.phase] - found.report.start
+    ).total_seconds()
+    if found.last_new_call is not None:
+        assert found.last_new_call <= taken_back + STOP_BOUND_SECONDS
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario(name: str) -> None:
+    scenario = SCENARIOS[name]
+    found = rollout_trial.run(scenario.plan)
+    assert found.report.outcome.startswith(scenario.outcome), found
+    assert found.cause == scenario.cause
+    if found.cause:
+        _check_end(found)
+    if scenario.new_calls_max is not None:
+        assert found.new_calls <= scenario.new_calls_max
+
+
+async def _morning(trial: rollout_trial.Trial) -> None:
+    """Nobody acts; the platform comes back after the take-back."""
+    await trial.until(1200.0)
+    key = f"{rollout_record.KEY_PREFIX}{rollout_trial.SERVICE}/"
+    assert trial.report().outcome.startswith("taken back")
+    trial.world.faults.down = False
+    await trial.wait(60.0)
+    rows = (await trial.world.table.scan(key, "", 10)).unwrap()
+    assert len(rows) == 1
+    assert b"taken-back" in rows[0].value
+
+
+def test_bad_at_night_with_the_platform_down_is_taken_back() -> None:
+    found = rollout_trial.run(NIGHT, _morning)
+    assert found.cause == "failures"
+    _check_end(found)
+    assert found.share <= CAP
+
+
+async def _lose_deciders(trial: rollout_trial.Trial) -> None:
+    """One decider stops answering, another dies, each in its zone."""
+    await trial.until(4.0)
+    deciders = [
+        name
+        for name, node in sorted(trial.world.nodes.items())
+        if node.core.rollout_spread.is_decider(rollout_trial.SERVICE)
+    ]
+    first = deciders[0]
+    trial.world.network.silent.add(first)
+    zone = trial.zone_of[first]
+    for name in deciders[1:]:
+        if trial.zone_of[name] != zone:
+            await trial.world.kill_node(name)
+            break
+    await trial.until(30.0)
+    trial.world.network.silent.discard(first)
+
+
+async def _cut_zones(trial: rollout_trial.Trial) -> None:
+    await trial.until(5.0)
+    for left, right in (("zone-a", "zone-b"), ("zone-a", "zone-c")):
+        trial.world.network.cut(left, right)
+    await trial.until(35.0)
+    for left, right in (("zone-a", "zone-b"), ("zone-a", "zone-c")):
+        trial.world.network.heal(left, right)
+
+
+@pytest.mark.parametrize("disturb", [_lose_deciders, _cut_zones])
+@pytest.mark.parametrize("cause", ["", "failures"])
+def test_outcome_is_the_same_under(
+    disturb: rollout_trial.Disturbance, cause: str
+) -> None:
+    faults = (attrs.evolve(FAILS, begins=12.0),) if cause else ()
+    plan = rollout_trial.Plan(
+        faults=faults, targets_per_zone=2, calls_per_second=60.0
+    )
+    found = rollout_trial.run(plan, disturb)
+    assert found.cause == cause, found.report.outcome
+    assert found.report.outcome.startswith(
+        "taken back" if cause else "completed at"
+    )
+
+
+async def _restart_all(trial: rollout_trial.Trial) -> None:
+    """All nodes die and start anew, half a second apart."""
+    runs = len(trial.new_runs)
+    for name in list(trial.world.nodes):
+        await trial.world.kill_node(name)
+    trial.new_runs.clear()
+    for name in trial.old_nodes:
+        await trial.start_node(name, trial.zone_of[name], rollout_trial.OLD)
+    for name in trial.new_nodes:
+        await trial.start_node(name, trial.zone_of[name], rollout_trial.NEW)
+    await trial.wait(20.0)
+    assert runs > 0
+
+
+async def _condemn_and_restart(trial: rollout_trial.Trial) -> None:
+    await trial.until(20.0)
+    assert trial.report().phase == "taken-back"
+    await _restart_all(trial)
+    assert not trial.new_runs
+    assert trial.report().phase == "taken-back"
+
+
+async def _condemn_and_restart_unrecorded(trial: rollout_trial.Trial) -> None:
+    """The platform is away, so that nobody remembers the decision."""
+    await trial.until(20.0)
+    assert trial.report().phase == "taken-back"
+    await _restart_all(trial)
+    assert not trial.new_runs
+
+
+async def _condemn_and_lapse(trial: rollout_trial.Trial) -> None:
+    """The new targets' leases lapse and they announce themselves anew."""
+    await trial.until(20.0)
+    trial.new_runs.clear()
+    for name in trial.new_nodes:
+        target = f"{name}-target"
+        trial.world.nodes[name].core.targets.withdraw(target)
+        await trial.wait(2.0)
+        trial.world.announce(
+            name, target, rollout_trial.SERVICE, rollout_trial.NEW, "2"
+        )
+    await trial.wait(10.0)
+    assert not trial.new_runs
+    await _knock_at_door(trial, trial.new_nodes[0])
+
+
+async def _knock_at_door(trial: rollout_trial.Trial, name: str) -> None:
+    """A caller's node that has not heard sends a call to the door."""
+    core = trial.world.nodes[name].core
+    request = messages.CallRequest(
+        call_id="stale",
+        service=rollout_trial.SERVICE,
+        target=f"{name}-target",
+        incarnation=core.identity.incarnation,
+        method="GET",
+        path="/",
+        headers=(),
+        timeout=rollout_trial.SETTLING,
+        idempotent=True,
+    )
+    reply = await core.door.submit(request)
+    assert isinstance(reply, messages.CallFailure)
+    assert reply.failure.verdict is verdict.Verdict.NOT_RUN
+    assert reply.failure.reason is verdict.Reason.VERSION_CONDEMNED
+
+
+@pytest.mark.parametrize(
+    ("disturb", "down"),
+    [
+        (_condemn_and_restart, None),
+        (_condemn_and_restart_unrecorded, (3.0, 1e9)),
+        (_condemn_and_lapse, None),
+    ],
+)
+def test_condemned_stays_so(
+    disturb: rollout_trial.Disturbance, down: tuple[float, float] | None
+) -> None:
+    plan = attrs.evolve(_bad(), platform_down=down)
+    rollout_trial.run(plan, disturb)
+
+
+async def _name_again(trial: rollout_trial.Trial) -> None:
+    await trial.until(20.0)
+    assert trial.report().phase == "taken-back"
+    trial.new_runs.clear()
+    start = trial.world.clock.now() + rollout_trial.SETTLING
+    again = trial.intent(name="again", start=start.isoformat())
+    await trial.world.apply(trial.old_nodes[0], again)
+    await trial.wait(20.0)
+    assert trial.new_runs
+
+
+async def _abort(trial: rollout_trial.Trial) -> None:
+    await trial.until(20.0)
+    await trial.world.apply(trial.old_nodes[0], trial.intent(aborted_by="ana"))
+    await trial.wait(STOP_BOUND_SECONDS)
+    trial.new_runs.clear()
+    await trial.wait(5.0)
+    assert not trial.new_runs
+
+
+async def _supersede(trial: rollout_trial.Trial) -> None:
+    """Another rollout of the service starts while the first one moves."""
+    await trial.until(20.0)
+    start = trial.world.clock.now() + rollout_trial.SETTLING
+    other = trial.intent(name="caja-v3", new="v3", start=start.isoformat())
+    await trial.world.apply(trial.old_nodes[0], other)
+    await trial.wait(10.0)
+    trial.new_runs.clear()
+    await trial.wait(5.0)
+    assert not trial.new_runs
+
+
+def test_new_intent_lifts_a_condemnation() -> None:
+    fault = attrs.evolve(FAILS, ends=15.0)
+    rollout_trial.run(rollout_trial.Plan(faults=(fault,)), _name_again)
+
+
+@pytest.mark.parametrize(
+    ("disturb", "text"),
+    [(_abort, "aborted by ana"), (_supersede, "superseded by rollout")],
+)
+def test_operator_ends_a_rollout(
+    disturb: rollout_trial.Disturbance, text: str
+) -> None:
+    plan = rollout_trial.Plan(horizon=60.0)
+    found = rollout_trial.run(plan, disturb)
+    assert text in found.report.outcome
