--- a/packages/node/src/balsamramp_node/outcome_watch.py
+++ b/packages/node/src/balsamramp_node/outcome_watch.py
@@ -3,13 +3,16 @@
 from collections import abc
 import datetime
 
+from returns import result
+
 from balsamramp_core import clock
 from balsamramp_core import verdict
 from balsamramp_node import admission
-from balsamramp_node import call_transport
+from balsamramp_node import call_watch
 from balsamramp_node import rollout_recorder
 from balsamramp_node import rollouts
 from balsamramp_node import router
+from balsamramp_node import target_client
 from balsamramp_node import targets
 from balsamramp_wire import messages
 
@@ -19,7 +22,7 @@
 WARMUP = datetime.timedelta(seconds=10)
 
 
-class OutcomeWatch:
+class OutcomeWatch(call_watch.CallWatch):
     """Refuses calls to condemned versions and counts calls as evidence.
 
     A target is timed only from ten seconds after its first call on, so
@@ -40,7 +43,6 @@
         self._first_call: dict[str, tuple[str, datetime.timedelta]] = {}
 
     def refusal(self, target: targets.LocalTarget) -> verdict.Failure | None:
-        """Return why no call may run at ``target``, or None."""
         if not self._is_ready():
             return verdict.Failure(
                 verdict.Verdict.NOT_RUN,
@@ -60,22 +62,20 @@
     def refused(
         self, request: messages.CallRequest, target: targets.LocalTarget
     ) -> None:
-        """Count a call that the door had no capacity for."""
         self._record(request, target, False, True, None)
 
     def finished(
         self,
         request: messages.CallRequest,
         target: targets.LocalTarget,
-        reply: call_transport.Reply | None,
+        called: target_client.Called | None,
         outcome: admission.Outcome,
         latency: datetime.timedelta,
     ) -> None:
-        """Count a call that ran; ``reply`` is None if it was cancelled."""
         shed = outcome is admission.Outcome.SHED
-        failed = isinstance(reply, messages.CallFailure)
-        if isinstance(reply, messages.CallAnswer) and not shed:
-            failed = reply.status >= STATUS_FAILED_MIN
+        failed = isinstance(called, result.Failure)
+        if isinstance(called, result.Success):
+            failed = called.unwrap().status >= STATUS_FAILED_MIN
         timed = None if self._is_warming_up(target) else latency
         self._record(request, target, failed, shed, timed)
 
--- a/packages/node/src/balsamramp_node/rollouts.py
+++ b/packages/node/src/balsamramp_node/rollouts.py
@@ -12,6 +12,7 @@
 from balsamramp_core import configuration
 from balsamramp_core import kernel
 from balsamramp_core import metrics
+from balsamramp_core import resource
 from balsamramp_core.resources import rollout
 from balsamramp_node import rollout_evidence
 from balsamramp_node import rollout_policy
@@ -67,13 +68,14 @@
         self._recorder = recorder
         self._born = time.now()
         self._intents: dict[str, rollout.Rollout] = {}
+        self._ids: dict[str, str] = {}
         self._states: dict[str, State] = {}
         self._evidence: dict[str, rollout_evidence.Evidence] = {}
         self._splits: dict[str, _Split] = {}
         self._by_service: dict[str, set[str]] = {}
         self._digest = 0
         self._listeners: list[Listener] = []
-        configurations.listen(self._read_intents)
+        configurations.listen_changes(self._read_intents)
 
     @property
     def digest(self) -> int:
@@ -270,26 +272,41 @@
         for listener in self._listeners:
             listener(state)
 
-    def _read_intents(self, current: configuration.Configuration) -> None:
-        intents: dict[str, rollout.Rollout] = {}
-        for item in current.of_kind(rollout.Rollout.kind):
-            intent = typing.cast(rollout.Rollout, item)
-            intents[rollout_state.intent_id(intent)] = intent
-        self._intents = intents
-        now = self._clock.now()
-        for intent_id, intent in intents.items():
-            state = self._states.get(intent_id)
-            if state is None:
-                state = rollout_state.fresh(intent)
-                if intent.start >= self._born:
-                    state = rollout_state.vouch(state, intent.start)
-            ended = rollout_policy.end_by_operator(intent, state, now)
-            if ended != self._states.get(intent_id):
-                self._put(ended)
+    def _read_intents(
+        self,
+        current: configuration.Configuration,
+        changed: abc.Iterable[resource.ResourceKey],
+    ) -> None:
+        names = [
+            key.name for key in changed if key.kind == rollout.Rollout.kind
+        ]
+        if not names:
+            return
+        for name in names:
+            known = self._ids.pop(name, None)
+            self._intents.pop(known or "", None)
+            key = resource.ResourceKey(rollout.Rollout.kind, name)
+            item = current.resources.get(key)
+            if item is not None:
+                self._take_in(typing.cast(rollout.Rollout, item))
         self._drop_deleted()
         for service in list(self._by_service):
             self._split(service)
 
+    def _take_in(self, intent: rollout.Rollout) -> None:
+        intent_id = rollout_state.intent_id(intent)
+        self._ids[intent.name] = intent_id
+        self._intents[intent_id] = intent
+        state = self._states.get(intent_id)
+        if state is None:
+            state = rollout_state.fresh(intent)
+            if intent.start >= self._born:
+                state = rollout_state.vouch(state, intent.start)
+        now = self._clock.now()
+        ended = rollout_policy.end_by_operator(intent, state, now)
+        if ended != self._states.get(intent_id):
+            self._put(ended)
+
     def _drop_deleted(self) -> None:
         for intent_id, state in list(self._states.items()):
             if intent_id in self._intents:
--- a/packages/node/src/balsamramp_node/zone_states.py
+++ b/packages/node/src/balsamramp_node/zone_states.py
@@ -5,7 +5,6 @@
 import xxhash
 
 from balsamramp_core import clock
-from balsamramp_core import configuration
 from balsamramp_core.resources import zone
 
 __all__ = ["ZoneStates"]
@@ -32,20 +31,17 @@
         """Return the zones that operators have taken out of service."""
         return self._out
 
-    def read(self, current: configuration.Configuration) -> None:
-        """Take over the zones of ``current``."""
-        out = set()
-        returning: dict[str, zone.Zone] = {}
-        for item in current.of_kind(zone.Zone.kind):
-            if not isinstance(item, zone.Zone):
-                continue
-            if item.out:
-                out.add(item.name)
-                continue
-            if item.name in self._out or item.name in self._returning:
-                returning[item.name] = item
-        self._out = frozenset(out)
-        self._returning = returning
+    def put(self, name: str, item: zone.Zone | None) -> None:
+        """Take over the declaration of zone ``name``, None if deleted."""
+        was_out = name in self._out or name in self._returning
+        self._returning.pop(name, None)
+        self._out -= {name}
+        if item is None:
+            return
+        if item.out:
+            self._out |= {name}
+        elif was_out:
+            self._returning[name] = item
 
     def share(self, name: str) -> float:
         """Return the part of the calls that zone ``name`` may take."""
--- a/packages/testing/src/balsamramp_testing/rollout_node.py
+++ b/packages/testing/src/balsamramp_testing/rollout_node.py
@@ -62,7 +62,8 @@
     configurations: store.ConfigurationStore, *intents: rollout.Rollout
 ) -> None:
     """Bring a configuration with ``intents`` into force."""
-    items = {item.key: item for item in (service.Service(name="caja"),)}
-    resources = {**items, **{intent.key: intent for intent in intents}}
-    version = configurations.current.version + 1
-    configurations.restore(configuration.Configuration(version, resources, 0))
+    caja = service.Service(name="caja")
+    current = configurations.current
+    puts = (caja, *intents)
+    later = configuration.merge(current, current.version + 1, puts, ())
+    configurations.restore(configuration.Snapshot(later))
