--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -65,7 +65,7 @@
         )
 
     def candidates(
-        self, resolved: router.Resolved, call_id: str
+        self, resolved: router.Resolved, call_id: str, retried: bool = False
     ) -> list[picker.Candidate]:
         return self._candidates
 
