--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: bench-calls check demo env format test
+.PHONY: bench-calls bench-config check demo env format test
 
 env: $(STAMP)
 
@@ -34,3 +34,7 @@
 bench-calls: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.call_faults
 	$(BIN)/python -m balsamramp_testing.benches.added_time
+
+bench-config: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.benches.config
+	$(BIN)/python -m balsamramp_testing.benches.config_costs
--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import itertools
 import uuid
 
 import attrs
@@ -65,6 +66,8 @@
         counters: metrics.Metrics,
     ) -> None:
         self._node = node
+        self._call_prefix = f"{uuid.uuid4().hex}-"
+        self._call_numbers = itertools.count()
         self._router = routes
         self._picker = targets
         self._door = local_door
@@ -75,7 +78,7 @@
 
     async def call(self, request: CallerRequest) -> call_transport.Reply:
         """Return the answer of a target, or a failure with a verdict."""
-        call_id = uuid.uuid4().hex
+        call_id = f"{self._call_prefix}{next(self._call_numbers):x}"
         reply = await self._call(call_id, request)
         self._metrics.count("calls_total", verdict=_verdict_of(reply).value)
         return reply
@@ -148,7 +151,9 @@
         candidates = [
             candidate
             for candidate in self._router.candidates(
-                resolved, key if keyed else call.call_id
+                resolved,
+                key if keyed else call.call_id,
+                bool(call.tried),
             )
             if candidate.record.target not in call.tried
         ]
--- a/packages/node/src/balsamramp_node/gate.py
+++ b/packages/node/src/balsamramp_node/gate.py
@@ -10,6 +10,7 @@
 
 __all__ = ["Gate"]
 
+QUEUE_MAX_CALLS = 100
 QUEUE_WAIT_MAX = datetime.timedelta(milliseconds=50)
 LATENCY_WEIGHT = 0.1
 
@@ -19,8 +20,9 @@
 class Gate:
     """Lets calls to a target through up to its admission limit.
 
-    At most ``limit`` calls wait, each at most ``QUEUE_WAIT_MAX``; the one
-    whose deadline is nearest goes first.
+    As many calls wait as will probably get their turn within
+    ``QUEUE_WAIT_MAX``, at most ``QUEUE_MAX_CALLS``; the one whose deadline
+    is nearest goes first.
     """
 
     def __init__(
@@ -50,7 +52,7 @@
         """Tell whether a further call would wait in vain."""
         if self.in_flight < self.limit.limit:
             return False
-        if len(self._waiting) >= self.limit.limit:
+        if len(self._waiting) >= QUEUE_MAX_CALLS:
             return True
         return self.wait > QUEUE_WAIT_MAX
 
--- a/packages/node/src/balsamramp_node/operations.py
+++ b/packages/node/src/balsamramp_node/operations.py
@@ -10,9 +10,13 @@
 from balsamramp_core import resources
 from balsamramp_node import acceptance
 from balsamramp_node import membership
+from balsamramp_node import reader_lease
 from balsamramp_node import rollouts
 from balsamramp_node import router
+from balsamramp_node import source
 from balsamramp_node import store
+from balsamramp_node import version_status
+from balsamramp_node import zone_reports
 
 __all__ = ["Operations"]
 
@@ -39,14 +43,25 @@
 
     def status(self) -> dict[str, typing.Any]:
         """Return what is in force here and what peers reported."""
-        current = self._kernel.find(store.ConfigurationStore).current
+        configurations = self._kernel.find(store.ConfigurationStore)
+        current = configurations.current
         members = self._kernel.find(membership.Membership)
         versions = members.versions
+        accepted = configurations.accepted()
+        reports = self._kernel.find(zone_reports.ZoneReports)
+        summaries = reports.summaries()
+        now = reports.now()
+        read = version_status.source_status(
+            configurations,
+            self._kernel.find(source.ConfigurationSource),
+            self._kernel.find(reader_lease.ReaderLease),
+        )
         nodes = [
             {
                 "node": member.node,
                 "zone": member.zone,
                 "state": member.state.value,
+                "admin": str(member.admin),
                 "version": versions.get(member.node),
                 "targets": msgspec.to_builtins(member.targets),
             }
@@ -56,16 +71,33 @@
         return {
             "node": self._node,
             "version": current.version,
+            "configuration": msgspec.to_builtins(read),
+            "versions": msgspec.to_builtins(
+                version_status.version_statuses(accepted, summaries)
+            ),
+            "zones": msgspec.to_builtins(
+                version_status.zone_statuses(accepted, summaries, now)
+            ),
             "nodes": nodes,
             "rollouts": shares.dump(),
             "zones_out": sorted(self._kernel.find(router.Router).zones_out),
         }
 
-    def document(self) -> list[dict[str, typing.Any]]:
-        """Return all resources in force as plain data."""
+    def document(self) -> dict[str, typing.Any]:
+        """Return all resources in force, and their version, as data."""
         current = self._kernel.find(store.ConfigurationStore).current
         keys = sorted(current.resources)
-        return [resources.encode(current.resources[key]) for key in keys]
+        return {
+            "version": current.version,
+            "resources": [
+                resources.encode(current.resources[key]) for key in keys
+            ],
+        }
+
+    def changes_after(self, version: int) -> list[configuration.Change] | None:
+        """Return the changes after ``version``, None if some are gone."""
+        configurations = self._kernel.find(store.ConfigurationStore)
+        return configurations.changes_since(version)
 
     def names(self) -> dict[str, int]:
         """Return unknown service names and how often each was used."""
