Client status shows counts per version and zones that lag

Cause: the client worked out lagging zones from the versions that one node had heard, which says nothing of nodes it never talks to.

Ruled out: asking every node; 19,000 requests for one status.

Change: the tables show the zones' own summaries, the platform's log and the outcome of rollouts, as the node's status now holds them.

--- a/packages/client/src/balsamramp_client/reports.py
+++ b/packages/client/src/balsamramp_client/reports.py
@@ -13,37 +13,54 @@
 
 __all__ = ["not_found", "only", "rollouts", "state_lines", "status"]
 
-ROLLOUT_HEADINGS = ("ROLLOUT", "PHASE", "STEP", "DECIDED AT", "REASON")
+ROLLOUT_HEADINGS = (
+    "ROLLOUT",
+    "PHASE",
+    "SHARE",
+    "OUTCOME",
+    "WAITS FOR",
+    "FORECAST",
+)
+ZONE_HEADINGS = ("ZONE", "STATE", "NODES", "VERSIONS", "LAG", "LAGGING")
+VERSIONS_SHOWN = 5
 
 Document = dict[str, typing.Any]
 
 
 def status(document: Document) -> output.Output:
     """Return the whole status: versions, zones, rollouts, zones out."""
-    latest = _latest(document)
-    notes = (
+    read = document["configuration"]
+    notes = [
         f"node {document['node']} has version {document['version']} in force",
+        f"platform's log: {read['log']}, at version {read['log_version']}",
         f"zones out: {', '.join(document['zones_out']) or 'none'}",
-    )
+    ]
+    if read["refused"]:
+        notes.append(f"last change refused: {read['refused']}")
+    if not read["in_service"]:
+        notes.append("this node is not in service yet: no version is vouched")
     tables = (
-        _versions(document, latest),
-        _zones(document, latest),
+        _versions(document),
+        _zones(document),
         rollouts(document).tables[0],
     )
-    return output.Output(document, tables, notes)
+    return output.Output(document, tables, tuple(notes))
 
 
 def rollouts(document: Document) -> output.Output:
-    """Return the rollouts of a status."""
-    found = document["rollouts"]
+    """Return the rollouts of a status, keyed by name."""
+    found = {
+        state["rollout"]: state for state in document["rollouts"].values()
+    }
     rows = []
     for name, state in sorted(found.items()):
         row = (
             name,
             str(state.get("phase", "")),
-            str(state.get("step", "")),
-            str(state.get("decided_at") or ""),
-            str(state.get("reason", "")),
+            str(state.get("share", "")),
+            str(state.get("outcome") or state.get("reason", "")),
+            str(state.get("waits_for", "")),
+            str(state.get("forecast") or ""),
         )
         rows.append(row)
     table = output.Table(ROLLOUT_HEADINGS, tuple(rows))
@@ -62,18 +79,18 @@
 def state_lines(document: Document) -> dict[str, str]:
     """Return the parts of a status that ``watch`` follows, by subject."""
     lines = {"configuration": f"version {document['version']} in force"}
-    for zone, versions in _zone_versions(document).items():
-        lines[f"zone {zone}"] = f"{len(versions)} nodes"
+    for zone, count in _zone_nodes(document).items():
+        lines[f"zone {zone}"] = f"{count} nodes"
     for zone in document["zones_out"]:
         lines[f"zone {zone} intent"] = "out"
     for node in document["nodes"]:
         lines[f"node {node['node']}"] = node["state"]
         for target in node["targets"]:
             lines[f"target {target['target']}"] = target["state"]
-    for name, state in document["rollouts"].items():
-        reason = state.get("reason")
+    for name, state in rollouts(document).document.items():
+        outcome = state.get("outcome") or state.get("reason")
         text = str(state.get("phase", ""))
-        lines[f"rollout {name}"] = f"{text}: {reason}" if reason else text
+        lines[f"rollout {name}"] = f"{text}: {outcome}" if outcome else text
     return lines
 
 
@@ -85,39 +102,34 @@
     return result.Failure(api.ApiError(text))
 
 
-def _latest(document: Document) -> int:
-    reported = [node["version"] or 0 for node in document["nodes"]]
-    return max([document["version"], *reported])
-
-
-def _versions(document: Document, latest: int) -> output.Table:
-    counts = collections.Counter(node["version"] for node in document["nodes"])
-    rows = []
-    for version, count in sorted(
-        counts.items(), key=lambda item: -1 if item[0] is None else -item[0]
-    ):
-        text = "not heard" if version is None else str(version)
-        latest_mark = "latest" if version == latest else ""
-        rows.append((text, str(count), latest_mark))
-    return output.Table(("VERSION", "IN FORCE ON NODES", ""), tuple(rows))
+def _versions(document: Document) -> output.Table:
+    rows = tuple(
+        (
+            str(item["version"]),
+            item["accepted_at"],
+            f"{item['in_force']} of {item['nodes']} nodes",
+        )
+        for item in document["versions"][:VERSIONS_SHOWN]
+    )
+    return output.Table(("VERSION", "ACCEPTED AT", "IN FORCE ON"), rows)
 
 
-def _zones(document: Document, latest: int) -> output.Table:
+def _zones(document: Document) -> output.Table:
+    listed = _zone_nodes(document)
+    counted = {item["zone"]: item for item in document["zones"]}
     rows = []
-    for zone, versions in sorted(_zone_versions(document).items()):
-        current = sum(1 for version in versions if version == latest)
-        lagging = len(versions) - current
-        lowest = min(version or 0 for version in versions)
+    for zone in sorted({*listed, *counted, *document["zones_out"]}):
         state = "out" if zone in document["zones_out"] else "in"
-        rows.append(
-            (zone, state, str(len(versions)), str(lagging), str(lowest))
-        )
-    headings = ("ZONE", "STATE", "NODES", "LAGGING", "LOWEST VERSION")
-    return output.Table(headings, tuple(rows))
-
-
-def _zone_versions(document: Document) -> dict[str, list[int | None]]:
-    found: dict[str, list[int | None]] = {}
-    for node in document["nodes"]:
-        found.setdefault(node["zone"], []).append(node["version"])
-    return found
+        item = counted.get(zone)
+        versions, lag, lagging = "not counted yet", "", ""
+        if item is not None:
+            versions = f"{item['oldest']} to {item['latest']}"
+            lag = f"{item['lag_s']:.1f} s"
+            lagging = ", ".join(item["lagging"])
+        nodes = str(listed.get(zone, 0))
+        rows.append((zone, state, nodes, versions, lag, lagging))
+    return output.Table(ZONE_HEADINGS, tuple(rows))
+
+
+def _zone_nodes(document: Document) -> collections.Counter[str]:
+    return collections.Counter(node["zone"] for node in document["nodes"])
