--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls.py
@@ -114,7 +114,9 @@
             return None
         candidates = [
             candidate
-            for candidate in self._router.candidates(resolved, call.call_id)
+            for candidate in self._router.candidates(
+                resolved, call.call_id, bool(call.tried)
+            )
             if candidate.record.target not in call.tried
         ]
         if not candidates:
