--- a/packages/core/src/balsamramp_core/configuration.py
+++ b/packages/core/src/balsamramp_core/configuration.py
@@ -12,7 +12,6 @@
 from returns import result
 
 from balsamramp_core import resource
-from balsamramp_core import resources
 
 __all__ = [
     "Accepted",
@@ -130,8 +129,9 @@
 
 def item_hash(item: resource.Resource) -> int:
     """Return the hash that ``item`` adds to a digest."""
-    encoded = msgspec.json.encode(resources.encode(item), order="sorted")
-    return int.from_bytes(hashlib.sha256(encoded).digest()[:DIGEST_BYTES])
+    hashed = hashlib.blake2b(item.kind.encode(), digest_size=DIGEST_BYTES)
+    hashed.update(msgspec.json.encode(item, order="sorted"))
+    return int.from_bytes(hashed.digest())
 
 
 def make_change(
@@ -201,8 +201,9 @@
     """Return ``base`` with ``puts`` and ``deletes`` as ``version``."""
     editor = _Editor(base)
     for item in puts:
-        editor.remove(item.key)
-        editor.add(item)
+        key = item.key
+        editor.remove(key)
+        editor.add(key, item)
     for key in deletes:
         editor.remove(key)
     return editor.finish(version)
@@ -218,8 +219,8 @@
         self._digest = base.digest
         self._kinds: dict[str, typing.Any] = {}
 
-    def add(self, item: resource.Resource) -> None:
-        self._items[item.key] = item
+    def add(self, key: resource.ResourceKey, item: resource.Resource) -> None:
+        self._items[key] = item
         self._digest += item_hash(item)
         self._names(item.kind)[item.name] = item
         for needed in item.dependencies():
--- a/packages/core/src/balsamramp_core/configuration_codec.py
+++ b/packages/core/src/balsamramp_core/configuration_codec.py
@@ -4,6 +4,7 @@
 import datetime
 import typing
 
+import attrs
 import msgspec
 from returns import result
 
@@ -83,26 +84,37 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class _SnapshotDocument:
+    """A snapshot as it is written; resources of each kind, unparsed."""
+
+    version: int
+    digest: str
+    lineage: list[tuple[int, str, str, datetime.datetime]]
+    kinds: dict[str, msgspec.Raw]
+
+
 def snapshot_to_bytes(snapshot: configuration.Snapshot) -> bytes:
     """Encode a whole configuration for the object store and for peers."""
     whole = snapshot.configuration
-    document = {
-        "version": whole.version,
-        "digest": f"{whole.digest:032x}",
-        "lineage": [
-            [
+    kinds = {}
+    for kind in sorted(whole.kinds):
+        encoded = msgspec.json.encode(whole.of_kind(kind))
+        kinds[kind] = msgspec.Raw(encoded)
+    document = _SnapshotDocument(
+        version=whole.version,
+        digest=f"{whole.digest:032x}",
+        lineage=[
+            (
                 item.version,
                 f"{item.digest:032x}",
                 item.change_id,
                 item.accepted_at,
-            ]
+            )
             for item in snapshot.lineage
         ],
-        "resources": [
-            resources.encode(whole.resources[key])
-            for key in sorted(whole.resources)
-        ],
-    }
+        kinds=kinds,
+    )
     return msgspec.json.encode(document)
 
 
@@ -110,15 +122,22 @@
     data: bytes,
 ) -> result.Result[configuration.Snapshot, str]:
     """Decode a snapshot; refuse one whose digest or references fail."""
+    items: list[resource.Resource] = []
     try:
-        document = msgspec.json.decode(data)
-        items = _decode_items(document["resources"])
-        version = int(document["version"])
-        digest = int(document["digest"], 16)
-        lineage = tuple(_accepted(row) for row in document["lineage"])
-    except DECODE_ERRORS as error:
+        document = msgspec.json.decode(data, type=_SnapshotDocument)
+        digest = int(document.digest, 16)
+        lineage = tuple(_accepted(row) for row in document.lineage)
+        for kind, encoded in document.kinds.items():
+            kind_type = resources.find_kind(kind)
+            items += msgspec.json.decode(
+                encoded,
+                type=list[kind_type],  # type: ignore[valid-type]
+            )
+    except (*DECODE_ERRORS, resources.KindNotFoundError) as error:
         return result.Failure(f"malformed snapshot: {error!r}")
-    whole = configuration.merge(configuration.EMPTY, version, items, ())
+    whole = configuration.merge(
+        configuration.EMPTY, document.version, items, ()
+    )
     if whole.digest != digest:
         return result.Failure("snapshot does not match its digest")
     for needed in whole.dependants:
@@ -127,13 +146,12 @@
     return result.Success(configuration.Snapshot(whole, lineage))
 
 
-def _accepted(row: list[typing.Any]) -> configuration.Accepted:
+def _accepted(
+    row: tuple[int, str, str, datetime.datetime],
+) -> configuration.Accepted:
     version, digest, change_id, accepted_at = row
     return configuration.Accepted(
-        int(version),
-        int(digest, 16),
-        str(change_id),
-        datetime.datetime.fromisoformat(accepted_at),
+        version, int(digest, 16), change_id, accepted_at
     )
 
 
--- a/packages/core/src/balsamramp_core/resource.py
+++ b/packages/core/src/balsamramp_core/resource.py
@@ -12,7 +12,7 @@
 )
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(order=True, cache_hash=True)
 class ResourceKey:
     """Identity of a resource within a configuration."""
 
--- a/packages/node/src/balsamramp_node/distribution.py
+++ b/packages/node/src/balsamramp_node/distribution.py
@@ -30,7 +30,7 @@
 PUSH_TIMEOUT = datetime.timedelta(milliseconds=500)
 PUSH_INTERVAL = datetime.timedelta(milliseconds=200)
 PUSH_MAX_CHANGES = 64
-FETCH_MAX_CHANGES = 512
+FETCH_MAX_CHANGES = 2048
 FORWARDED_MAX_VERSIONS = 256
 ENTRIES_PER_ZONE = 2
 
@@ -72,7 +72,8 @@
         self._random = choice
         self._from_peer = False
         self._to_zones = False
-        self._pushed = configuration.EMPTY
+        self._known = configuration.EMPTY
+        self._unsent_after: configuration.Configuration | None = None
         self._pushing: asyncio.Task[None] | None = None
         self._fetching: asyncio.Task[None] | None = None
         self._checking: asyncio.Task[None] | None = None
@@ -116,31 +117,39 @@
             self._checking = asyncio.create_task(self._check())
 
     def dump(self) -> abc.Mapping[str, typing.Any]:
-        return {"pushed": self._pushed.version}
+        return {"pushes_in_flight": len(self._sending)}
 
     async def _check(self) -> None:
         await self._source.settle_divergence()
 
     def _note_change(self, current: configuration.Configuration) -> None:
+        before, self._known = self._known, current
         if not self._from_peer:
-            self._push_soon()
+            self._push_after(before)
+
+    def _push_after(self, before: configuration.Configuration) -> None:
+        """Push what came after ``before``, unless a push will do so."""
+        if self._unsent_after is None:
+            self._unsent_after = before
+        self._push_soon()
 
     def _push_soon(self) -> None:
         if self._pushing is None or self._pushing.done():
             self._pushing = asyncio.create_task(self._push())
 
     async def _push(self) -> None:
-        while self._pushed.version < self._store.current.version:
-            request = self._push_request()
+        while self._unsent_after is not None:
+            request = self._push_request(self._unsent_after)
+            self._unsent_after = None
             to_zones, self._to_zones = self._to_zones, False
-            self._pushed = self._store.current
             if to_zones:
                 self._push_across(request)
             self._start(self._send_down(request, 0))
             await self._clock.sleep(PUSH_INTERVAL)
 
-    def _push_request(self) -> messages.PushRequest:
-        earlier = self._pushed
+    def _push_request(
+        self, earlier: configuration.Configuration
+    ) -> messages.PushRequest:
         changes = self._store.changes_after(earlier.version, earlier.digest)
         encoded: list[bytes] = []
         if changes is not None and len(changes) <= PUSH_MAX_CHANGES:
@@ -214,14 +223,14 @@
     async def _serve_push(
         self, request: messages.PushRequest
     ) -> messages.PushReply:
-        before = self._store.current.version
+        before = self._store.current
         self._offer(request.changes)
         if self._store.current.version < request.version:
             self._fetch_soon(request.sender, request.zone)
         if request.zone == self._zone:
             self._forward(request)
-        elif before < request.version:
-            self._push_soon()
+        elif before.version < self._store.current.version:
+            self._push_after(before)
         return messages.PushReply(self._store.current.version)
 
     def _fetch_soon(self, peer: settings.Address, zone: str) -> None:
@@ -243,7 +252,7 @@
             self._restore(reply.snapshot)
         self._offer(reply.changes)
         if zone != self._zone and self._store.current.version > own.version:
-            self._push_soon()
+            self._push_after(own)
 
     def _restore(self, data: bytes) -> None:
         decoded = configuration_codec.snapshot_from_bytes(data)
--- a/packages/node/src/balsamramp_node/membership.py
+++ b/packages/node/src/balsamramp_node/membership.py
@@ -349,7 +349,7 @@
             digests=self._members.digests(),
             state=self._state(),
             contact_ages=self._contacts.ages(),
-            summaries=self._reports.summaries(),
+            summaries=self._reports.some_summaries(),
         )
         sent = await self._transport.send(peer, request, REQUEST_TIMEOUT)
         if isinstance(sent, result.Failure):
@@ -445,7 +445,7 @@
             digests=self._members.digests(),
             state=self._state(),
             contact_ages=self._contacts.ages(),
-            summaries=self._reports.summaries(),
+            summaries=self._reports.some_summaries(),
         )
 
     async def _serve_buckets(
--- a/packages/node/src/balsamramp_node/store.py
+++ b/packages/node/src/balsamramp_node/store.py
@@ -15,7 +15,7 @@
 
 __all__ = ["ChangeListener", "ConfigurationStore", "Listener"]
 
-HISTORY_MAX_CHANGES = 1024
+HISTORY_MAX_CHANGES = 2048
 LINEAGE_MAX_VERSIONS = 4096
 
 Listener = abc.Callable[[configuration.Configuration], None]
--- a/packages/node/src/balsamramp_node/zone_reports.py
+++ b/packages/node/src/balsamramp_node/zone_reports.py
@@ -32,6 +32,7 @@
 TREE_SEED = 0
 VERSIONS_MAX = 8
 NAMED_MAX = 8
+SUMMARIES_PER_EXCHANGE = 3
 
 
 @attrs.frozen
@@ -79,6 +80,12 @@
         """Return the latest known summary of each zone."""
         return tuple(self._summaries.values())
 
+    def some_summaries(self) -> tuple[messages.ZoneSummary, ...]:
+        """Return a few of them, for one exchange."""
+        known = list(self._summaries.values())
+        count = min(SUMMARIES_PER_EXCHANGE, len(known))
+        return tuple(self._random.sample(known, count))
+
     def now(self) -> datetime.datetime:
         """Return the time by the clock that counts are stamped with."""
         return self._clock.now()
--- a/packages/testing/src/balsamramp_testing/benches/config.py
+++ b/packages/testing/src/balsamramp_testing/benches/config.py
@@ -41,6 +41,7 @@
     fleet: str
     scenario: str
     nodes: int
+    zones: int
     changes: int = 0
     seconds: float = 0.0
     p50_s: float = 0.0
@@ -61,8 +62,9 @@
 class _Run:
     """One fleet in one scenario, with its records."""
 
-    def __init__(self, fleet: str, size: int) -> None:
-        self.fleet = config_fleets.find_fleet(fleet)(size, self._seen)
+    def __init__(self, fleet: str, size: int, zones: int) -> None:
+        fleet_type = config_fleets.find_fleet(fleet)
+        self.fleet = fleet_type(size, zones, self._seen)
         self.accepted_at: dict[int, datetime.timedelta] = {}
         self.ready_at: dict[str, datetime.timedelta] = {}
         self.first_seen: dict[str, dict[int, datetime.timedelta]] = {}
@@ -186,9 +188,9 @@
 }
 
 
-async def run(fleet: str, scenario: str, size: int) -> Outcome:
+async def run(fleet: str, scenario: str, size: int, zones: int) -> Outcome:
     """Run one scenario and return what it showed."""
-    made = _Run(fleet, size)
+    made = _Run(fleet, size, zones)
     world = made.fleet.world
     world.faults.delay = PLATFORM_DELAY
     await made.fleet.start()
@@ -205,7 +207,11 @@
     cpu_s = time.process_time() - cpu_from
     seconds = (made.now() - started_at).total_seconds()
     outcome = Outcome(
-        fleet=fleet, scenario=scenario, nodes=size, seconds=seconds
+        fleet=fleet,
+        scenario=scenario,
+        nodes=size,
+        zones=zones,
+        seconds=seconds,
     )
     _fill_convergence(outcome, made)
     _fill_traffic(outcome, made)
@@ -294,13 +300,20 @@
     """Run the plan at the sizes asked for and print what it showed."""
     parser = argparse.ArgumentParser(description="Bench of configuration.")
     parser.add_argument("--sizes", default="20,60,150")
+    parser.add_argument("--zones", type=int, default=4)
+    parser.add_argument("--fleets", default=",".join(PLAN))
+    parser.add_argument("--scenarios", default=",".join(SCENARIOS))
     parser.add_argument("--json", default="", help="write the rows here")
     parsed = parser.parse_args(arguments)
     outcomes = []
-    for fleet, scenarios in PLAN.items():
-        for scenario in scenarios:
+    for fleet in parsed.fleets.split(","):
+        for scenario in PLAN[fleet]:
+            if scenario not in parsed.scenarios.split(","):
+                continue
             for size in parsed.sizes.split(","):
-                outcome = virtual_time.run(run(fleet, scenario, int(size)))
+                outcome = virtual_time.run(
+                    run(fleet, scenario, int(size), parsed.zones)
+                )
                 print_outcome(outcome)
                 outcomes.append(outcome)
     print_fits(outcomes)
--- a/packages/testing/src/balsamramp_testing/benches/config_fleets.py
+++ b/packages/testing/src/balsamramp_testing/benches/config_fleets.py
@@ -26,7 +26,6 @@
 
 __all__ = ["FLEETS", "Fleet", "FleetNotFoundError", "find_fleet"]
 
-ZONES = 4
 POLL_INTERVAL = datetime.timedelta(milliseconds=500)
 PUSH_TIMEOUT = datetime.timedelta(milliseconds=500)
 SETTLE = datetime.timedelta(seconds=20)
@@ -40,11 +39,11 @@
     name: typing.ClassVar[str]
     doc: typing.ClassVar[str]
 
-    def __init__(self, size: int, seen: Seen) -> None:
+    def __init__(self, size: int, zones: int, seen: Seen) -> None:
         self.world = world_module.World(seed=size)
         self.size = size
         self.zone_of = {
-            f"n{number}": f"zone-{number % ZONES}" for number in range(size)
+            f"n{number}": f"zone-{number % zones}" for number in range(size)
         }
         self._seen = seen
 
@@ -106,8 +105,8 @@
 class _PlainFleet(Fleet):
     """Nodes that hold a store and no membership."""
 
-    def __init__(self, size: int, seen: Seen) -> None:
-        super().__init__(size, seen)
+    def __init__(self, size: int, zones: int, seen: Seen) -> None:
+        super().__init__(size, zones, seen)
         self._log = accepted_log.AcceptedLog(
             self.world.table, self.world.objects
         )
