--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: bench-config check demo env format test
+.PHONY: bench-calls bench-config check demo env format test
 
 env: $(STAMP)
 
@@ -31,6 +31,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.demo
 
+bench-calls: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.benches.call_faults
+
 bench-config: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.config
 	$(BIN)/python -m balsamramp_testing.benches.config_costs
--- a/packages/testing/src/balsamramp_testing/benches/__init__.py
+++ b/packages/testing/src/balsamramp_testing/benches/__init__.py
@@ -1,1 +1,1 @@
-"""Benches: measurements that are run by hand and written down."""
+"""Benches: measurements that are run by hand or by make."""
