--- a/packages/node/tests/test_configuration_world.py
+++ b/packages/node/tests/test_configuration_world.py
@@ -274,6 +274,35 @@
     await world.stop()
 
 
+async def _all_candidates_die() -> None:
+    """Others read once the zone has heard nothing for long enough."""
+    world = world_module.World(seed=5)
+    for number in range(16):
+        await world.start_node(f"n{number}", "zone-a")
+    await world.clock.sleep(_seconds(4))
+    names = sorted(
+        world.nodes,
+        key=lambda name: reader_lease.xxhash.xxh64_intdigest(name.encode()),
+    )
+    holders = [
+        name
+        for name, node in world.nodes.items()
+        if node.core.reader_lease.held
+    ]
+    doomed = {*holders, *names[: reader_lease.CANDIDATES]}
+    for name in sorted(doomed):
+        await world.kill_node(name)
+    limit = reader_lease.STALE_AFTER + 2 * CONVERGENCE
+
+    def read_again() -> bool:
+        return any(
+            node.core.reader_lease.held for node in world.nodes.values()
+        )
+
+    await _until(world, read_again, limit)
+    await world.stop()
+
+
 async def _zones_cut_and_healed() -> None:
     world = await _start(8)
     for other in ("zone-a", memory_network.PLATFORM):
@@ -328,6 +357,7 @@
 
 
 CASES = {
+    "all candidates die": _all_candidates_die,
     "lost answer": _lost_answer,
     "many accept at once": _many_accept_at_once,
     "operators race": _operators_race,
@@ -362,6 +392,11 @@
 
 
 WITHOUT = {
+    "all candidates die": (
+        reader_lease.ReaderLease,
+        "_lapsed",
+        lambda self, slot, row: False,
+    ),
     "burst is grouped": (
         acceptance,
         "BATCH_INTERVAL",
--- a/packages/testing/src/balsamramp_testing/benches/config_fleets.py
+++ b/packages/testing/src/balsamramp_testing/benches/config_fleets.py
@@ -80,7 +80,12 @@
         await self.world.clock.sleep(SETTLE)
 
     async def submit(self, label: str) -> int:
-        node = self.world.random.choice(sorted(self.world.nodes))
+        reaching = [
+            name
+            for name in sorted(self.world.nodes)
+            if self.world.network.reaches(name, memory_network.PLATFORM)
+        ]
+        node = self.world.random.choice(reaching)
         document = {"kind": "labels", "name": label, "labels": {"a": "b"}}
         return await self.world.apply(node, document)
 
