Keep few connections: slowly changing partners, trees for 32 versions

Cause: a node that exchanges with any node of its zone and takes another place in the tree with each version opens a connection for almost every message, and kept them all: 1188 in a zone at the target size. Ruled out: one connection to every node of the zone. Change: eight partners for the exchange, of which one in eight rounds changes; the tree stays for 32 versions; the transport closes the channels unused for longest beyond 48.

--- a/packages/node/src/balsamramp_node/distribution.py
+++ b/packages/node/src/balsamramp_node/distribution.py
@@ -33,6 +33,7 @@
 FETCH_MAX_CHANGES = 2048
 FORWARDED_MAX_VERSIONS = 256
 ENTRIES_PER_ZONE = 2
+TREE_VERSIONS = 32
 
 
 class Distribution(kernel.Service):
@@ -186,7 +187,7 @@
         members = self._members.alive_in(self._zone)
         if position >= len(members):
             return
-        shape = tree.Tree.seeded(len(members), request.version)
+        shape = _shape(len(members), request.version)
         member = members[shape.index(position)]
         if member.node == self._node:
             self._forward(request)
@@ -209,7 +210,7 @@
         members = self._members.alive_in(self._zone)
         names = [member.node for member in members]
         index = bisect.bisect_left(names, self._node)
-        shape = tree.Tree.seeded(len(names), request.version)
+        shape = _shape(len(names), request.version)
         for child in shape.children(shape.position(index)):
             self._start(self._send_down(request, child))
 
@@ -308,6 +309,14 @@
         return own.control
 
 
+def _shape(size: int, version: int) -> tree.Tree:
+    """Return the tree for a push of ``version``.
+
+    It stays for a number of versions, so that connections are reused.
+    """
+    return tree.Tree.seeded(size, version // TREE_VERSIONS)
+
+
 def digest_bytes(digest: int) -> bytes:
     """Return a configuration's digest as it travels between nodes."""
     return digest.to_bytes(configuration.DIGEST_BYTES)
--- a/packages/node/src/balsamramp_node/membership.py
+++ b/packages/node/src/balsamramp_node/membership.py
@@ -38,6 +38,8 @@
 GONE_RETENTION = datetime.timedelta(seconds=300)
 RECENT_MAX_MEMBERS = 24
 CROSS_EXCHANGES = 4
+PARTNERS_MAX = 8
+PARTNER_RENEWAL_SHARE = 1 / 8
 RETRY_GONE_SHARE = 1 / 8
 ROUNDS_UNTIL_TRIED = 2
 PACK_LEVEL = 1
@@ -97,6 +99,7 @@
         )
         self._targets = own.targets
         self._rounds = 0
+        self._partners: dict[int, str] = {}
         self._spread: dict[str, int] = {}
         self._versions: dict[str, int] = {}
         self._gone_at: dict[str, datetime.timedelta] = {}
@@ -288,13 +291,32 @@
         return reached
 
     async def _exchange_in_zone(self) -> bool:
+        partner = self._choose_partner()
+        if partner is None:
+            return False
+        return await self._exchange(partner.control)
+
+    def _choose_partner(self) -> messages.Member | None:
+        """Return one of a few partners, which change slowly.
+
+        So the connections to them last, while over time every node
+        meets every other of its zone.
+        """
         members = self._members.alive_in(self._own.zone)
         if len(members) < 2:
-            return False
+            return None
+        slot = self._random.randrange(min(PARTNERS_MAX, len(members) - 1))
+        known = self._partners.get(slot)
+        member = self._members.get(known) if known else None
+        usable = member is not None and member.state not in member_list.GONE
+        renew = self._random.random() < PARTNER_RENEWAL_SHARE
+        if member is not None and usable and not renew:
+            return member
         member = self._random.choice(members)
         while member.node == self._own.node:
             member = self._random.choice(members)
-        return await self._exchange(member.control)
+        self._partners[slot] = member.node
+        return member
 
     async def _exchange_across(self) -> bool:
         zones = [
--- a/packages/testing/src/balsamramp_testing/benches/config_costs.py
+++ b/packages/testing/src/balsamramp_testing/benches/config_costs.py
@@ -40,6 +40,7 @@
 RESOURCES = 20_000
 REQUESTS = 3_000
 RELAYED = 1_000
+CONNECTIONS = 200
 IDLE_S = 3.0
 TIMEOUT = datetime.timedelta(seconds=2)
 KB = 1000
@@ -207,10 +208,10 @@
     return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
 
 
-def _resident(pid: int) -> str:
+def _resident_kb(pid: int) -> int:
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
     found = [line for line in status.splitlines() if "VmRSS" in line]
-    return " ".join(found[0].split())
+    return int(found[0].split()[1])
 
 
 async def _idle_rate(pid: int) -> float:
@@ -245,6 +246,36 @@
     await transport.stop()
 
 
+async def _print_connections(
+    peer: settings.Address, pid: int, idle_rate: float
+) -> None:
+    own_before, other_before = _resident_kb(os.getpid()), _resident_kb(pid)
+    started_at = time.perf_counter()
+    own, other = time.process_time(), _processor_s(pid)
+    transports = []
+    for _ in range(CONNECTIONS):
+        transport = control.GrpcTransport(settings.Address("127.0.0.1", 0))
+        request = messages.PingRequest()
+        (await transport.send(peer, request, TIMEOUT)).unwrap()
+        transports.append(transport)
+    taken_s = time.perf_counter() - started_at
+    own_s = time.process_time() - own
+    other_s = _processor_s(pid) - other - idle_rate * taken_s
+    own_kb = _resident_kb(os.getpid()) - own_before
+    other_kb = _resident_kb(pid) - other_before
+    print(
+        f"a ping on a new connection: sender"
+        f" {own_s / CONNECTIONS * 1e6:.0f} us, receiver"
+        f" {other_s / CONNECTIONS * 1e6:.0f} us of processor time"
+    )
+    print(
+        f"an open connection: sender {own_kb / CONNECTIONS:.0f} kB, receiver"
+        f" {other_kb / CONNECTIONS:.0f} kB resident"
+    )
+    for transport in transports:
+        await transport.stop()
+
+
 async def _print_bytes(peer: settings.Address) -> None:
     transport = control.GrpcTransport(settings.Address("127.0.0.1", 0))
     relay = byte_relay.ByteRelay(peer)
@@ -274,9 +305,10 @@
         pid = node.popen.pid
         await asyncio.sleep(IDLE_S)
         idle_rate = await _idle_rate(pid)
-        print(f"a node alone: {_resident(pid)}")
+        print(f"a node alone: {_resident_kb(pid)} kB resident")
         print(f"a node alone, idle: {idle_rate:.4f} of a core")
         await _print_requests(peer, pid, idle_rate)
+        await _print_connections(peer, pid, idle_rate)
         await _print_bytes(peer)
 
 
--- a/packages/wire/src/balsamramp_wire/control.py
+++ b/packages/wire/src/balsamramp_wire/control.py
@@ -5,10 +5,12 @@
 """
 
 import abc
+import collections
 from collections import abc as collections_abc
 import datetime
 import typing
 
+import attrs
 import grpc
 import grpc.aio
 import msgspec
@@ -21,6 +23,7 @@
 __all__ = ["GrpcTransport", "Handler", "PeerTransport"]
 
 SERVICE = "balsamramp.Control"
+CHANNELS_MAX = 48
 MESSAGE_MAX_BYTES = 64 * 1024 * 1024
 STOP_GRACE = datetime.timedelta(milliseconds=200)
 
@@ -48,13 +51,24 @@
         """Send ``request`` and return its reply."""
 
 
+@attrs.define(eq=False)
+class _Channel:
+    channel: grpc.aio.Channel
+    in_flight: int = 0
+
+
 class GrpcTransport(PeerTransport):
-    """Control requests over gRPC, one channel a peer."""
+    """Control requests over gRPC, one channel a peer.
+
+    A node talks to many others in the course of time; it keeps at most
+    CHANNELS_MAX channels beyond those in use.
+    """
 
     def __init__(self, listen: settings.Address) -> None:
         self._listen = listen
         self._handlers: dict[str, grpc.RpcMethodHandler] = {}
-        self._channels: dict[settings.Address, grpc.aio.Channel] = {}
+        self._channels: collections.OrderedDict[settings.Address, _Channel]
+        self._channels = collections.OrderedDict()
         self._server: grpc.aio.Server | None = None
         self._address = listen
 
@@ -91,8 +105,8 @@
 
     async def stop(self) -> None:
         """Stop serving and close the channels."""
-        for channel in self._channels.values():
-            await channel.close()
+        for opened in self._channels.values():
+            await opened.channel.close()
         self._channels.clear()
         if self._server is not None:
             await self._server.stop(STOP_GRACE.total_seconds())
@@ -104,24 +118,48 @@
         request: messages.ControlRequest,
         timeout: datetime.timedelta,
     ) -> result.Result[typing.Any, verdict.Failure]:
-        channel = self._channels.get(peer)
-        if channel is None:
-            channel = grpc.aio.insecure_channel(str(peer), _options())
-            self._channels[peer] = channel
+        opened = self._open(peer)
         decoder: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
             request.reply
         )
-        call = channel.unary_unary(
+        call = opened.channel.unary_unary(
             f"/{SERVICE}/{request.method}",
             request_serializer=msgspec.msgpack.encode,
             response_deserializer=decoder.decode,
         )
+        opened.in_flight += 1
         try:
             reply = await call(request, timeout=timeout.total_seconds())
         except grpc.aio.AioRpcError as error:
             return result.Failure(_failure(peer, error))
+        finally:
+            opened.in_flight -= 1
+            await self._close_unused()
         return result.Success(reply)
 
+    def _open(self, peer: settings.Address) -> "_Channel":
+        opened = self._channels.get(peer)
+        if opened is None:
+            made = grpc.aio.insecure_channel(str(peer), _options())
+            opened = _Channel(made)
+            self._channels[peer] = opened
+        self._channels.move_to_end(peer)
+        return opened
+
+    async def _close_unused(self) -> None:
+        """Close the channels unused for longest beyond CHANNELS_MAX."""
+        excess = len(self._channels) - CHANNELS_MAX
+        if excess <= 0:
+            return
+        unused = [
+            peer
+            for peer, opened in self._channels.items()
+            if not opened.in_flight
+        ]
+        for peer in unused[:excess]:
+            closed = self._channels.pop(peer)
+            await closed.channel.close()
+
 
 def _options() -> list[tuple[str, int]]:
     return [
