--- a/packages/wire/src/balsamramp_wire/control.py
+++ b/packages/wire/src/balsamramp_wire/control.py
@@ -20,7 +20,7 @@
 from balsamramp_core import verdict
 from balsamramp_wire import messages
 
-__all__ = ["GrpcTransport", "Handler", "PeerTransport"]
+__all__ = ["Credentials", "GrpcTransport", "Handler", "PeerTransport"]
 
 SERVICE = "balsamramp.Control"
 CHANNELS_MAX = 48
@@ -57,15 +57,29 @@
     in_flight: int = 0
 
 
+@attrs.frozen
+class Credentials:
+    """What a node proves itself with, and demands of its peers."""
+
+    server: grpc.ServerCredentials
+    channel: grpc.ChannelCredentials
+
+
 class GrpcTransport(PeerTransport):
     """Control requests over gRPC, one channel a peer.
 
     A node talks to many others in the course of time; it keeps at most
-    CHANNELS_MAX channels beyond those in use.
+    CHANNELS_MAX channels beyond those in use. Without ``credentials``
+    the requests travel in clear text.
     """
 
-    def __init__(self, listen: settings.Address) -> None:
+    def __init__(
+        self,
+        listen: settings.Address,
+        credentials: Credentials | None = None,
+    ) -> None:
         self._listen = listen
+        self._credentials = credentials
         self._handlers: dict[str, grpc.RpcMethodHandler] = {}
         self._channels: collections.OrderedDict[settings.Address, _Channel]
         self._channels = collections.OrderedDict()
@@ -94,11 +108,14 @@
         self._handlers[request_type.method] = method
 
     async def start(self) -> None:
-        """Bind the port and serve the registered handlers."""
+        """Bind the port and serve the registered handlers.
+
+        Raises OSError when the port cannot be bound.
+        """
         server = grpc.aio.server(options=_options())
         generic = grpc.method_handlers_generic_handler(SERVICE, self._handlers)
         server.add_generic_rpc_handlers((generic,))
-        port = server.add_insecure_port(str(self._listen))
+        port = self._bind(server)
         self._address = settings.Address(self._listen.host, port)
         await server.start()
         self._server = server
@@ -137,10 +154,26 @@
             await self._close_unused()
         return result.Success(reply)
 
+    def _bind(self, server: grpc.aio.Server) -> int:
+        address = str(self._listen)
+        try:
+            if self._credentials is None:
+                return server.add_insecure_port(address)
+            return server.add_secure_port(address, self._credentials.server)
+        except RuntimeError as error:
+            raise OSError(f"cannot listen on {address}: {error}") from error
+
+    def _connect(self, peer: settings.Address) -> grpc.aio.Channel:
+        if self._credentials is None:
+            return grpc.aio.insecure_channel(str(peer), _options())
+        return grpc.aio.secure_channel(
+            str(peer), self._credentials.channel, _options()
+        )
+
     def _open(self, peer: settings.Address) -> "_Channel":
         opened = self._channels.get(peer)
         if opened is None:
-            made = grpc.aio.insecure_channel(str(peer), _options())
+            made = self._connect(peer)
             opened = _Channel(made)
             self._channels[peer] = opened
         self._channels.move_to_end(peer)
