Status names the changes that the platform's log has lost

Cause: when the log takes another course above an older state, changes that were in force go; nothing told the operators which. Ruled out: to submit them again by itself. They were checked against another state, and the operator must see what goes before them. Change: a node that takes a later state whole keeps the ids of changes that its lineage has and the new one lacks; status lists them. Figures: the scenario of a log on another course names exactly the one lost change on every node.

--- a/packages/node/src/balsamramp_node/store.py
+++ b/packages/node/src/balsamramp_node/store.py
@@ -17,6 +17,7 @@
 
 HISTORY_MAX_CHANGES = 2048
 LINEAGE_MAX_VERSIONS = 4096
+LOST_MAX_CHANGES = 64
 
 Listener = abc.Callable[[configuration.Configuration], None]
 ChangeListener = abc.Callable[
@@ -45,6 +46,7 @@
         self._listeners: list[Listener] = []
         self._change_listeners: list[ChangeListener] = []
         self._refused: configuration.Refusal | None = None
+        self._lost: list[configuration.Accepted] = []
         self._in_service = False
 
     @property
@@ -62,6 +64,11 @@
         """Return why a later version is not in force, or None."""
         return self._refused
 
+    @property
+    def lost(self) -> abc.Sequence[configuration.Accepted]:
+        """Return changes that were in force and that the log has lost."""
+        return tuple(self._lost)
+
     def admit(self) -> None:
         """Note that the platform or the zone vouches for this node."""
         if self._in_service:
@@ -105,6 +112,7 @@
         if later.version <= self._current.version:
             return False
         changed = configuration.changed_keys(self._current, later)
+        self._note_lost(snapshot)
         self._history.clear()
         self._lineage.clear()
         self._versions.clear()
@@ -169,6 +177,7 @@
             "digest": f"{self._current.digest:032x}",
             "resources": len(self._current.resources),
             "in_service": self._in_service,
+            "lost": [item.change_id for item in self._lost],
             "refused": attrs.asdict(refused) if refused else None,
         }
 
@@ -182,6 +191,19 @@
             _, oldest = self._lineage.popitem(last=False)
             self._versions.pop(oldest.change_id, None)
 
+    def _note_lost(self, snapshot: configuration.Snapshot) -> None:
+        """Keep the changes that the lineage of ``snapshot`` lacks."""
+        if not snapshot.lineage:
+            return
+        kept = {item.change_id for item in snapshot.lineage}
+        oldest = min(item.version for item in snapshot.lineage)
+        for item in self._lineage.values():
+            if item.version < oldest or item.change_id in kept:
+                continue
+            logging.warning("change %s was lost", item.change_id)
+            self._lost.append(item)
+        del self._lost[:-LOST_MAX_CHANGES]
+
     def _replace(
         self,
         later: configuration.Configuration,
--- a/packages/node/tests/test_configuration_world.py
+++ b/packages/node/tests/test_configuration_world.py
@@ -179,6 +179,7 @@
     kept = world.table.backup()
     await world.apply("n0", {"kind": "service", "name": "lost"})
     await _until(world, lambda: _versions(world) == {2})
+    doomed = world.nodes["n0"].core.store.accepted()[0].change_id
     seen = [_versions(world)]
     world.table.roll_back(kept)
     other = accepted_log.AcceptedLog(world.table, world.objects)
@@ -196,6 +197,9 @@
     assert min(lowest[-1:]) >= 3
     digests = {node.core.store.current.digest for node in world.nodes.values()}
     assert digests == {state.digest}
+    for node in world.nodes.values():
+        status = node.core.operations.status()
+        assert list(status["configuration"]["lost"]) == [doomed]
     await world.stop()
 
 
