--- a/packages/node/tests/test_configuration_world.py
+++ b/packages/node/tests/test_configuration_world.py
@@ -179,6 +179,7 @@
     kept = world.table.backup()
     await world.apply("n0", {"kind": "service", "name": "lost"})
     await _until(world, lambda: _versions(world) == {2})
+    doomed = world.nodes["n0"].core.store.accepted()[0].change_id
     seen = [_versions(world)]
     world.table.roll_back(kept)
     other = accepted_log.AcceptedLog(world.table, world.objects)
@@ -196,6 +197,9 @@
     assert min(lowest[-1:]) >= 3
     digests = {node.core.store.current.digest for node in world.nodes.values()}
     assert digests == {state.digest}
+    for node in world.nodes.values():
+        status = node.core.operations.status()
+        assert list(status["configuration"]["lost"]) == [doomed]
     await world.stop()
 
 
@@ -274,6 +278,35 @@
     await world.stop()
 
 
+async def _all_candidates_die() -> None:
+    """Others read once the zone has heard nothing for long enough."""
+    world = world_module.World(seed=5)
+    for number in range(16):
+        await world.start_node(f"n{number}", "zone-a")
+    await world.clock.sleep(_seconds(4))
+    names = sorted(
+        world.nodes,
+        key=lambda name: reader_lease.xxhash.xxh64_intdigest(name.encode()),
+    )
+    holders = [
+        name
+        for name, node in world.nodes.items()
+        if node.core.reader_lease.held
+    ]
+    doomed = {*holders, *names[: reader_lease.CANDIDATES]}
+    for name in sorted(doomed):
+        await world.kill_node(name)
+    limit = reader_lease.STALE_AFTER + 2 * CONVERGENCE
+
+    def read_again() -> bool:
+        return any(
+            node.core.reader_lease.held for node in world.nodes.values()
+        )
+
+    await _until(world, read_again, limit)
+    await world.stop()
+
+
 async def _zones_cut_and_healed() -> None:
     world = await _start(8)
     for other in ("zone-a", memory_network.PLATFORM):
@@ -328,6 +361,7 @@
 
 
 CASES = {
+    "all candidates die": _all_candidates_die,
     "lost answer": _lost_answer,
     "many accept at once": _many_accept_at_once,
     "operators race": _operators_race,
@@ -362,6 +396,11 @@
 
 
 WITHOUT = {
+    "all candidates die": (
+        reader_lease.ReaderLease,
+        "_lapsed",
+        lambda self, slot, row: False,
+    ),
     "burst is grouped": (
         acceptance,
         "BATCH_INTERVAL",
