--- a/packages/node/src/balsamramp_node/policies/evidence.py
+++ b/packages/node/src/balsamramp_node/policies/evidence.py
@@ -1,7 +1,7 @@
 """Evidence: a rollout policy that compares new with old side by side."""
 
+from collections import abc
 import datetime
-import functools
 import math
 
 import attrs
@@ -31,6 +31,7 @@
 DWELL_MIN = datetime.timedelta(seconds=2)
 RECENT = datetime.timedelta(seconds=5)
 TESTS_PER_GROUP = 2
+BAD_CALLS_MIN = 2
 RECORD_WEIGHT = 4
 
 CALLS_NEEDED = math.ceil(math.log(MISS) / math.log1p(-BAD_RATE))
@@ -166,18 +167,17 @@
         evidence: Evidence,
         now: datetime.datetime,
     ) -> State:
-        for route in (None, *evidence.routes()):
-            for name, bad in _kinds(evidence, route):
-                strata = _against_record(evidence, route, self.last_step, bad)
-                ratio = sequential_test.evidence_ratio(
-                    strata, rollout_evidence.KEPT_WINDOWS
-                )
-                if ratio < DOUBT_RATIO:
-                    continue
-                text = f"more {name.value} than before on {route or 'all'}"
-                return rollout_state.enter(
-                    state, PHASE.DOUBTED, now, name.value, text
-                )
+        for route, slow in _tests(evidence, self.last_step):
+            ratio = sequential_test.evidence_ratio(
+                _against_record(evidence, route, slow, self.last_step),
+                rollout_evidence.KEPT_WINDOWS,
+            )
+            if ratio < DOUBT_RATIO:
+                continue
+            cause = _cause(slow).value
+            where = f"route {route}" if route else "all routes"
+            text = f"more {cause} on {where} than on record"
+            return rollout_state.enter(state, PHASE.DOUBTED, now, cause, text)
         return _finish(intent, state, now)
 
 
@@ -220,45 +220,42 @@
     return TESTS_PER_GROUP * groups / FALSE_ALARM
 
 
-def _kinds(
-    evidence: Evidence, route: str | None
-) -> list[tuple[rollout_state.Cause, functools.partial[int]]]:
-    kinds = [
-        (rollout_state.Cause.FAILURES, functools.partial(_failures)),
-    ]
-    bucket = evidence.slow_bucket(route)
-    if bucket is not None:
-        slow = functools.partial(_slow, bucket)
-        kinds.append((rollout_state.Cause.SLOWNESS, slow))
-    return kinds
-
-
-def _failures(counts: rollout_evidence.Counts) -> int:
-    return counts.failures
+def _tests(
+    evidence: Evidence, epoch: int
+) -> abc.Iterator[tuple[str | None, int | None]]:
+    """Yield route and slow bucket of the tests that can find anything."""
+    for route in (None, *evidence.routes()):
+        new = evidence.total(True, route, epoch)
+        if new.bad(None) >= BAD_CALLS_MIN:
+            yield route, None
+        slow = evidence.slow_bucket(route)
+        if slow is not None and new.bad(slow) >= BAD_CALLS_MIN:
+            yield route, slow
 
 
-def _slow(bucket: int, counts: rollout_evidence.Counts) -> int:
-    return counts.slower_than(bucket)
+def _cause(slow: int | None) -> rollout_state.Cause:
+    if slow is None:
+        return rollout_state.Cause.FAILURES
+    return rollout_state.Cause.SLOWNESS
 
 
 def _worst(evidence: Evidence, epoch: int) -> _Finding:
     worst = _Finding(0.0, rollout_state.Cause.FAILURES, "")
-    for route in (None, *evidence.routes()):
-        for name, bad in _kinds(evidence, route):
-            ratio = sequential_test.evidence_ratio(
-                evidence.strata(route, bad, epoch),
-                rollout_evidence.KEPT_WINDOWS,
-            )
-            if ratio <= worst.ratio:
-                continue
-            old = evidence.total(False, route, epoch)
-            new = evidence.total(True, route, epoch)
-            where = f"route {route}" if route else "all routes"
-            text = (
-                f"{name.value} on {where}: new {bad(new)} of {new.calls} "
-                f"calls, old {bad(old)} of {old.calls}"
-            )
-            worst = _Finding(ratio, name, text)
+    for route, slow in _tests(evidence, epoch):
+        ratio = sequential_test.evidence_ratio(
+            evidence.logs(route, slow, epoch), rollout_evidence.KEPT_WINDOWS
+        )
+        if ratio <= worst.ratio:
+            continue
+        old = evidence.total(False, route, epoch)
+        new = evidence.total(True, route, epoch)
+        cause = _cause(slow)
+        where = f"route {route}" if route else "all routes"
+        text = (
+            f"{cause.value} on {where}: new {new.bad(slow)} of {new.calls} "
+            f"calls, old {old.bad(slow)} of {old.calls}"
+        )
+        worst = _Finding(ratio, cause, text)
     return worst
 
 
@@ -289,28 +286,25 @@
 
 
 def _against_record(
-    evidence: Evidence,
-    route: str | None,
-    epoch: int,
-    bad: functools.partial[int],
-) -> list[list[sequential_test.Stratum]]:
-    """Compare each window since the completion with the record.
+    evidence: Evidence, route: str | None, slow: int | None, epoch: int
+) -> list[sequential_test.WindowLogs]:
+    """Compare each window since ``epoch`` with the record.
 
     The record is the old version over all windows kept; it is scaled to
     at most four times the calls of the window.
     """
     record = evidence.total(False, route)
     windows = []
-    for strata in evidence.strata(route, bad, epoch):
+    for strata in evidence.strata(route, slow, epoch):
         new_calls = sum(item.new_calls for item in strata)
         new_bad = sum(item.new_bad for item in strata)
         if not record.calls or not new_calls:
             continue
         scale = min(1.0, RECORD_WEIGHT * new_calls / record.calls)
         old_calls = max(1, round(scale * record.calls))
-        old_bad = min(old_calls, math.ceil(scale * bad(record)))
+        old_bad = min(old_calls, math.ceil(scale * record.bad(slow)))
         stratum = sequential_test.Stratum(
             old_calls, old_bad, new_calls, new_bad
         )
-        windows.append([stratum])
+        windows.append(sequential_test.window_logs([stratum]))
     return windows
--- a/packages/node/src/balsamramp_node/rollout_evidence.py
+++ b/packages/node/src/balsamramp_node/rollout_evidence.py
@@ -67,14 +67,18 @@
             known = self.latencies.get(bucket, 0)
             self.latencies[bucket] = known + sign * count
 
-    def slower_than(self, bucket: int) -> int:
-        """Return how many calls took longer than ``bucket`` allows."""
+    def bad(self, slow: int | None) -> int:
+        """Return the calls slower than a bucket, without one failures."""
+        if slow is None:
+            return self.failures
         return sum(
-            count for item, count in self.latencies.items() if item > bucket
+            count for item, count in self.latencies.items() if item > slow
         )
 
 
-CountsKey = tuple[int, int, str, str, bool]
+WindowKey = tuple[int, int]
+GroupKey = tuple[str, str, bool]
+TestKey = tuple[str | None, int | None]
 TotalKey = tuple[int, str, bool]
 
 
@@ -112,7 +116,10 @@
 
     def __init__(self) -> None:
         self._rows: dict[RowKey, Row] = {}
-        self._sums: dict[CountsKey, Counts] = {}
+        self._windows: dict[WindowKey, dict[GroupKey, Counts]] = {}
+        self._cache: dict[
+            WindowKey, dict[TestKey, sequential_test.WindowLogs]
+        ] = {}
         self._totals: dict[TotalKey, Counts] = {}
 
     def rows(self) -> list[Row]:
@@ -139,7 +146,7 @@
                 continue
             del self._rows[key]
             self._add(row, -1)
-            self._sums.pop(_counts_key(row), None)
+            self._windows.pop((row.window, row.epoch), None)
 
     def routes(self) -> list[str]:
         """Return the routes on which any call was seen."""
@@ -161,40 +168,63 @@
     def recent(self, new: bool, epoch: int, window: int) -> Counts:
         """Return the sum of all routes since ``epoch`` and ``window``."""
         total = Counts()
-        for key, counts in self._sums.items():
-            its_window, its_epoch, _, _, is_new = key
-            if is_new is not new or its_epoch < epoch:
+        for key, groups in self._windows.items():
+            if key[0] < window or key[1] < epoch:
                 continue
-            if its_window >= window:
-                _accumulate(total, counts)
+            for group, counts in groups.items():
+                if group[2] is new:
+                    _accumulate(total, counts)
         return total
 
     def strata(
-        self,
-        route: str | None,
-        bad: abc.Callable[[Counts], int],
-        epoch: int = 0,
+        self, route: str | None, slow: int | None, epoch: int = 0
     ) -> list[list[sequential_test.Stratum]]:
         """Return the windows in order, each with a stratum per zone.
 
-        A change of the share starts a new window.
-
-        Zones without any call of the old version are compared with the
-        old version of all zones in the same window.
+        A change of the share starts a new window. Bad calls are those
+        slower than bucket ``slow`` or, without one, failures. Zones
+        without any call of the old version are compared with the old
+        version of all zones in the same window.
         """
-        windows: dict[tuple[int, int], Zones] = {}
-        for key, counts in self._sums.items():
-            window, its_epoch, its_route, zone, is_new = key
-            if its_epoch < epoch or route not in (None, its_route):
+        return [
+            self._strata_of(key, route, slow)
+            for key in sorted(self._windows)
+            if key[1] >= epoch
+        ]
+
+    def logs(
+        self, route: str | None, slow: int | None, epoch: int = 0
+    ) -> list[sequential_test.WindowLogs]:
+        """Return the log ratios of the windows of ``strata``."""
+        found = []
+        for key in sorted(self._windows):
+            if key[1] < epoch:
+                continue
+            cache = self._cache.setdefault(key, {})
+            if (route, slow) not in cache:
+                strata = self._strata_of(key, route, slow)
+                cache[route, slow] = sequential_test.window_logs(strata)
+            found.append(cache[route, slow])
+        return found
+
+    def _strata_of(
+        self, key: WindowKey, route: str | None, slow: int | None
+    ) -> list[sequential_test.Stratum]:
+        zones: Zones = {}
+        for group, counts in self._windows[key].items():
+            its_route, zone, is_new = group
+            if route not in (None, its_route):
                 continue
-            zones = windows.setdefault((window, its_epoch), {})
             pair = zones.setdefault(zone, _Pair())
-            pair.add(is_new, counts.calls, bad(counts))
-        return [_window_strata(windows[item]) for item in sorted(windows)]
+            pair.add(is_new, counts.calls, counts.bad(slow))
+        return _window_strata(zones)
 
     def _add(self, row: Row, sign: int = 1) -> None:
-        counts = self._sums.setdefault(_counts_key(row), Counts())
-        counts.add(row, sign)
+        window = (row.window, row.epoch)
+        self._cache.pop(window, None)
+        groups = self._windows.setdefault(window, {})
+        group = (row.route, row.zone, row.new)
+        groups.setdefault(group, Counts()).add(row, sign)
         key = (row.epoch, row.route, row.new)
         self._totals.setdefault(key, Counts()).add(row, sign)
 
@@ -251,10 +281,6 @@
     )
 
 
-def _counts_key(row: Row) -> CountsKey:
-    return row.window, row.epoch, row.route, row.zone, row.new
-
-
 def _join(left: Row, right: Row) -> Row:
     latencies = dict(left.latencies)
     for bucket, count in right.latencies.items():
--- a/packages/node/src/balsamramp_node/rollout_record.py
+++ b/packages/node/src/balsamramp_node/rollout_record.py
@@ -30,10 +30,10 @@
 class RolloutRecord(kernel.Service):
     """Reads what became of rollouts from the table, and writes it.
 
-    Only the deciders of a service do so. They read its rows once, before
-    the first step of an intent that nobody vouches for, and write a row
-    when a phase is entered; several writers join what is there and do no
-    harm.
+    Only the deciders of a service do so. They read its rows once and
+    write a row when a phase is entered; several writers join what is
+    there and do no harm. An intent that had started before all nodes did,
+    and of which there is no row, is granted no step and expires.
     """
 
     name = "rollout-record"
@@ -90,7 +90,7 @@
         return True
 
     async def _read(self, service: str) -> bool:
-        """Read the outcomes of ``service`` once and vouch for them."""
+        """Read the outcomes of ``service`` once."""
         if service not in self._scanned:
             prefix = f"{KEY_PREFIX}{service}/"
             scanned = await self._table.scan(prefix, "", READ_MAX_ROWS)
@@ -100,9 +100,7 @@
             self._rollouts.merge(
                 [_decode(row.value) for row in scanned.unwrap()]
             )
-        for state in self._rollouts.states():
-            if state.service == service:
-                self._rollouts.vouch(state.intent)
+        self._rollouts.expire_unknown(service)
         return True
 
     async def _write(self, state: State) -> bool:
--- a/packages/node/src/balsamramp_node/rollout_state.py
+++ b/packages/node/src/balsamramp_node/rollout_state.py
@@ -168,8 +168,8 @@
     """Tell whether what happened to the intent so far is known.
 
     A node vouches for an intent that starts after the node itself did,
-    or when the platform's record was read. Without it a node grants no
-    step: the version may have been taken back by nodes now gone.
+    and for what it hears of from one that does. Without it a node grants
+    no step: the version may have been taken back by nodes now gone.
     """
     return VOUCHED_MARK in state.marks
 
--- a/packages/node/src/balsamramp_node/rollouts.py
+++ b/packages/node/src/balsamramp_node/rollouts.py
@@ -183,11 +183,28 @@
         """Return the evidence held here for one intent."""
         return self._evidence.get(intent_id) or rollout_evidence.Evidence()
 
-    def vouch(self, intent_id: str) -> None:
-        """Note that the platform's record of this intent was read."""
-        known = self._states.get(intent_id)
-        if known is not None and not rollout_state.is_vouched(known):
-            self._put(rollout_state.vouch(known, self._clock.now()))
+    def expire_unknown(self, service: str) -> None:
+        """End rollouts past their deadline of which nothing is known.
+
+        To be called once the platform's record of ``service`` was read.
+        """
+        now = self._clock.now()
+        for intent_id in list(self._by_service.get(service, ())):
+            intent = self._intents.get(intent_id)
+            state = self._states[intent_id]
+            if intent is None or now < intent.deadline:
+                continue
+            if rollout_state.is_vouched(state):
+                continue
+            later = rollout_state.enter(
+                state,
+                PHASE.EXPIRED,
+                now,
+                rollout_state.Cause.LATE.value,
+                "no node knows what happened before all were restarted",
+            )
+            if later != state:
+                self._put(later)
 
     def decide(self, may_decide: abc.Callable[[str], bool]) -> None:
         """Let the policy decide on the services this node decides for."""
