--- a/packages/node/src/balsamramp_node/acceptance.py
+++ b/packages/node/src/balsamramp_node/acceptance.py
@@ -56,11 +56,13 @@
 
     ``conflict`` tells a race with another operator from bad content, and
     ``accepted`` is None when it is unknown whether it was accepted.
+    ``changes`` are those that came between, for a conflict.
     """
 
     message: str
     conflict: bool = False
     accepted: bool | None = False
+    changes: tuple[configuration.Change, ...] = ()
 
 
 Outcome = result.Result[configuration.Accepted, Rejection]
@@ -240,14 +242,18 @@
             return Rejection(text, conflict=True)
         touched = submission.keys()
         named = []
+        racing = []
         for change in [*known, *earlier]:
             keys = {item.key for item in change.puts} | set(change.deletes)
+            if keys & touched:
+                racing.append(change)
             for key in sorted(keys & touched):
                 named.append(f"{key} in {change.version} by {change.author}")
         if not named:
             return None
         text = f"changed since version {wanted}: "
-        return Rejection(text + ", ".join(named[:NAMED_MAX]), conflict=True)
+        text += ", ".join(named[:NAMED_MAX])
+        return Rejection(text, conflict=True, changes=tuple(racing))
 
     def _bring_into_force(self, changes: list[configuration.Change]) -> None:
         self._metrics.count("transactions_accepted_total")
--- a/packages/node/src/balsamramp_node/core.py
+++ b/packages/node/src/balsamramp_node/core.py
@@ -40,7 +40,7 @@
 from balsamramp_node import zone_states
 from balsamramp_wire import messages
 
-__all__ = ["Core", "Identity", "parse_address"]
+__all__ = ["Core", "Identity"]
 
 
 @attrs.frozen
@@ -185,7 +185,7 @@
         )
         self.membership = membership.Membership(
             own,
-            [parse_address(item) for item in seeds],
+            [settings.parse_address(item) for item in seeds],
             self.member_list,
             outside.control,
             self.store,
@@ -309,9 +309,3 @@
             self._settings.text("targets", "admission")
         )
         return limit_type(self._settings.integer("targets", "initial_limit"))
-
-
-def parse_address(text: str) -> settings.Address:
-    """Return the address written as ``host:port``."""
-    host, _, port = text.rpartition(":")
-    return settings.Address(host, int(port))
