Scopes, freezes and byte streams in virtual time

Cause: a node that was killed in memory shut itself down gracefully instead of ending, could not be frozen, and its calls did not pass the product's stream client and server. Ruled out: a second clock for each node, which freezes sleeps but not the steps of tasks. Change: a scope holds the tasks of one simulated process; the loop holds back their steps while it is frozen and ends them when it is killed. What a node is asked runs in its own scope. Streams in memory carry the bytes of the stream client and server unchanged, with cuts and silent connections. Conclusion: kills and freezes in memory are those of a process.

--- a/packages/testing/src/balsamramp_testing/memory_network.py
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -18,6 +18,7 @@
 from balsamramp_core import verdict
 from balsamramp_node import call_transport
 from balsamramp_node import door
+from balsamramp_testing import virtual_time
 from balsamramp_wire import control
 from balsamramp_wire import messages
 
@@ -47,6 +48,7 @@
         self._controls: dict[settings.Address, MemoryControl] = {}
         self._doors: dict[settings.Address, door.Door] = {}
         self._zones: dict[str, str] = {}
+        self._scopes: dict[str, virtual_time.Scope] = {}
         self._cuts: set[frozenset[str]] = set()
         self.delay = DELAY
         self.loss_share = 0.0
@@ -60,13 +62,27 @@
         zone: str,
         served: "MemoryControl",
         calls: door.Door,
+        scope: virtual_time.Scope | None = None,
     ) -> None:
-        """Connect a node, replacing an earlier one of the same name."""
+        """Connect a node, replacing an earlier one of the same name.
+
+        What the node is asked runs in ``scope``, so that it stands still
+        or ends together with the node.
+        """
         self._zones[node] = zone
+        self._scopes[node] = scope or virtual_time.Scope(node)
         self._controls[settings.Address(node, 1)] = served
         self._doors[settings.Address(node, 2)] = calls
         self.down.discard(node)
 
+    def place(self, name: str, zone: str) -> None:
+        """Put something that is not a node, such as a caller, in a zone."""
+        self._zones[name] = zone
+
+    def scope_of(self, node: str) -> virtual_time.Scope:
+        """Return the scope in which the node's tasks run."""
+        return self._scopes[node]
+
     def cut(self, left: str, right: str) -> None:
         """Cut the link between two zones or nodes."""
         self._cuts.add(frozenset((left, right)))
@@ -79,6 +95,10 @@
         """Tell whether messages pass from ``sender`` to ``receiver``."""
         if sender in self.down or receiver in self.down:
             return False
+        return self.links(sender, receiver)
+
+    def links(self, sender: str, receiver: str) -> bool:
+        """Tell whether no cut lies between ``sender`` and ``receiver``."""
         ends = {sender, receiver}
         zones = {self._zones.get(sender, ""), self._zones.get(receiver, "")}
         return (
@@ -150,7 +170,10 @@
         if peer.host in self._network.silent:
             await asyncio.Event().wait()
         arrived = msgspec.msgpack.decode(encoded, type=type(request))
-        reply = await served.handlers[type(request)](arrived)
+        handled = served.handlers[type(request)](arrived)
+        reply = await self._network.scope_of(peer.host).run(handled)
+        if reply is None:
+            return _lost(peer)
         answer = msgspec.msgpack.encode(reply)
         self._network.count(peer.host, len(answer))
         if not await self._network.carry(peer.host, self._node):
@@ -178,11 +201,14 @@
             return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
         if peer.host in self._network.silent:
             await asyncio.Event().wait()
+        scope = self._network.scope_of(peer.host)
         try:
-            reply = await served.submit(request)
+            reply = await scope.run(served.submit(request))
         except asyncio.CancelledError:
             served.cancel(request.call_id)
             raise
+        if reply is None:
+            return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
         if not await self._network.carry(peer.host, self._node):
             return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
         return reply
--- /dev/null
+++ b/packages/testing/src/balsamramp_testing/memory_streams.py
@@ -0,0 +1,244 @@
+"""Memory streams: byte streams between nodes, in virtual time.
+
+The product's own stream client and server run on them unchanged. Bytes
+take the delay of the memory network; a link that is cut holds them back
+until it is healed, as TCP does; a silent connection swallows them for
+good while new connections work.
+"""
+
+import asyncio
+import datetime
+import typing
+
+from balsamramp_core import clock
+from balsamramp_testing import memory_network
+from balsamramp_testing import virtual_time
+
+__all__ = ["MemoryStreams"]
+
+RETRY_INTERVAL = datetime.timedelta(milliseconds=50)
+CALLER = "caller"
+
+
+class _End(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(
+        self,
+        streams: "MemoryStreams",
+        owner: str,
+        peer: str,
+        scope: virtual_time.Scope | None,
+    ) -> None:
+        super().__init__({"peername": (peer, 0), "sockname": (owner, 0)})
+        self.owner = owner
+        self.scope = scope
+        self.other: _End | None = None
+        self.protocol: typing.Any = None
+        self.silent = False
+        self._streams = streams
+        self._closing = False
+        self._queue: asyncio.Queue[bytes | None] = asyncio.Queue()
+
+    def write(self, data: typing.Any) -> None:
+        if self._closing:
+            return
+        self._streams.note(
+            self.owner, self.get_extra_info("peername")[0], data
+        )
+        self._queue.put_nowait(bytes(data))
+
+    def writelines(self, parts: typing.Any) -> None:
+        self.write(b"".join(parts))
+
+    def close(self) -> None:
+        if self._closing:
+            return
+        self._closing = True
+        self._queue.put_nowait(None)
+        self._lose()
+
+    def abort(self) -> None:
+        self.close()
+
+    def is_closing(self) -> bool:
+        return self._closing
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def can_write_eof(self) -> bool:
+        return False
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        self.protocol = protocol
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        return self.protocol
+
+    def pause_reading(self) -> None:
+        """Reading goes on: the fakes keep no bounded buffer."""
+
+    def resume_reading(self) -> None:
+        """Reading never paused."""
+
+    async def carry(self) -> None:
+        """Carry what this end writes to the other, in order."""
+        assert self.other is not None
+        while True:
+            data = await self._queue.get()
+            await self._streams.pass_link(self.owner, self.other.owner)
+            if self.silent:
+                continue
+            if data is None:
+                self.other.end()
+                return
+            self.other.deliver(data)
+
+    def deliver(self, data: bytes) -> None:
+        """Hand bytes that arrived to the protocol of this end."""
+        if self._closing:
+            return
+        if self.scope is not None and self.scope.frozen:
+            loop = asyncio.get_running_loop()
+            handle = asyncio.Handle(self.deliver, (data,), loop)
+            self.scope.held.append(handle)
+            return
+        self.protocol.data_received(data)
+
+    def end(self) -> None:
+        """Note that the other end closed the connection."""
+        if self._closing:
+            return
+        self._closing = True
+        self._queue.put_nowait(None)
+        self._lose()
+
+    def _lose(self) -> None:
+        if self.protocol is None:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.protocol.connection_lost, None)
+
+
+class _Listener:
+    """A listening port."""
+
+    def __init__(
+        self, streams: "MemoryStreams", place: tuple[str, int]
+    ) -> None:
+        self._streams = streams
+        self._place = place
+        self.sockets = [self]
+
+    def getsockname(self) -> tuple[str, int]:
+        """Return the host and port."""
+        return self._place
+
+    def close(self) -> None:
+        """Accept no further connections."""
+        self._streams.forget(self._place)
+
+    async def wait_closed(self) -> None:
+        """Return at once: nothing is left to wait for."""
+
+    def _attach(self, *_: typing.Any) -> None:
+        """Match the server's private interface used by the streams."""
+
+
+class MemoryStreams(virtual_time.StreamNetwork):
+    """Connects nodes by name over a memory network.
+
+    ``log`` receives every write, for golden sessions.
+    """
+
+    def __init__(
+        self, network: memory_network.MemoryNetwork, time: clock.Clock
+    ) -> None:
+        self._network = network
+        self._clock = time
+        self._scope = virtual_time.Scope("streams")
+        self._listening: dict[
+            tuple[str, int], tuple[typing.Any, virtual_time.Scope | None]
+        ] = {}
+        self._ends: list[_End] = []
+        self.log: list[tuple[str, str, bytes]] = []
+        self.logging = False
+
+    def note(self, sender: str, receiver: str, data: bytes) -> None:
+        """Log what ``sender`` wrote."""
+        if self.logging:
+            self.log.append((sender, receiver, bytes(data)))
+
+    def forget(self, place: tuple[str, int]) -> None:
+        """End listening at ``place``."""
+        self._listening.pop(place, None)
+
+    def silence(self, node: str) -> int:
+        """Let the open connections of ``node`` carry nothing any more."""
+        count = 0
+        for end in self._ends:
+            if end.is_closing() or node not in (end.owner, _owner(end.other)):
+                continue
+            end.silent = True
+            count += 1
+        return count
+
+    def kill(self, node: str) -> None:
+        """Close the connections of a node that ended, and its ports."""
+        for place in [item for item in self._listening if item[0] == node]:
+            del self._listening[place]
+        for end in list(self._ends):
+            if end.owner == node:
+                end.close()
+        self._ends = [end for end in self._ends if not end.is_closing()]
+
+    async def pass_link(self, sender: str, receiver: str) -> None:
+        """Wait until the link has carried one write."""
+        network = self._network
+        await self._clock.sleep(network.delay)
+        while not network.links(sender, receiver):
+            await self._clock.sleep(RETRY_INTERVAL)
+
+    async def listen(
+        self, make_protocol: typing.Any, host: str, port: int
+    ) -> typing.Any:
+        place = (host, port)
+        self._listening[place] = (make_protocol, virtual_time.current_scope())
+        return _Listener(self, place)
+
+    async def connect(
+        self, make_protocol: typing.Any, host: str, port: int
+    ) -> tuple[asyncio.Transport, asyncio.Protocol]:
+        scope = virtual_time.current_scope()
+        owner = scope.name.partition("/")[0] if scope else CALLER
+        await self.pass_link(owner, host)
+        found = self._listening.get((host, port))
+        if found is None:
+            raise ConnectionRefusedError(f"nothing listens on {host}:{port}")
+        make_served, served_scope = found
+        near = _End(self, owner, host, scope)
+        far = _End(self, host, owner, served_scope)
+        near.other, far.other = far, near
+        near.protocol = make_protocol()
+        self._ends += [near, far]
+        for end in (near, far):
+            self._scope.spawn(end.carry())
+        if served_scope is None:
+            self._accept(far, make_served)
+        else:
+            accept = self._accept_here(far, make_served)
+            served_scope.spawn(accept)
+        near.protocol.connection_made(near)
+        return near, near.protocol
+
+    async def _accept_here(self, end: _End, make: typing.Any) -> None:
+        self._accept(end, make)
+
+    def _accept(self, end: _End, make: typing.Any) -> None:
+        end.protocol = make()
+        end.protocol.connection_made(end)
+
+
+def _owner(end: _End | None) -> str:
+    return "" if end is None else end.owner
--- a/packages/testing/src/balsamramp_testing/virtual_time.py
+++ b/packages/testing/src/balsamramp_testing/virtual_time.py
@@ -1,17 +1,33 @@
 """Virtual time: an event loop whose clock jumps to the next timer."""
 
+import abc as abstract
 import asyncio
 from collections import abc
+import contextvars
 import datetime
 import selectors
 import typing
 
 from balsamramp_core import clock
 
-__all__ = ["START", "VirtualClock", "run"]
+__all__ = [
+    "START",
+    "Scope",
+    "StreamNetwork",
+    "VirtualClock",
+    "current_scope",
+    "run",
+    "use_streams",
+]
 
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 
+_SCOPE: contextvars.ContextVar[typing.Optional["Scope"]] = (
+    contextvars.ContextVar("scope", default=None)
+)
+
+KILL_ROUNDS = 20
+
 ResultT = typing.TypeVar("ResultT")
 
 
@@ -34,14 +50,164 @@
         return []
 
 
+class StreamNetwork(abstract.ABC):
+    """Takes the place of TCP for the streams of the running loop."""
+
+    @abstract.abstractmethod
+    async def connect(
+        self, make_protocol: typing.Any, host: str, port: int
+    ) -> tuple[asyncio.Transport, asyncio.Protocol]:
+        """Connect as ``loop.create_connection`` does."""
+
+    @abstract.abstractmethod
+    async def listen(
+        self, make_protocol: typing.Any, host: str, port: int
+    ) -> typing.Any:
+        """Listen as ``loop.create_server`` does."""
+
+
 class _VirtualLoop(asyncio.SelectorEventLoop):
     def __init__(self, selector: _JumpingSelector) -> None:
         super().__init__(selector)
         self._jumping = selector
+        self.streams: StreamNetwork | None = None
+
+    async def create_connection(  # type: ignore[override]
+        self,
+        make_protocol: typing.Any,
+        host: str,
+        port: int,
+        **options: typing.Any,
+    ) -> tuple[asyncio.Transport, asyncio.Protocol]:
+        if self.streams is None:
+            raise RuntimeError("no stream network in virtual time")
+        return await self.streams.connect(make_protocol, host, port)
+
+    async def create_server(  # type: ignore[override]
+        self,
+        make_protocol: typing.Any,
+        host: str,
+        port: int,
+        **options: typing.Any,
+    ) -> typing.Any:
+        if self.streams is None:
+            raise RuntimeError("no stream network in virtual time")
+        return await self.streams.listen(make_protocol, host, port)
 
     def time(self) -> float:
         return self._jumping.seconds
 
+    def call_soon(  # type: ignore[override]
+        self,
+        callback: typing.Any,
+        *arguments: typing.Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Handle:
+        scope = (context or contextvars.copy_context()).get(_SCOPE)
+        if scope is not None and scope.frozen:
+            handle = asyncio.Handle(callback, arguments, self, context)
+            scope.held.append(handle)
+            return handle
+        return super().call_soon(callback, *arguments, context=context)
+
+
+class Scope:
+    """The tasks of one simulated process.
+
+    A task belongs to the scope of the task that made it. While the scope
+    is frozen, none of its tasks takes a step and its timers pass unseen,
+    as in a process that was stopped by a signal.
+
+    Example::
+
+        scope = Scope("node-1")
+        task = scope.spawn(serve())
+        scope.freeze()
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.frozen = False
+        self.held: list[asyncio.Handle] = []
+        self._tasks: dict[asyncio.Task[typing.Any], None] = {}
+        self._context = contextvars.copy_context()
+        self._context.run(_SCOPE.set, self)
+
+    def spawn(
+        self, work: abc.Coroutine[typing.Any, typing.Any, ResultT]
+    ) -> asyncio.Task[ResultT]:
+        """Start a task in this scope."""
+        return asyncio.get_running_loop().create_task(
+            work, context=self._context.copy()
+        )
+
+    async def run(self, work: abc.Awaitable[ResultT]) -> ResultT | None:
+        """Run ``work`` here for a task elsewhere; None if it was killed."""
+        task = self.spawn(_await(work))
+        try:
+            await asyncio.wait([task])
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+        return None if task.cancelled() else task.result()
+
+    def freeze(self) -> None:
+        """Let no task take a step until ``thaw``."""
+        self.frozen = True
+
+    def thaw(self) -> None:
+        """Let the tasks go on where they stood."""
+        self.frozen = False
+        held, self.held = self.held, []
+        for handle in held:
+            if handle.cancelled():
+                continue
+            asyncio.get_running_loop().call_soon(handle._run)
+
+    async def kill(self) -> None:
+        """End all tasks at once."""
+        self.thaw()
+        for _ in range(KILL_ROUNDS):
+            tasks = list(self._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.sleep(0)
+
+    def _add(self, task: asyncio.Task[typing.Any]) -> None:
+        self._tasks[task] = None
+        task.add_done_callback(self._discard)
+
+    def _discard(self, task: asyncio.Task[typing.Any]) -> None:
+        self._tasks.pop(task, None)
+
+
+async def _await(work: abc.Awaitable[ResultT]) -> ResultT:
+    return await work
+
+
+def current_scope() -> Scope | None:
+    """Return the scope of the running task."""
+    return _SCOPE.get()
+
+
+def use_streams(network: StreamNetwork) -> None:
+    """Let the running virtual-time loop connect over ``network``."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, _VirtualLoop)
+    loop.streams = network
+
+
+def _make_task(
+    loop: asyncio.AbstractEventLoop,
+    work: typing.Any,
+    context: contextvars.Context | None = None,
+) -> asyncio.Task[typing.Any]:
+    task = asyncio.Task(work, loop=loop, context=context)
+    scope = (context or contextvars.copy_context()).get(_SCOPE)
+    if scope is not None:
+        scope._add(task)
+    return task
+
 
 class VirtualClock(clock.Clock):
     """Clock of the running virtual-time loop.
@@ -69,5 +235,6 @@
     look like a wait without end.
     """
     loop = _VirtualLoop(_JumpingSelector())
+    loop.set_task_factory(_make_task)
     with asyncio.Runner(loop_factory=lambda: loop) as runner:
         return runner.run(main)
--- a/packages/testing/src/balsamramp_testing/world.py
+++ b/packages/testing/src/balsamramp_testing/world.py
@@ -44,11 +44,15 @@
 
 @attrs.define(eq=False)
 class WorldNode:
-    """A running node and what it was made of."""
+    """A running node and what it was made of.
+
+    Its tasks run in ``scope``.
+    """
 
     core: core.Core
     metrics: metrics.Metrics
     targets: memory_target.MemoryTargetClient
+    scope: virtual_time.Scope
 
 
 class World:
@@ -95,39 +99,78 @@
         )
         checked = settings.parse(text, f"{name}.ini", options.OPTIONS).unwrap()
         self._incarnation += 1
-        served = memory_network.MemoryControl(name, self.network)
-        client = memory_target.MemoryTargetClient(self.clock)
-        outside = parts.Parts(
+        identity = core.Identity(name, zone, self._region, self._incarnation)
+        scope = virtual_time.Scope(f"{name}/{self._incarnation}")
+        node = await scope.run(self._start(identity, checked, scope))
+        assert node is not None
+        self.nodes[name] = node
+        return node
+
+    async def kill_node(self, name: str) -> None:
+        """End a node at once, without any of its messages getting out."""
+        self.network.down.add(name)
+        await self.nodes.pop(name).scope.kill()
+
+    async def stop_node(self, name: str) -> None:
+        """Shut a node down as its process does when asked to end."""
+        node = self.nodes[name]
+        await node.scope.run(self._shut_down(node))
+        self.network.down.add(name)
+        del self.nodes[name]
+        await node.scope.kill()
+
+    async def stop(self) -> None:
+        """Stop all nodes."""
+        for name in list(self.nodes):
+            await self.kill_node(name)
+
+    def outside(
+        self, identity: core.Identity, counters: metrics.Metrics
+    ) -> parts.Parts:
+        """Return what a node reaches the outside with."""
+        name = identity.node
+        return parts.Parts(
             table=self.table,
             objects=self.objects,
-            control=served,
+            control=memory_network.MemoryControl(name, self.network),
             calls=memory_network.MemoryCalls(name, self.network),
-            targets=client,
+            targets=memory_target.MemoryTargetClient(self.clock),
         )
+
+    def prepare(self, node: WorldNode) -> None:
+        """Complete a node between its making and its start."""
+
+    async def _start(
+        self,
+        identity: core.Identity,
+        checked: settings.Settings,
+        scope: virtual_time.Scope,
+    ) -> WorldNode:
         counters = metrics.Metrics()
+        outside = self.outside(identity, counters)
         made = core.Core(
-            core.Identity(name, zone, self._region, self._incarnation),
+            identity,
             checked,
             outside,
             self.clock,
             counters,
             random.Random(self.random.random()),
         )
-        self.network.add(name, zone, served, made.door)
+        served = outside.control
+        client = outside.targets
+        assert isinstance(served, memory_network.MemoryControl)
+        assert isinstance(client, memory_target.MemoryTargetClient)
+        self.network.add(
+            identity.node, identity.zone, served, made.door, scope
+        )
+        node = WorldNode(made, counters, client, scope)
+        self.prepare(node)
         await made.kernel.start()
-        node = WorldNode(made, counters, client)
-        self.nodes[name] = node
         return node
 
-    async def kill_node(self, name: str) -> None:
-        """End a node without any of its messages getting out."""
-        self.network.down.add(name)
-        await self.nodes.pop(name).core.kernel.stop()
-
-    async def stop(self) -> None:
-        """Stop all nodes."""
-        for name in list(self.nodes):
-            await self.kill_node(name)
+    async def _shut_down(self, node: WorldNode) -> None:
+        node.core.targets.drain_all()
+        await node.core.kernel.stop()
 
     def announce(
         self,
@@ -173,14 +216,17 @@
         timeout: datetime.timedelta = datetime.timedelta(seconds=2),
     ) -> call_transport.Reply:
         """Send a call to ``node`` as a caller would."""
-        return await self.nodes[node].core.calls.call(
-            calls.CallerRequest(
-                service=service,
-                method=method,
-                path=path,
-                headers=(),
-                body=body,
-                timeout=timeout,
-                retries=2,
-            )
+        request = calls.CallerRequest(
+            service=service,
+            method=method,
+            path=path,
+            headers=(),
+            body=body,
+            timeout=timeout,
+            retries=2,
         )
+        found = self.nodes[node]
+        reply = await found.scope.run(found.core.calls.call(request))
+        if reply is None:
+            raise ConnectionResetError(f"node {node} was killed")
+        return reply
