Scenarios on processes, fuzzing of the parsers

Cause: a scenario that holds on fakes said nothing about the processes, and no test fed the parsers bytes from outside. Change: a stage of processes runs the same files, and refuses by line what it cannot do; the target stand-in counts a run when it begins, since a run that is cut off has run. Hypothesis feeds each parser random, damaged and plausible input.

--- a/packages/testing/src/balsamramp_testing/scenario/runner.py
+++ b/packages/testing/src/balsamramp_testing/scenario/runner.py
@@ -1,11 +1,13 @@
 """Runner: runs the steps of a scenario on a stage."""
 
+import pathlib
 import random
 from unittest import mock
 import uuid
 
 import attrs
 
+from balsamramp_testing import fleet
 from balsamramp_testing import virtual_time
 from balsamramp_testing.scenario import invariants
 from balsamramp_testing.scenario import language
@@ -13,8 +15,11 @@
 from balsamramp_testing.scenario import stage
 from balsamramp_testing.scenario import statement
 from balsamramp_testing.scenario.stages import memory
+from balsamramp_testing.scenario.stages import processes
 
-__all__ = ["Outcome", "play", "run_in_memory"]
+__all__ = ["Outcome", "play", "run_in_memory", "run_on_processes"]
+
+ON_PROCESSES = frozenset((7, 8, 9))
 
 
 @attrs.frozen(kw_only=True)
@@ -91,3 +96,21 @@
         await on.close()
     on.record.failures += virtual_time.errors()
     return on.record
+
+
+async def run_on_processes(
+    text: str, seed: int, directory: pathlib.Path, file: str = "scenario"
+) -> Outcome:
+    """Run the same scenario on processes on loopback.
+
+    A statement that processes do not support raises ScenarioError with
+    its line. Only lines 7 to 9 of what must always hold are checked.
+    """
+    steps = language.parse(text, file)
+    async with fleet.Fleet(directory) as started:
+        on = processes.ProcessStage(started, seed)
+        await on.prepare()
+        await play(steps, on)
+    broken = invariants.check(on.record)
+    kept = {number: broken[number] for number in ON_PROCESSES & set(broken)}
+    return Outcome(record=on.record, broken=kept)
--- a/packages/testing/src/balsamramp_testing/target_server.py
+++ b/packages/testing/src/balsamramp_testing/target_server.py
@@ -48,6 +48,7 @@
         self._in_flight = 0
         self._highest = 0
         self._runs: dict[str, int] = {}
+        self._attempts: dict[str, list[int]] = {}
         self._calls = 0
 
     def make(self) -> falcon.asgi.App:
@@ -65,6 +66,11 @@
         """Return how often each call was run, keyed by its content."""
         return self._runs
 
+    @property
+    def attempts(self) -> dict[str, list[int]]:
+        """Return the attempts that ran, as their callers numbered them."""
+        return self._attempts
+
     @property
     def highest(self) -> int:
         """Return the highest number of calls that were in flight."""
@@ -94,12 +100,19 @@
             return
         self._in_flight += 1
         self._highest = max(self._highest, self._in_flight)
+        self._note_run(req, body)
         try:
             await asyncio.sleep(behaviour.delay.total_seconds())
             self._answer(req, resp, body, behaviour)
         finally:
             self._in_flight -= 1
 
+    def _note_run(self, req: falcon.asgi.Request, body: bytes) -> None:
+        key = body.decode(errors="replace") or req.path
+        self._runs[key] = self._runs.get(key, 0) + 1
+        attempt = int(req.get_header("x-attempt") or "1")
+        self._attempts.setdefault(key, []).append(attempt)
+
     def _answer(
         self,
         req: falcon.asgi.Request,
@@ -108,8 +121,6 @@
         behaviour: Behaviour,
     ) -> None:
         self._calls += 1
-        key = body.decode(errors="replace") or req.path
-        self._runs[key] = self._runs.get(key, 0) + 1
         failing = bool(behaviour.fail_path) and req.path.startswith(
             behaviour.fail_path
         )
@@ -147,6 +158,7 @@
     ) -> None:
         resp.media = {
             "runs": self._target.runs,
+            "attempts": self._target.attempts,
             "highest": self._target.highest,
         }
 
--- /dev/null
+++ b/packages/testing/tests/test_fuzz.py
@@ -0,0 +1,236 @@
+"""Every parser of bytes from outside: its stated error or a value."""
+
+import asyncio
+import datetime
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import pytest
+from returns import result
+
+from balsamramp_core import configuration
+from balsamramp_core import resource
+from balsamramp_core import resources
+from balsamramp_core import settings
+from balsamramp_node import options
+from balsamramp_node import targets
+from balsamramp_wire import frames
+
+FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+NAMES = strategies.text("abcz019._:-", min_size=1, max_size=12)
+LABELS = strategies.dictionaries(NAMES, NAMES, max_size=3)
+TIMES = strategies.datetimes(
+    min_value=datetime.datetime(2020, 1, 1),
+    max_value=datetime.datetime(2040, 1, 1),
+    timezones=strategies.just(datetime.UTC),
+)
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=8,
+)
+
+
+def _items() -> strategies.SearchStrategy[resource.Resource]:
+    kinds = [
+        strategies.builds(
+            resources.KINDS["service"],
+            name=NAMES,
+            idempotent_methods=strategies.just(("GET",)),
+        ),
+        strategies.builds(
+            resources.KINDS["labels"], name=NAMES, labels=LABELS
+        ),
+        strategies.builds(
+            resources.KINDS["zone"],
+            name=NAMES,
+            out=strategies.booleans(),
+            since=TIMES,
+            author=NAMES,
+        ),
+    ]
+    return strategies.one_of(kinds)
+
+
+CHANGES = strategies.builds(
+    configuration.Change,
+    version=strategies.integers(1, 10**9),
+    change_id=NAMES,
+    base_digest=strategies.integers(0, 2**128 - 1),
+    digest=strategies.integers(0, 2**128 - 1),
+    author=NAMES,
+    accepted_at=TIMES,
+    puts=strategies.lists(_items(), max_size=4).map(tuple),
+    deletes=strategies.lists(
+        strategies.builds(resource.ResourceKey, NAMES, NAMES), max_size=2
+    ).map(tuple),
+)
+
+
+def _configuration(
+    items: list[resource.Resource],
+) -> configuration.Configuration:
+    return configuration.merge(configuration.EMPTY, items, ())
+
+
+CONFIGURATIONS = strategies.lists(_items(), max_size=5).map(_configuration)
+
+
+@strategies.composite
+def _damaged(
+    draw: strategies.DrawFn, whole: strategies.SearchStrategy[bytes]
+) -> bytes:
+    """Return bytes cut short, with one changed or one put in."""
+    data = bytearray(draw(whole))
+    place = draw(strategies.integers(0, max(len(data) - 1, 0)))
+    way = draw(strategies.sampled_from(("cut", "change", "put")))
+    byte = draw(strategies.integers(0, 255))
+    if way == "cut":
+        return bytes(data[:place])
+    if way == "change" and data:
+        data[place] = byte
+        return bytes(data)
+    data.insert(place, byte)
+    return bytes(data)
+
+
+CHANGE_BYTES = CHANGES.map(configuration.change_to_bytes)
+SNAPSHOT_BYTES = CONFIGURATIONS.map(configuration.configuration_to_bytes)
+JSON_BYTES = JSON.map(lambda value: msgspec.json.encode(value))
+
+
+@FUZZ
+@hypothesis.given(CHANGES)
+def test_change_survives_its_bytes(change: configuration.Change) -> None:
+    data = configuration.change_to_bytes(change)
+    assert configuration.change_from_bytes(data).unwrap() == change
+
+
+@FUZZ
+@hypothesis.given(CONFIGURATIONS)
+def test_snapshot_survives_its_bytes(
+    whole: configuration.Configuration,
+) -> None:
+    data = configuration.configuration_to_bytes(whole)
+    assert configuration.configuration_from_bytes(data).unwrap() == whole
+
+
+@pytest.mark.parametrize(
+    "decode",
+    [configuration.change_from_bytes, configuration.configuration_from_bytes],
+)
+@FUZZ
+@hypothesis.given(
+    data=strategies.binary(max_size=60)
+    | JSON_BYTES
+    | _damaged(CHANGE_BYTES)
+    | _damaged(SNAPSHOT_BYTES)
+)
+def test_configuration_bytes_are_read_or_refused(
+    decode: typing.Callable[[bytes], result.Result[typing.Any, str]],
+    data: bytes,
+) -> None:
+    decoded = decode(data)
+    assert isinstance(decoded, result.Success) or decoded.failure()
+
+
+@FUZZ
+@hypothesis.given(_damaged(SNAPSHOT_BYTES))
+def test_a_damaged_snapshot_is_never_another_configuration(
+    data: bytes,
+) -> None:
+    decoded = configuration.configuration_from_bytes(data).value_or(None)
+    if decoded is None:
+        return
+    again = configuration.merge(
+        configuration.EMPTY, decoded.resources.values(), ()
+    )
+    assert again.digest == decoded.digest
+
+
+@FUZZ
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from(
+            ("kind", "name", "service", "labels", "out", "since", "selector")
+        ),
+        strategies.sampled_from(sorted(resources.KINDS)) | JSON,
+    )
+)
+def test_documents_are_resources_or_refused(
+    document: dict[str, typing.Any],
+) -> None:
+    decoded = resources.decode(document)
+    if isinstance(decoded, result.Failure):
+        assert decoded.failure()
+        return
+    item = decoded.unwrap()
+    assert resources.decode(resources.encode(item)).unwrap() == item
+
+
+@FUZZ
+@hypothesis.given(
+    strategies.text(max_size=80)
+    | strategies.lists(
+        strategies.sampled_from(
+            ("[node]", "[listen]", "id = a", "id", "= b", "%(x)s", "host=h")
+            + ("zone = z", "[platform", "call_port = 99999", "\t x", "#")
+        )
+    ).map("\n".join)
+)
+def test_settings_are_read_or_refused(text: str) -> None:
+    read = settings.parse(text, "f.ini", options.OPTIONS)
+    if isinstance(read, result.Failure):
+        assert str(read.failure()).startswith("f.ini:")
+
+
+@FUZZ
+@hypothesis.given(number=strategies.integers(0, 255), data=strategies.binary())
+def test_frames_are_read_or_refused(number: int, data: bytes) -> None:
+    try:
+        message = frames.decode(number, data)
+    except frames.FrameError:
+        return
+    again = frames.encode(message)
+    assert frames.decode(again[4], again[5:]) == message
+
+
+@FUZZ
+@hypothesis.given(strategies.binary(max_size=40))
+def test_a_stream_of_bytes_ends_or_is_refused(data: bytes) -> None:
+    async def read() -> None:
+        reader = asyncio.StreamReader()
+        reader.feed_data(data)
+        reader.feed_eof()
+        while True:
+            await frames.read(reader)
+
+    with pytest.raises((frames.FrameError, asyncio.IncompleteReadError)):
+        asyncio.run(read())
+
+
+@FUZZ
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from(("service", "url", "instance", "labels")), JSON
+    )
+)
+def test_announcements_are_read_or_refused(
+    document: dict[str, typing.Any],
+) -> None:
+    try:
+        announcement = msgspec.convert(
+            {**document, "target": "caja-1"}, targets.Announcement
+        )
+    except msgspec.ValidationError:
+        return
+    assert isinstance(announcement.problems(), list)
