--- a/packages/testing/src/balsamramp_testing/scenario/stages/world.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/world.py
@@ -7,11 +7,12 @@
 
 from balsamramp_core import clock
 from balsamramp_core import configuration
+from balsamramp_core import configuration_codec
 from balsamramp_core import metrics
 from balsamramp_core import platform
 from balsamramp_core import resources
 from balsamramp_core import settings
-from balsamramp_node import acceptance
+from balsamramp_node import accepted_log
 from balsamramp_node import core
 from balsamramp_node import parts
 from balsamramp_node import stream_client
@@ -48,21 +49,21 @@
     def _apply(self, transaction: platform.Transaction) -> None:
         super()._apply(transaction)
         for write in transaction.writes:
-            if not write.key.startswith(acceptance.LOG_PREFIX):
+            if not write.key.startswith(accepted_log.LOG_PREFIX):
                 continue
             if write.value is not None:
                 self._note(write.value)
 
     def _note(self, value: bytes) -> None:
-        change = configuration.change_from_bytes(value).unwrap()
-        self._seen.accepted.append(
-            record.Accepted(
-                version=change.version,
-                at=self._clock.monotonic() - self.began,
-                puts=tuple(resources.encode(item) for item in change.puts),
-                deletes=tuple((key.kind, key.name) for key in change.deletes),
+        now = self._clock.monotonic() - self.began
+        for change in configuration_codec.changes_from_bytes(value).unwrap():
+            puts = tuple(resources.encode(item) for item in change.puts)
+            deletes = tuple((key.kind, key.name) for key in change.deletes)
+            self._seen.accepted.append(
+                record.Accepted(
+                    version=change.version, at=now, puts=puts, deletes=deletes
+                )
             )
-        )
 
 
 class ReachableTable(platform.Table):
@@ -176,6 +177,7 @@
                 messages.Hello(identity.node, identity.incarnation),
                 settings.Address(identity.node, STREAM_PORT),
                 made.door,
+                self.clock,
                 node.metrics,
             )
         )
--- a/packages/testing/tests/test_fuzz.py
+++ b/packages/testing/tests/test_fuzz.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from balsamramp_core import configuration
+from balsamramp_core import configuration_codec as codec
 from balsamramp_core import resource
 from balsamramp_core import resources
 from balsamramp_core import settings
@@ -64,6 +65,7 @@
 CHANGES = strategies.builds(
     configuration.Change,
     version=strategies.integers(1, 10**9),
+    base_version=strategies.integers(0, 10**9),
     change_id=NAMES,
     base_digest=strategies.integers(0, 2**128 - 1),
     digest=strategies.integers(0, 2**128 - 1),
@@ -76,13 +78,27 @@
 )
 
 
-def _configuration(
-    items: list[resource.Resource],
-) -> configuration.Configuration:
-    return configuration.merge(configuration.EMPTY, items, ())
+LINEAGES = strategies.lists(
+    strategies.builds(
+        configuration.Accepted,
+        strategies.integers(1, 10**9),
+        strategies.integers(0, 2**128 - 1),
+        NAMES,
+        TIMES,
+    ),
+    max_size=3,
+).map(tuple)
+
+
+@strategies.composite
+def _snapshots(draw: strategies.DrawFn) -> configuration.Snapshot:
+    items = draw(strategies.lists(_items(), max_size=5))
+    version = draw(strategies.integers(1, 10**9))
+    whole = configuration.merge(configuration.EMPTY, version, items, ())
+    return configuration.Snapshot(whole, draw(LINEAGES))
 
 
-CONFIGURATIONS = strategies.lists(_items(), max_size=5).map(_configuration)
+SNAPSHOTS = _snapshots()
 
 
 @strategies.composite
@@ -103,30 +119,34 @@
     return bytes(data)
 
 
-CHANGE_BYTES = CHANGES.map(configuration.change_to_bytes)
-SNAPSHOT_BYTES = CONFIGURATIONS.map(configuration.configuration_to_bytes)
+CHANGE_BYTES = CHANGES.map(codec.change_to_bytes)
+SNAPSHOT_BYTES = SNAPSHOTS.map(codec.snapshot_to_bytes)
 JSON_BYTES = JSON.map(lambda value: msgspec.json.encode(value))
 
 
 @FUZZ
 @hypothesis.given(CHANGES)
 def test_change_survives_its_bytes(change: configuration.Change) -> None:
-    data = configuration.change_to_bytes(change)
-    assert configuration.change_from_bytes(data).unwrap() == change
+    data = codec.change_to_bytes(change)
+    assert codec.change_from_bytes(data).unwrap() == change
 
 
 @FUZZ
-@hypothesis.given(CONFIGURATIONS)
+@hypothesis.given(SNAPSHOTS)
 def test_snapshot_survives_its_bytes(
-    whole: configuration.Configuration,
+    whole: configuration.Snapshot,
 ) -> None:
-    data = configuration.configuration_to_bytes(whole)
-    assert configuration.configuration_from_bytes(data).unwrap() == whole
+    data = codec.snapshot_to_bytes(whole)
+    assert codec.snapshot_from_bytes(data).unwrap() == whole
 
 
 @pytest.mark.parametrize(
     "decode",
-    [configuration.change_from_bytes, configuration.configuration_from_bytes],
+    [
+        codec.change_from_bytes,
+        codec.changes_from_bytes,
+        codec.snapshot_from_bytes,
+    ],
 )
 @FUZZ
 @hypothesis.given(
@@ -148,13 +168,14 @@
 def test_a_damaged_snapshot_is_never_another_configuration(
     data: bytes,
 ) -> None:
-    decoded = configuration.configuration_from_bytes(data).value_or(None)
+    decoded = codec.snapshot_from_bytes(data).value_or(None)
     if decoded is None:
         return
+    whole = decoded.configuration
     again = configuration.merge(
-        configuration.EMPTY, decoded.resources.values(), ()
+        configuration.EMPTY, whole.version, whole.resources.values(), ()
     )
-    assert again.digest == decoded.digest
+    assert again.digest == whole.digest
 
 
 @FUZZ
