--- a/packages/testing/src/balsamramp_testing/memory_network.py
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -16,14 +16,13 @@
 from balsamramp_core import clock
 from balsamramp_core import settings
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
-from balsamramp_node import door
 from balsamramp_testing import virtual_time
 from balsamramp_wire import control
 from balsamramp_wire import messages
 
-__all__ = ["MemoryCalls", "MemoryControl", "MemoryNetwork"]
+__all__ = ["PLATFORM", "MemoryControl", "MemoryNetwork"]
 
+PLATFORM = "platform"
 DELAY = datetime.timedelta(microseconds=500)
 
 
@@ -46,8 +45,7 @@
         self._clock = time
         self._random = choice
         self._controls: dict[settings.Address, MemoryControl] = {}
-        self._doors: dict[settings.Address, door.Door] = {}
-        self._zones: dict[str, str] = {}
+        self._zones: dict[str, str] = {PLATFORM: PLATFORM}
         self._scopes: dict[str, virtual_time.Scope] = {}
         self._cuts: set[frozenset[str]] = set()
         self.delay = DELAY
@@ -61,7 +59,6 @@
         node: str,
         zone: str,
         served: "MemoryControl",
-        calls: door.Door,
         scope: virtual_time.Scope | None = None,
     ) -> None:
         """Connect a node, replacing an earlier one of the same name.
@@ -72,19 +69,14 @@
         self._zones[node] = zone
         self._scopes[node] = scope or virtual_time.Scope(node)
         self._controls[settings.Address(node, 1)] = served
-        self._doors[settings.Address(node, 2)] = calls
         self.down.discard(node)
 
-    def place(self, name: str, zone: str) -> None:
-        """Put something that is not a node, such as a caller, in a zone."""
-        self._zones[name] = zone
-
     def scope_of(self, node: str) -> virtual_time.Scope:
         """Return the scope in which the node's tasks run."""
         return self._scopes[node]
 
     def cut(self, left: str, right: str) -> None:
-        """Cut the link between two zones or nodes."""
+        """Cut the link between two zones, nodes, or one and PLATFORM."""
         self._cuts.add(frozenset((left, right)))
 
     def heal(self, left: str, right: str) -> None:
@@ -125,10 +117,6 @@
         """Return the node's control side at ``address``, if any."""
         return self._controls.get(address)
 
-    def door_at(self, address: settings.Address) -> door.Door | None:
-        """Return the door at ``address``, if any."""
-        return self._doors.get(address)
-
 
 class MemoryControl(control.PeerTransport):
     """Control requests of one node over a memory network."""
@@ -183,50 +171,6 @@
         )
 
 
-class MemoryCalls(call_transport.CallTransport):
-    """Calls of one node to the doors of others over a memory network."""
-
-    def __init__(self, node: str, network: MemoryNetwork) -> None:
-        self._node = node
-        self._network = network
-
-    async def call(
-        self, peer: settings.Address, request: messages.CallRequest
-    ) -> call_transport.Reply:
-        try:
-            async with asyncio.timeout(request.timeout.total_seconds()):
-                return await self._call(peer, request)
-        except TimeoutError:
-            return _call_failed(
-                request,
-                verdict.Verdict.MAY_HAVE_RUN,
-                verdict.Reason.DEADLINE,
-            )
-
-    async def _call(
-        self, peer: settings.Address, request: messages.CallRequest
-    ) -> call_transport.Reply:
-        reaches = self._network.reaches(self._node, peer.host)
-        served = self._network.door_at(peer)
-        if served is None or not reaches:
-            return _call_failed(request, verdict.Verdict.NOT_RUN)
-        if not await self._network.carry(self._node, peer.host):
-            return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
-        if peer.host in self._network.silent:
-            await asyncio.Event().wait()
-        scope = self._network.scope_of(peer.host)
-        try:
-            reply = await scope.run(served.submit(request))
-        except asyncio.CancelledError:
-            served.cancel(request.call_id, request.target)
-            raise
-        if reply is None:
-            return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
-        if not await self._network.carry(peer.host, self._node):
-            return _call_failed(request, verdict.Verdict.MAY_HAVE_RUN)
-        return reply
-
-
 def _lost(
     peer: settings.Address,
 ) -> result.Result[typing.Any, verdict.Failure]:
@@ -237,15 +181,3 @@
             f"no answer from {peer}",
         )
     )
-
-
-def _call_failed(
-    request: messages.CallRequest,
-    ran: verdict.Verdict,
-    reason: verdict.Reason = verdict.Reason.CONNECTION_LOST,
-) -> messages.CallFailure:
-    return messages.CallFailure(
-        call_id=request.call_id,
-        failure=verdict.Failure(ran, reason, "no answer"),
-        load=messages.Load(0, 0),
-    )
--- a/packages/testing/src/balsamramp_testing/memory_streams.py
+++ b/packages/testing/src/balsamramp_testing/memory_streams.py
@@ -7,14 +7,16 @@
 """
 
 import asyncio
+from collections import abc
 import datetime
 import typing
 
 from balsamramp_core import clock
+from balsamramp_core import settings
 from balsamramp_testing import memory_network
 from balsamramp_testing import virtual_time
 
-__all__ = ["MemoryStreams"]
+__all__ = ["MemoryConnector", "MemoryStreams"]
 
 RETRY_INTERVAL = datetime.timedelta(milliseconds=50)
 CALLER = "caller"
@@ -82,6 +84,12 @@
     def resume_reading(self) -> None:
         """Reading never paused."""
 
+    def go_silent(self) -> None:
+        """Carry nothing any more, in both directions."""
+        self.silent = True
+        if self.other is not None:
+            self.other.silent = True
+
     async def carry(self) -> None:
         """Carry what this end writes to the other, in order."""
         assert self.other is not None
@@ -214,7 +222,7 @@
         owner = scope.name.partition("/")[0] if scope else CALLER
         await self.pass_link(owner, host)
         found = self._listening.get((host, port))
-        if found is None:
+        if found is None or host in self._network.down:
             raise ConnectionRefusedError(f"nothing listens on {host}:{port}")
         make_served, served_scope = found
         near = _End(self, owner, host, scope)
@@ -240,5 +248,29 @@
         end.protocol.connection_made(end)
 
 
+class MemoryConnector:
+    """Opens connections of one node to the stream servers of others.
+
+    ``silence`` decides for each new connection whether it goes silent
+    and after how many seconds.
+    """
+
+    def __init__(self) -> None:
+        self.silence: abc.Callable[[], float | None] = lambda: None
+
+    async def connect(
+        self, peer: settings.Address
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Return reader and writer of a new connection to ``peer``."""
+        reader, writer = await asyncio.open_connection(peer.host, peer.port)
+        seconds = self.silence()
+        if seconds is not None:
+            loop = asyncio.get_running_loop()
+            end = writer.transport
+            assert isinstance(end, _End)
+            loop.call_later(seconds, end.go_silent)
+        return reader, writer
+
+
 def _owner(end: _End | None) -> str:
     return "" if end is None else end.owner
--- a/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
@@ -94,7 +94,6 @@
             await self.freeze_node(node, False)
             self._disturb(node)
         await self.world.kill_node(node)
-        self.world.streams.kill(node)
 
     async def stop_node(self, node: str) -> None:
         if node not in self.world.nodes:
@@ -106,7 +105,6 @@
         while self._serving.get(node):
             await self.clock.sleep(IDLE_CHECK_INTERVAL)
         await self.world.stop_node(node)
-        self.world.streams.kill(node)
         self._stopping.discard(node)
 
     async def freeze_node(self, node: str, frozen: bool) -> None:
--- a/packages/testing/src/balsamramp_testing/scenario/stages/monitor.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/monitor.py
@@ -5,12 +5,12 @@
 import datetime
 import typing
 
+from balsamramp_testing import memory_network
 from balsamramp_testing.scenario import record
 
 __all__ = ["Monitor", "phase_of"]
 
 INTERVAL = datetime.timedelta(milliseconds=100)
-PLATFORM = "platform"
 SLOW = datetime.timedelta(milliseconds=300)
 
 
@@ -47,7 +47,7 @@
         for group in self._groups(alive):
             available = max(self._version(name) for name in group)
             for node in group:
-                if node == PLATFORM:
+                if node == memory_network.PLATFORM:
                     continue
                 core = stage.world.nodes[node].core
                 stage.record.samples.append(
@@ -75,7 +75,7 @@
 
     def _version(self, name: str) -> int:
         stage = self._stage
-        if name != PLATFORM:
+        if name != memory_network.PLATFORM:
             return int(stage.world.nodes[name].core.store.current.version)
         accepted = stage.record.accepted
         return max((item.version for item in accepted), default=0)
@@ -84,7 +84,7 @@
         faults = self._stage.world.faults
         names = list(alive)
         if not faults.down and faults.delay < SLOW:
-            names.append(PLATFORM)
+            names.append(memory_network.PLATFORM)
         network = self._stage.world.network
         left = names
         groups = []
--- a/packages/testing/src/balsamramp_testing/world.py
+++ b/packages/testing/src/balsamramp_testing/world.py
@@ -15,11 +15,15 @@
 from balsamramp_node import core
 from balsamramp_node import options
 from balsamramp_node import parts
+from balsamramp_node import stream_client
+from balsamramp_node import stream_server
 from balsamramp_node import targets
 from balsamramp_testing import memory_network
 from balsamramp_testing import memory_platform
+from balsamramp_testing import memory_streams
 from balsamramp_testing import memory_target
 from balsamramp_testing import virtual_time
+from balsamramp_wire import messages
 
 __all__ = ["World", "WorldNode"]
 
@@ -39,7 +43,7 @@
 seeds = {seeds}
 {extra}
 """
-RENEW_INTERVAL = datetime.timedelta(milliseconds=500)
+STREAM_PORT = 2
 
 
 @attrs.define(eq=False)
@@ -52,6 +56,7 @@
     core: core.Core
     metrics: metrics.Metrics
     targets: memory_target.MemoryTargetClient
+    connector: memory_streams.MemoryConnector
     scope: virtual_time.Scope
 
 
@@ -81,6 +86,7 @@
         self.network = memory_network.MemoryNetwork(
             self.clock, random.Random(seed + 1)
         )
+        self.streams = memory_streams.MemoryStreams(self.network, self.clock)
         self.nodes: dict[str, WorldNode] = {}
         self._region = region
         self._incarnation = 0
@@ -89,6 +95,7 @@
         self, name: str, zone: str, extra: str = ""
     ) -> WorldNode:
         """Start a node; one that was killed starts empty again."""
+        virtual_time.use_streams(self.streams)
         seeds = ", ".join(f"{other}:1" for other in list(self.nodes)[:3])
         text = SETTINGS.format(
             name=name,
@@ -110,6 +117,7 @@
         """End a node at once, without any of its messages getting out."""
         self.network.down.add(name)
         await self.nodes.pop(name).scope.kill()
+        self.streams.kill(name)
 
     async def stop_node(self, name: str) -> None:
         """Shut a node down as its process does when asked to end."""
@@ -118,25 +126,13 @@
         self.network.down.add(name)
         del self.nodes[name]
         await node.scope.kill()
+        self.streams.kill(name)
 
     async def stop(self) -> None:
         """Stop all nodes."""
         for name in list(self.nodes):
             await self.kill_node(name)
 
-    def outside(
-        self, identity: core.Identity, counters: metrics.Metrics
-    ) -> parts.Parts:
-        """Return what a node reaches the outside with."""
-        name = identity.node
-        return parts.Parts(
-            table=self.table,
-            objects=self.objects,
-            control=memory_network.MemoryControl(name, self.network),
-            calls=memory_network.MemoryCalls(name, self.network),
-            targets=memory_target.MemoryTargetClient(self.clock),
-        )
-
     def prepare(self, node: WorldNode) -> None:
         """Complete a node between its making and its start."""
 
@@ -146,8 +142,27 @@
         checked: settings.Settings,
         scope: virtual_time.Scope,
     ) -> WorldNode:
+        name = identity.node
         counters = metrics.Metrics()
-        outside = self.outside(identity, counters)
+        hello = messages.Hello(name, identity.incarnation)
+        served = memory_network.MemoryControl(name, self.network)
+        client = memory_target.MemoryTargetClient(self.clock)
+        connector = memory_streams.MemoryConnector()
+        streams = stream_client.StreamClient(
+            hello, self.clock, counters, connector.connect
+        )
+
+        def link() -> bool:
+            return self.network.reaches(name, memory_network.PLATFORM)
+
+        outside = parts.Parts(
+            table=memory_platform.LinkedTable(self.table, link),
+            objects=memory_platform.LinkedObjectStore(self.objects, link),
+            control=served,
+            calls=streams,
+            targets=client,
+            services=(streams,),
+        )
         made = core.Core(
             identity,
             checked,
@@ -156,14 +171,17 @@
             counters,
             random.Random(self.random.random()),
         )
-        served = outside.control
-        client = outside.targets
-        assert isinstance(served, memory_network.MemoryControl)
-        assert isinstance(client, memory_target.MemoryTargetClient)
-        self.network.add(
-            identity.node, identity.zone, served, made.door, scope
+        made.kernel.add(
+            stream_server.StreamServer(
+                hello,
+                settings.Address(name, STREAM_PORT),
+                made.door,
+                self.clock,
+                counters,
+            )
         )
-        node = WorldNode(made, counters, client, scope)
+        self.network.add(name, identity.zone, served, scope)
+        node = WorldNode(made, counters, client, connector, scope)
         self.prepare(node)
         await made.kernel.start()
         return node
