--- a/packages/testing/src/balsamramp_testing/scenario/stage.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stage.py
@@ -86,9 +86,12 @@
 
     @abc.abstractmethod
     async def submit(
-        self, document: dict[str, typing.Any], through: str | None
+        self,
+        puts: list[dict[str, typing.Any]],
+        deletes: list[tuple[str, str]],
+        through: str | None,
     ) -> None:
-        """Submit a resource as an operator, through a node or any."""
+        """Submit a change as an operator, through a node or any."""
 
     @abc.abstractmethod
     async def call(
--- a/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from balsamramp_core import resource
 from balsamramp_core import resources
 from balsamramp_node import acceptance
 from balsamramp_node import calls
@@ -209,7 +210,10 @@
             self.world.faults.delay = delay
 
     async def submit(
-        self, document: dict[str, typing.Any], through: str | None
+        self,
+        puts: list[dict[str, typing.Any]],
+        deletes: list[tuple[str, str]],
+        through: str | None,
     ) -> None:
         nodes = [node for node in self.callers("") if node == through]
         nodes = nodes or self.callers("")
@@ -220,7 +224,8 @@
         submission = acceptance.Submission(
             change_id=f"{self._random.getrandbits(64):x}",
             author="scenario",
-            puts=(resources.decode(document).unwrap(),),
+            puts=tuple(resources.decode(item).unwrap() for item in puts),
+            deletes=tuple(resource.ResourceKey(*key) for key in deletes),
         )
         work = found.core.operations.submit(submission)
         self.record.submissions.append(_outcome(await found.scope.run(work)))
--- a/packages/testing/src/balsamramp_testing/scenario/stages/processes.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/processes.py
@@ -116,11 +116,14 @@
             response.raise_for_status()
 
     async def submit(
-        self, document: dict[str, typing.Any], through: str | None
+        self,
+        puts: list[dict[str, typing.Any]],
+        deletes: list[tuple[str, str]],
+        through: str | None,
     ) -> None:
         nodes = self.callers("")
         node = through if through in nodes else nodes[0]
-        change = {"author": "scenario", "puts": [document]}
+        change = {"author": "scenario", "puts": puts, "deletes": deletes}
         accepted = await self._fleet.submit(self._fleet.nodes[node], change)
         outcome = "accepted"
         if "version" not in accepted:
--- a/packages/testing/src/balsamramp_testing/scenario/statements/operators.py
+++ b/packages/testing/src/balsamramp_testing/scenario/statements/operators.py
@@ -17,7 +17,7 @@
     through: str | None
 
     async def run(self, on: stage.Stage) -> None:
-        await on.submit(self.document(on), self.through)
+        await on.submit([self.document(on)], [], self.through)
 
     def document(self, on: stage.Stage) -> dict[str, typing.Any]:
         """Return the resource as plain data."""
@@ -150,6 +150,22 @@
         }
 
 
+@attrs.frozen
+class Delete(statement.Statement):
+    """Deletes a resource."""
+
+    name = "delete"
+    syntax = '"delete" NAME NAME ["through" NAME]'
+    doc = "deletes a resource by its kind and name"
+
+    kind: str
+    resource: str
+    through: str | None = None
+
+    async def run(self, on: stage.Stage) -> None:
+        await on.submit([], [(self.kind, self.resource)], self.through)
+
+
 STATEMENTS: tuple[type[statement.Statement], ...] = (
     Service,
     Route,
@@ -157,4 +173,5 @@
     Alias,
     Zone,
     Rollout,
+    Delete,
 )
