Sessions: transcripts of calls, messages and state changes

Cause: what callers, targets and nodes say to each other had no test that shows it whole. Change: a stage that serves the callers' port over streams in memory with the server of the product and writes a transcript; bytes that arrive are handled in the scope of the receiver, as timers are.

--- a/packages/testing/src/balsamramp_testing/memory_network.py
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -53,6 +53,7 @@
         self.down: set[str] = set()
         self.silent: set[str] = set()
         self.traffic: dict[str, Traffic] = {}
+        self.hear: typing.Callable[[str, str, object], None] | None = None
 
     def add(
         self,
@@ -150,6 +151,8 @@
     ) -> result.Result[typing.Any, verdict.Failure]:
         encoded = msgspec.msgpack.encode(request)
         self._network.count(self._node, len(encoded))
+        if self._network.hear is not None:
+            self._network.hear(self._node, peer.host, request)
         if not await self._network.carry(self._node, peer.host):
             return _lost(peer)
         served = self._network.control_at(peer)
@@ -164,6 +167,8 @@
             return _lost(peer)
         answer = msgspec.msgpack.encode(reply)
         self._network.count(peer.host, len(answer))
+        if self._network.hear is not None:
+            self._network.hear(peer.host, self._node, reply)
         if not await self._network.carry(peer.host, self._node):
             return _lost(peer)
         return result.Success(
--- a/packages/testing/src/balsamramp_testing/memory_streams.py
+++ b/packages/testing/src/balsamramp_testing/memory_streams.py
@@ -21,6 +21,8 @@
 RETRY_INTERVAL = datetime.timedelta(milliseconds=50)
 CALLER = "caller"
 
+Hearer = abc.Callable[[str, str, bytes], None]
+
 
 class _End(asyncio.Transport):
     """One end of a connection."""
@@ -107,12 +109,11 @@
         """Hand bytes that arrived to the protocol of this end."""
         if self._closing:
             return
-        if self.scope is not None and self.scope.frozen:
-            loop = asyncio.get_running_loop()
-            handle = asyncio.Handle(self.deliver, (data,), loop)
-            self.scope.held.append(handle)
-            return
-        self.protocol.data_received(data)
+        self._do(self._receive, data)
+
+    def _receive(self, data: bytes) -> None:
+        if not self._closing:
+            self.protocol.data_received(data)
 
     def end(self) -> None:
         """Note that the other end closed the connection."""
@@ -123,10 +124,16 @@
         self._lose()
 
     def _lose(self) -> None:
-        if self.protocol is None:
+        if self.protocol is not None:
+            self._do(self.protocol.connection_lost, None)
+
+    def _do(
+        self, function: abc.Callable[..., None], value: bytes | None
+    ) -> None:
+        if self.scope is not None:
+            self.scope.call(function, value)
             return
-        loop = asyncio.get_running_loop()
-        loop.call_soon(self.protocol.connection_lost, None)
+        asyncio.get_running_loop().call_soon(function, value)
 
 
 class _Listener:
@@ -157,7 +164,7 @@
 class MemoryStreams(virtual_time.StreamNetwork):
     """Connects nodes by name over a memory network.
 
-    ``log`` receives every write, for golden sessions.
+    ``hear`` is called with every write, for golden sessions.
     """
 
     def __init__(
@@ -170,13 +177,12 @@
             tuple[str, int], tuple[typing.Any, virtual_time.Scope | None]
         ] = {}
         self._ends: list[_End] = []
-        self.log: list[tuple[str, str, bytes]] = []
-        self.logging = False
+        self.hear: Hearer | None = None
 
     def note(self, sender: str, receiver: str, data: bytes) -> None:
-        """Log what ``sender`` wrote."""
-        if self.logging:
-            self.log.append((sender, receiver, bytes(data)))
+        """Hand on what ``sender`` wrote to whoever wants to hear it."""
+        if self.hear is not None:
+            self.hear(sender, receiver, bytes(data))
 
     def forget(self, place: tuple[str, int]) -> None:
         """End listening at ``place``."""
--- a/packages/testing/src/balsamramp_testing/scenario/language.py
+++ b/packages/testing/src/balsamramp_testing/scenario/language.py
@@ -45,6 +45,7 @@
 KIND.2: /(idempotent|booking|keyed)(?![\\w.-])/
 PATH: /\\/[^\\s#]*/
 NAME: /[A-Za-z][A-Za-z0-9_.-]*/
+STRING: /"[^"\\n]*"/
 COMMENT: /#[^\\n]*/
 _NEWLINE: /\\r?\\n/
 %ignore /[ \\t]+/
@@ -185,4 +186,5 @@
     "NUMBER": float,
     "PERCENT": _percent,
     "RATE": _rate,
+    "STRING": lambda text: text[1:-1],
 }
--- a/packages/testing/src/balsamramp_testing/scenario/runner.py
+++ b/packages/testing/src/balsamramp_testing/scenario/runner.py
@@ -16,8 +16,15 @@
 from balsamramp_testing.scenario import statement
 from balsamramp_testing.scenario.stages import memory
 from balsamramp_testing.scenario.stages import processes
+from balsamramp_testing.scenario.stages import session
 
-__all__ = ["Outcome", "play", "run_in_memory", "run_on_processes"]
+__all__ = [
+    "Outcome",
+    "play",
+    "run_in_memory",
+    "run_on_processes",
+    "run_session",
+]
 
 ON_PROCESSES = frozenset((7, 8, 9))
 
@@ -76,26 +83,37 @@
 def run_in_memory(text: str, seed: int, file: str = "scenario") -> Outcome:
     """Run a scenario on fakes in virtual time; the same for each seed."""
     steps = language.parse(text, file)
+    seen = _run_virtually(steps, seed, memory.MemoryStage).record
+    return Outcome(record=seen, broken=invariants.check(seen))
+
+
+def run_session(text: str, seed: int, file: str = "session") -> str:
+    """Run a scenario and return the transcript of what was said."""
+    steps = language.parse(text, file)
+    on = _run_virtually(steps, seed, session.SessionStage)
+    assert isinstance(on, session.SessionStage)
+    return on.transcript
+
+
+def _run_virtually(
+    steps: list[statement.Step], seed: int, kind: type[memory.MemoryStage]
+) -> memory.MemoryStage:
     numbers = random.Random(seed)
 
     def make_id() -> uuid.UUID:
         return uuid.UUID(int=numbers.getrandbits(128), version=4)
 
-    with mock.patch.object(uuid, "uuid4", make_id):
-        seen = virtual_time.run(_play_in_memory(steps, seed))
-    return Outcome(record=seen, broken=invariants.check(seen))
-
+    async def run() -> memory.MemoryStage:
+        on = kind(seed)
+        try:
+            await play(steps, on)
+        finally:
+            await on.close()
+        on.record.failures += virtual_time.errors()
+        return on
 
-async def _play_in_memory(
-    steps: list[statement.Step], seed: int
-) -> record.Record:
-    on = memory.MemoryStage(seed)
-    try:
-        await play(steps, on)
-    finally:
-        await on.close()
-    on.record.failures += virtual_time.errors()
-    return on.record
+    with mock.patch.object(uuid, "uuid4", make_id):
+        return virtual_time.run(run())
 
 
 async def run_on_processes(
--- a/packages/testing/src/balsamramp_testing/scenario/stage.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stage.py
@@ -117,6 +117,10 @@
     async def rollout_phases(self, rollout: str) -> set[str]:
         """Return the phases in which the nodes see a rollout."""
 
+    async def command(self, text: str, through: str) -> None:
+        """Run a command of the operators' client against a node."""
+        raise UnsupportedError(f"{self.name} cannot run commands")
+
     async def restart_target(self, target: str) -> None:
         """Start a target again after it ended."""
         raise UnsupportedError(f"{self.name} cannot restart a target")
--- a/packages/testing/src/balsamramp_testing/scenario/stages/target.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/target.py
@@ -32,6 +32,7 @@
     started_at: datetime.timedelta = attrs.field(kw_only=True)
     leaving: bool = False
     instance: int = 1
+    hear: typing.Callable[..., None] | None = None
     scope: virtual_time.Scope = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -42,7 +43,9 @@
     ) -> target_client.TargetAnswer:
         answered = await self.scope.run(self._serve(request, time))
         if answered is None:
-            return self._answer(memory_target.STATUS_FAILED)
+            answered = self._answer(memory_target.STATUS_FAILED)
+        if self.hear is not None:
+            self.hear(self.name, request, answered)
         return answered
 
     async def _serve(
--- a/packages/testing/src/balsamramp_testing/scenario/statements/operators.py
+++ b/packages/testing/src/balsamramp_testing/scenario/statements/operators.py
@@ -166,6 +166,21 @@
         await on.submit([], [(self.kind, self.resource)], self.through)
 
 
+@attrs.frozen
+class Command(statement.Statement):
+    """Runs a command of the operators' client."""
+
+    name = "command"
+    syntax = '"command" NAME STRING'
+    doc = "runs a command of the operators' client against a node"
+
+    node: str
+    text: str
+
+    async def run(self, on: stage.Stage) -> None:
+        await on.command(self.text, self.node)
+
+
 STATEMENTS: tuple[type[statement.Statement], ...] = (
     Service,
     Route,
@@ -174,4 +189,5 @@
     Zone,
     Rollout,
     Delete,
+    Command,
 )
--- a/packages/testing/src/balsamramp_testing/virtual_time.py
+++ b/packages/testing/src/balsamramp_testing/virtual_time.py
@@ -155,6 +155,13 @@
             raise
         return None if task.cancelled() else task.result()
 
+    def call(self, function: abc.Callable[..., None], *values: object) -> None:
+        """Call ``function`` as a task of this scope would, when it runs."""
+        context = self._context.copy()
+        asyncio.get_running_loop().call_soon(
+            function, *values, context=context
+        )
+
     def freeze(self) -> None:
         """Let no task take a step until ``thaw``."""
         self.frozen = True
