--- a/packages/testing/src/balsamramp_testing/memory_network.py
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -72,6 +72,12 @@
         self._controls[settings.Address(node, 1)] = served
         self.down.discard(node)
 
+    def add_control(
+        self, node: str, zone: str, served: "MemoryControl"
+    ) -> None:
+        """Connect the control side of a node alone."""
+        self.add(node, zone, served)
+
     def scope_of(self, node: str) -> virtual_time.Scope:
         """Return the scope in which the node's tasks run."""
         return self._scopes[node]
--- a/packages/testing/src/balsamramp_testing/memory_streams.py
+++ b/packages/testing/src/balsamramp_testing/memory_streams.py
@@ -98,7 +98,7 @@
         while True:
             data = await self._queue.get()
             await self._streams.pass_link(self.owner, self.other.owner)
-            if self.silent:
+            if self.silent or self._streams.is_down(self.owner, self.other):
                 continue
             if data is None:
                 self.other.end()
@@ -207,6 +207,10 @@
                 end.close()
         self._ends = [end for end in self._ends if not end.is_closing()]
 
+    def is_down(self, owner: str, other: "_End") -> bool:
+        """Tell whether one end of a connection is a node that is down."""
+        return bool({owner, other.owner} & self._network.down)
+
     async def pass_link(self, sender: str, receiver: str) -> None:
         """Wait until the link has carried one write."""
         network = self._network
@@ -262,6 +266,7 @@
     """
 
     def __init__(self) -> None:
+        self.opened: list[_End] = []
         self.silence: abc.Callable[[], float | None] = lambda: None
 
     async def connect(
@@ -269,11 +274,13 @@
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Return reader and writer of a new connection to ``peer``."""
         reader, writer = await asyncio.open_connection(peer.host, peer.port)
+        end = writer.transport
+        assert isinstance(end, _End)
+        self.opened = [item for item in self.opened if not item.is_closing()]
+        self.opened.append(end)
         seconds = self.silence()
         if seconds is not None:
             loop = asyncio.get_running_loop()
-            end = writer.transport
-            assert isinstance(end, _End)
             loop.call_later(seconds, end.go_silent)
         return reader, writer
 
--- a/packages/testing/tests/test_mechanisms.py
+++ b/packages/testing/tests/test_mechanisms.py
@@ -42,10 +42,12 @@
 COLD = """\
 node a1 in zone-a
 node b1 in zone-b
-target caja-1 of caja on a1 delay 200ms cold 4 for 3s
+target caja-1 of caja on a1 delay 200ms cold 4 for 350ms
 service caja
 route caja-all to caja
-at 500ms load caja 80/s for 3s from zone-b
+at 1s kill target caja-1
+at 2s load caja 80/s for 2s from zone-b
+at 3s start target caja-1
 """
 
 CROSSED = """\
@@ -68,10 +70,12 @@
 target caja-2 of caja on c1 delay 300ms
 service caja
 route caja-all to caja
-at 2s load caja 20/s for 2s from zone-a booking
-at 3s {} node b1
+at 2s load caja 10/s for 3s from zone-a booking
+at 3500ms {}
 """
 
+LONE = "\n".join(line for line in SLOW.splitlines() if "caja-2" not in line)
+
 Patch = tuple[typing.Any, str, typing.Any]
 
 
@@ -206,7 +210,7 @@
     _Mechanism(
         "a lost answer may have run",
         8,
-        SLOW.format("kill"),
+        LONE.format("kill node b1"),
         tuple(
             (stream_client, name, _not_run(getattr(stream_client, name)))
             for name in ("_lost", "_unconnected")
@@ -215,13 +219,13 @@
     _Mechanism(
         "only calls that did not run are tried again",
         9,
-        SLOW.format("kill"),
+        SLOW.format("kill node b1"),
         ((calls._Call, "may_retry", lambda *_: True),),
     ),
     _Mechanism(
         "a door recognises a repeated message",
         9,
-        _case("connections-silent-1"),
+        SLOW.format("silence b1"),
         ((journal.Journal, "find", lambda *_: None),),
     ),
     _Mechanism(
@@ -233,7 +237,7 @@
     _Mechanism(
         "a shutdown waits for the calls that run",
         11,
-        SLOW.format("stop"),
+        SLOW.format("stop node b1"),
         (
             (door.Door, "wait_until_idle", _at_once),
             (stream_server, "FLUSH_TIMEOUT", datetime.timedelta()),
--- a/packages/testing/tests/test_scenarios.py
+++ b/packages/testing/tests/test_scenarios.py
@@ -11,7 +11,7 @@
 
 SCENARIOS = pathlib.Path(__file__).parent.parent / "scenarios"
 SEEDS = (1, 2, 3)
-FILES = ("node_killed",)
+FILES = ("cold_start", "node_killed")
 UNSUPPORTED = "node a1 in zone-a\n\nsilence a1\n"
 
 
