--- a/packages/node/src/balsamramp_node/door.py
+++ b/packages/node/src/balsamramp_node/door.py
@@ -16,6 +16,7 @@
 from balsamramp_core import verdict
 from balsamramp_node import admission
 from balsamramp_node import call_transport
+from balsamramp_node import call_watch
 from balsamramp_node import gate
 from balsamramp_node import journal
 from balsamramp_node import target_client
@@ -53,6 +54,7 @@
         counters: metrics.Metrics,
         client: target_client.TargetClient,
         is_zone_out: abc.Callable[[], bool],
+        watch: call_watch.CallWatch | None = None,
     ) -> None:
         self._incarnation = incarnation
         self._targets = local
@@ -61,6 +63,7 @@
         self._metrics = counters
         self._client = client
         self._is_zone_out = is_zone_out
+        self._watch = watch or call_watch.CallWatch()
         self._journal = journal.Journal()
         self._gates: dict[str, gate.Gate] = {}
         self._running = 0
@@ -156,8 +159,12 @@
         if failure is not None:
             return failure
         assert target is not None
+        condemned = self._watch.refusal(target)
+        if condemned is not None:
+            return condemned
         found = self._gate(target)
         if found.full or found.wait >= left:
+            self._watch.refused(request, target)
             return _not_run(
                 verdict.Reason.OVERLOADED,
                 f"target {request.target} has no free slot",
@@ -241,6 +248,7 @@
         assert target is not None
         entered = self._gate(target)
         if not await entered.enter(deadline):
+            self._watch.refused(request, target)
             failure = _not_run(
                 verdict.Reason.OVERLOADED,
                 f"no slot of target {request.target} came free",
@@ -249,6 +257,8 @@
             return self._refuse_unrecorded(request, failure)
         target = self._targets.find(request.target)
         failure = _unready(request.target, target)
+        if failure is None and target is not None:
+            failure = self._watch.refusal(target)
         if failure is not None:
             entered.leave()
             return self._refuse_unrecorded(request, failure)
@@ -265,13 +275,16 @@
     ) -> call_transport.Reply:
         started = self._clock.monotonic()
         outcome = admission.Outcome.CANCELLED
+        called: target_client.Called | None = None
         try:
             called = await self._client.call(
                 target.announcement, request, deadline - started
             )
             outcome = _outcome(called)
         finally:
-            entered.finish(self._clock.monotonic() - started, outcome)
+            latency = self._clock.monotonic() - started
+            entered.finish(latency, outcome)
+            self._watch.finished(request, target, called, outcome, latency)
             self._metrics.count("target_calls_total", outcome=outcome.value)
         if isinstance(called, result.Failure):
             failure = called.failure()
--- a/packages/node/src/balsamramp_node/operations.py
+++ b/packages/node/src/balsamramp_node/operations.py
@@ -61,6 +61,7 @@
                 "node": member.node,
                 "zone": member.zone,
                 "state": member.state.value,
+                "admin": str(member.admin),
                 "version": versions.get(member.node),
                 "targets": msgspec.to_builtins(member.targets),
             }
@@ -82,11 +83,21 @@
             "zones_out": sorted(self._kernel.find(router.Router).zones_out),
         }
 
-    def document(self) -> list[dict[str, typing.Any]]:
-        """Return all resources in force as plain data."""
+    def document(self) -> dict[str, typing.Any]:
+        """Return all resources in force, and their version, as data."""
         current = self._kernel.find(store.ConfigurationStore).current
         keys = sorted(current.resources)
-        return [resources.encode(current.resources[key]) for key in keys]
+        return {
+            "version": current.version,
+            "resources": [
+                resources.encode(current.resources[key]) for key in keys
+            ],
+        }
+
+    def changes_after(self, version: int) -> list[configuration.Change] | None:
+        """Return the changes after ``version``, None if some are gone."""
+        configurations = self._kernel.find(store.ConfigurationStore)
+        return configurations.changes_since(version)
 
     def names(self) -> dict[str, int]:
         """Return unknown service names and how often each was used."""
--- a/packages/node/src/balsamramp_node/stream_client.py
+++ b/packages/node/src/balsamramp_node/stream_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import datetime
+import ssl
 import typing
 
 import attrs
@@ -27,9 +28,11 @@
 Connect = abc.Callable[[settings.Address], abc.Awaitable[Connection]]
 
 
-async def connect_tcp(peer: settings.Address) -> Connection:
-    """Open a TCP connection to ``peer``."""
-    return await asyncio.open_connection(peer.host, peer.port)
+async def connect_tcp(
+    peer: settings.Address, security: ssl.SSLContext | None = None
+) -> Connection:
+    """Open a TCP connection to ``peer``, with TLS if a context is given."""
+    return await asyncio.open_connection(peer.host, peer.port, ssl=security)
 
 
 class StreamClient(kernel.Service, call_transport.CallTransport):
--- a/packages/node/src/balsamramp_node/stream_server.py
+++ b/packages/node/src/balsamramp_node/stream_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import ssl
 
 import attrs
 
@@ -60,8 +61,10 @@
         calls: door.Door,
         time: clock.Clock,
         counters: metrics.Metrics,
+        security: ssl.SSLContext | None = None,
     ) -> None:
         self._hello = hello
+        self._security = security
         self._listen = listen
         self._door = calls
         self._clock = time
@@ -77,7 +80,10 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
-            self.serve, self._listen.host, self._listen.port
+            self.serve,
+            self._listen.host,
+            self._listen.port,
+            ssl=self._security,
         )
         port = self._server.sockets[0].getsockname()[1]
         self._address = settings.Address(self._listen.host, port)
