--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: bench-calls bench-config bench-outcomes check demo env format test
+.PHONY: bench-calls bench-config bench-outcomes check demo env format \
+    known-red prove test
 
 env: $(STAMP)
 
@@ -31,6 +32,13 @@
 demo: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.demo
 
+# All cases: make prove FULL=1
+prove: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.prove $(if $(FULL),--full)
+
+known-red:
+	@cat KNOWN-RED.txt
+
 bench-calls: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.call_faults
 	$(BIN)/python -m balsamramp_testing.benches.added_time
