--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -7,6 +7,7 @@
 from balsamramp_core import settings
 from balsamramp_node import admissions
 from balsamramp_node import pickers
+from balsamramp_node import policies
 
 __all__ = ["OPTIONS", "check", "is_loopback", "read", "token"]
 
@@ -169,6 +170,7 @@
         name="policy",
         kind="str",
         default="evidence",
+        choices=tuple(sorted(policies.POLICIES)),
         doc="how a rollout's share is decided, alike on all nodes",
     ),
     settings.Option(
--- a/packages/node/src/balsamramp_node/rollout_report.py
+++ b/packages/node/src/balsamramp_node/rollout_report.py
@@ -40,7 +40,8 @@
 class RolloutReport:
     """Where one rollout stands.
 
-    ``outcome`` is empty until the rollout has ended: "completed",
+    ``phase`` was entered at ``decided_at`` for ``reason``. ``outcome`` is
+    empty until the rollout has ended: "completed",
     "completed late" or "taken back", with when and why. ``waits_for``
     says why the next step is not granted, ``forecast`` when the last step
     is expected and ``on_time`` whether that is before the deadline.
@@ -54,6 +55,8 @@
     start: datetime.datetime
     deadline: datetime.datetime | None
     phase: str
+    decided_at: datetime.datetime | None
+    reason: str
     step: int
     share: float
     outcome: str
@@ -81,6 +84,7 @@
         waits_for = policy.waits_for(intent, state, evidence, now)
     if not rollout_state.is_vouched(state) and phase is PHASE.WAITING:
         waits_for = "a peer or the platform that knows what happened so far"
+    mark = state.marks.get(phase.value)
     deadline = intent.deadline if intent else None
     on_time = None
     if forecast is not None and deadline is not None:
@@ -94,6 +98,8 @@
         start=state.start,
         deadline=deadline,
         phase=phase.value,
+        decided_at=mark.at if mark else None,
+        reason=mark.text if mark else "",
         step=rollout_state.step(state),
         share=policy.share(state),
         outcome=_outcome(state),
--- a/packages/node/src/balsamramp_node/rollouts.py
+++ b/packages/node/src/balsamramp_node/rollouts.py
@@ -238,17 +238,16 @@
         return sorted(reports, key=lambda item: (item.service, item.start))
 
     def dump(self) -> abc.Mapping[str, typing.Any]:
-        return {
-            state.intent: rollout_report.plain(report)
-            for state, report in zip(
-                sorted(
-                    self._states.values(),
-                    key=lambda item: (item.service, item.start),
-                ),
-                self.report(),
-                strict=True,
-            )
-        }
+        """Return the reports by the name of the rollout.
+
+        Earlier rollouts of the same name are listed by their identity.
+        """
+        shown = {}
+        for report in self.report():
+            is_current = self._ids.get(report.rollout) == report.intent
+            name = report.rollout if is_current else report.intent
+            shown[name] = rollout_report.plain(report)
+        return shown
 
     def _decided(
         self,
--- a/packages/testing/tests/test_rollout_scenarios.py
+++ b/packages/testing/tests/test_rollout_scenarios.py
@@ -266,7 +266,7 @@
 def test_condemned_stays_so(
     disturb: rollout_trial.Disturbance, down: tuple[float, float] | None
 ) -> None:
-    plan = attrs.evolve(_bad(), platform_down=down)
+    plan = attrs.evolve(_bad(begins=4.0), platform_down=down)
     rollout_trial.run(plan, disturb)
 
 
