--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls.py
@@ -49,7 +49,10 @@
 
 
 class Calls(kernel.Service):
-    """Picks a target, hands the call to its node, and tries again."""
+    """Picks a target, hands the call to its node, and tries again.
+
+    ``call_prefix`` must be unique to this start of this node.
+    """
 
     name = "calls"
     requires = ("door", "router")
@@ -64,9 +67,10 @@
         keys: key_ledger.KeyLedger,
         time: clock.Clock,
         counters: metrics.Metrics,
+        call_prefix: str = "",
     ) -> None:
         self._node = node
-        self._call_prefix = f"{uuid.uuid4().hex}-"
+        self._call_prefix = call_prefix or f"{uuid.uuid4().hex}-"
         self._call_numbers = itertools.count()
         self._router = routes
         self._picker = targets
--- a/packages/node/src/balsamramp_node/core.py
+++ b/packages/node/src/balsamramp_node/core.py
@@ -308,6 +308,7 @@
             self.keys,
             self._clock,
             self._metrics,
+            f"{self.identity.node}.{self.identity.incarnation:x}-",
         )
         self.kernel.add(self.keys)
         self.kernel.add(self.door)
