--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -7,6 +7,7 @@
 from balsamramp_core import settings
 from balsamramp_node import admissions
 from balsamramp_node import pickers
+from balsamramp_node import policies
 
 __all__ = ["OPTIONS", "check", "is_loopback", "read", "token"]
 
@@ -168,6 +169,7 @@
         section="rollouts",
         name="policy",
         kind="str",
+        choices=tuple(sorted(policies.POLICIES)),
         default="evidence",
         doc="how a rollout's share is decided, alike on all nodes",
     ),
--- a/packages/testing/src/balsamramp_testing/fleet.py
+++ b/packages/testing/src/balsamramp_testing/fleet.py
@@ -96,6 +96,11 @@
         assert self._session is not None
         return self._session
 
+    @property
+    def pids(self) -> list[int]:
+        """Return the ids of all processes that were started."""
+        return [process.popen.pid for process in self._processes]
+
     async def __aenter__(self) -> typing.Self:
         self._session = aiohttp.ClientSession()
         return self
--- /dev/null
+++ b/packages/testing/tests/test_kills.py
@@ -0,0 +1,87 @@
+"""Kills among separate processes while callers send calls of all kinds."""
+
+import asyncio
+import pathlib
+import typing
+
+from balsamramp_testing import callers as callers_module
+from balsamramp_testing import fleet as fleet_module
+
+ZONES = ("sur-uy-a", "sur-uy-b", "sur-uy-c", "sur-uy-a")
+CALLS_PER_SECOND = 80.0
+SEED = 7
+CALLS_BEFORE = 40
+CALLS_AFTER = 160
+
+# Slow enough that calls are in flight at the moment of a kill.
+SLOW = {"delay": "PT0.1S"}
+
+# What is killed while calls go on; killed nodes stay dead.
+CASES = ("node n0", "node n3", "platform")
+
+CHANGE: dict[str, typing.Any] = {
+    "author": "test",
+    "puts": [
+        {"kind": "service", "name": "caja"},
+        {"kind": "route", "name": "caja-all", "service": "caja"},
+    ],
+}
+
+
+async def _start(fleet: fleet_module.Fleet) -> fleet_module.Process:
+    platform = await fleet.start_platform()
+    for index, zone in enumerate(ZONES):
+        node = await fleet.start_node(f"n{index}", zone)
+        target = await fleet.start_target(f"caja-{index}", "caja", "v1", node)
+        url = f"{target.url('http')}/_behaviour"
+        async with fleet.session.put(url, json=SLOW) as response:
+            assert response.status == 200
+    assert (await fleet.submit(node, CHANGE))["version"] == 1
+    for _ in range(400):
+        if await _is_ready(fleet):
+            return platform
+        await asyncio.sleep(0.05)
+    raise AssertionError("the fleet did not become ready")
+
+
+async def _is_ready(fleet: fleet_module.Fleet) -> bool:
+    for node in fleet.nodes.values():
+        status = await fleet.view(node, "status")
+        listed = [item for item in status["nodes"] if item["targets"]]
+        if status["version"] < 1 or len(listed) < len(ZONES):
+            return False
+    return True
+
+
+async def _kill_under_load(directory: pathlib.Path) -> None:
+    async with fleet_module.Fleet(directory) as fleet:
+        platform = await _start(fleet)
+        for case in CASES:
+            callers = callers_module.Callers(
+                fleet, {"caja": 1}, CALLS_PER_SECOND, SEED, name=case
+            )
+            callers.start()
+            await callers.until(CALLS_BEFORE)
+            if case == "platform":
+                platform.kill()
+            else:
+                fleet.nodes.pop(case.partition(" ")[2]).kill()
+            await callers.until(CALLS_BEFORE + CALLS_AFTER)
+            await callers.stop()
+            assert callers.lost() == [], case
+            assert await callers.doubled() == [], case
+            _check_verdicts(callers, case)
+
+
+def _check_verdicts(callers: callers_module.Callers, case: str) -> None:
+    """See that the calls of all kinds went on for the most part."""
+    for kind in callers_module.CallKind:
+        records = [item for item in callers.records if item.kind is kind]
+        ran = [item for item in records if item.verdict == "ran"]
+        assert len(ran) > len(records) / 2, (case, kind)
+
+
+def test_kill_of_a_node_or_the_platform_loses_no_idempotent_call(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_kill_under_load(tmp_path))
