--- a/packages/node/src/balsamramp_node/http_server.py
+++ b/packages/node/src/balsamramp_node/http_server.py
@@ -104,6 +104,8 @@
             lifespan="off",
             http=_BoundedProtocol,
             ws="none",
+            server_header=False,
+            date_header=False,
             ssl_keyfile=self._security.key if self._security else None,
             ssl_certfile=(
                 self._security.certificate if self._security else None
--- a/packages/node/src/balsamramp_node/targets.py
+++ b/packages/node/src/balsamramp_node/targets.py
@@ -125,6 +125,8 @@
         known = self._targets.get(target)
         if known is None:
             return False
+        if known.state is messages.TargetState.DRAINING:
+            return True
         known.state = messages.TargetState.DRAINING
         logging.info("target %s is draining", target)
         self._publish()
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -46,6 +46,7 @@
         node.url("call"), headers=HEADERS
     ) as response:
         await response.read()
+        assert len(response.headers.getall("server", [])) <= 1
         return response.status
 
 
