--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: bench-calls bench-config bench-outcomes check demo env format \
-    known-red prove test
+    known-red prove settings-doc test
 
 env: $(STAMP)
 
@@ -36,8 +36,11 @@
 prove: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.prove $(if $(FULL),--full)
 
-known-red:
-	@cat KNOWN-RED.txt
+known-red: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.known_red
+
+settings-doc: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.settings_page docs/OPERATING.md
 
 bench-calls: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.call_faults
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -179,6 +179,7 @@
         section="rollouts",
         name="policy",
         kind="str",
+        choices=tuple(sorted(policies.POLICIES)),
         default="evidence",
         choices=tuple(sorted(policies.POLICIES)),
         doc="how a rollout's share is decided, alike on all nodes",
