Acceptors that collide go on for ten seconds; bench with processes

Cause: with 60 acceptors and 100 submissions a second a submission ended after 16 collisions, and the bench with it. Ruled out: a lease to accept, see the design; forwarding to one node, which waits for its own lost answers. Change: a limit in time instead of attempts, longer waits between them; the bench counts refusals. A bench measures convergence of processes.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,4 @@
 bench-config: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.config
 	$(BIN)/python -m balsamramp_testing.benches.config_costs
+	$(BIN)/python -m balsamramp_testing.benches.config_processes
--- a/packages/node/src/balsamramp_node/acceptance.py
+++ b/packages/node/src/balsamramp_node/acceptance.py
@@ -22,11 +22,11 @@
 
 __all__ = ["Acceptor", "Rejection", "Submission"]
 
-ATTEMPTS = 16
+ACCEPT_TIMEOUT = datetime.timedelta(seconds=10)
 BATCH_MAX_SUBMISSIONS = 64
 BATCH_INTERVAL = datetime.timedelta(milliseconds=100)
 BACKOFF = datetime.timedelta(milliseconds=20)
-BACKOFF_MAX = datetime.timedelta(milliseconds=640)
+BACKOFF_DOUBLINGS = 6
 NAMED_MAX = 5
 
 
@@ -150,13 +150,17 @@
         return taken
 
     async def _back_off(self, attempt: int) -> None:
-        longest = min(BACKOFF * 2**attempt, BACKOFF_MAX)
+        longest = BACKOFF * 2 ** min(attempt, BACKOFF_DOUBLINGS)
         await self._clock.sleep(longest * self._random.random())
 
     async def _accept(self, batch: list[_Waiting]) -> None:
         uncertain = False
         reason = "the configuration changes too fast"
-        for attempt in range(ATTEMPTS):
+        conflict = False
+        deadline = self._clock.monotonic() + ACCEPT_TIMEOUT
+        attempt = 0
+        while self._clock.monotonic() < deadline:
+            conflict = False
             read = await self._source.read_now()
             if isinstance(read, result.Failure):
                 reason = f"platform: {read.failure().message}"
@@ -179,12 +183,14 @@
             if kind is platform.PlatformErrorKind.OUTCOME_UNKNOWN:
                 uncertain = True
             self._metrics.count("acceptance_retries_total", kind=kind.value)
+            conflict = kind is platform.PlatformErrorKind.CONFLICT
             await self._back_off(attempt)
+            attempt += 1
             batch += self._take(BATCH_MAX_SUBMISSIONS - len(batch))
         if uncertain:
             await self._source.read_now()
             batch = _settle_known(batch, self._store)
-        conflict = not uncertain and attempt == ATTEMPTS - 1
+        conflict = conflict and not uncertain
         rejection = Rejection(reason, conflict, None if uncertain else False)
         _settle_all(batch, rejection)
 
--- a/packages/testing/src/balsamramp_testing/benches/config.py
+++ b/packages/testing/src/balsamramp_testing/benches/config.py
@@ -17,6 +17,7 @@
 import typing
 
 import attrs
+from returns.primitives import exceptions
 
 from balsamramp_testing import virtual_time
 from balsamramp_testing.benches import config_fleets
@@ -48,6 +49,7 @@
     p99_s: float = 0.0
     max_s: float = 0.0
     missed: int = 0
+    refused: int = 0
     answer_p99_s: float = 0.0
     messages_per_node_s: float = 0.0
     bytes_per_node_s: float = 0.0
@@ -68,6 +70,7 @@
         self.accepted_at: dict[int, datetime.timedelta] = {}
         self.ready_at: dict[str, datetime.timedelta] = {}
         self.first_seen: dict[str, dict[int, datetime.timedelta]] = {}
+        self.refused = 0
         self.answers: list[float] = []
         self.labels = 0
 
@@ -77,7 +80,11 @@
     async def submit(self) -> None:
         self.labels += 1
         asked_at = self.now()
-        version = await self.fleet.submit(f"t{self.labels}")
+        try:
+            version = await self.fleet.submit(f"t{self.labels}")
+        except exceptions.UnwrapFailedError:
+            self.refused += 1
+            return
         self.accepted_at.setdefault(version, self.now())
         self.answers.append((self.now() - asked_at).total_seconds())
 
@@ -229,6 +236,7 @@
 
 def _fill_convergence(outcome: Outcome, made: _Run) -> None:
     outcome.changes = len(made.accepted_at)
+    outcome.refused = made.refused
     delays, outcome.missed = made.delays()
     outcome.p50_s = _quantile(delays, 0.5)
     outcome.p99_s = _quantile(delays, 0.99)
