Prove that a bad version in the log applies nowhere and is reported

Cause: no test put a version into the log that nodes must refuse. Ruled out: skipping such a version by itself: nodes of an older build would skip what newer ones accept. Change: a scenario with a dangling reference in the log, and its negative test without the check of references, seen to fail. Conclusion: the old version stays in force, status names node and reason, and acceptance refuses.

--- a/packages/node/tests/test_configuration_world.py
+++ b/packages/node/tests/test_configuration_world.py
@@ -332,6 +332,33 @@
     await world.stop()
 
 
+async def _bad_version_in_the_log() -> None:
+    """A bad version applies nowhere, not in part, and is reported."""
+    world = await _start(4)
+    await world.apply("n0", {"kind": "service", "name": "caja"})
+    await _until(world, lambda: _versions(world) == {1})
+    base = world.nodes["n0"].core.store.current
+    orphan = {"kind": "alias", "name": "cjaa", "service": "no-such"}
+    puts = (*_submission("").puts, resources.decode(orphan).unwrap())
+    bad = acceptance.configuration.make_change(
+        base, 2, "bad", "bo", world.clock.now(), puts
+    )
+    accepted = accepted_log.AcceptedLog(world.table, world.objects)
+    head = (await accepted.read_head()).unwrap()
+    (await accepted.append(head, [bad])).unwrap()
+    await world.clock.sleep(_seconds(20))
+    assert _versions(world) == {1}
+    status = world.nodes["n0"].core.operations.status()
+    reports = [item for zone in status["zones"] for item in zone["refusals"]]
+    assert reports
+    for report in reports:
+        assert report["node"] in world.nodes
+        assert "alias/cjaa needs service/no-such" in report["message"]
+    refused = await _submit(world, "n0", _submission("next"))
+    assert "refused" in refused.failure().message
+    await world.stop()
+
+
 async def _status_counts() -> None:
     world = await _start(8)
     await world.apply("n0", {"kind": "service", "name": "caja"})
@@ -361,6 +388,7 @@
 
 
 CASES = {
+    "bad version in the log": _bad_version_in_the_log,
     "all candidates die": _all_candidates_die,
     "lost answer": _lost_answer,
     "many accept at once": _many_accept_at_once,
@@ -396,6 +424,11 @@
 
 
 WITHOUT = {
+    "bad version in the log": (
+        acceptance.configuration,
+        "problems",
+        lambda merged, change: [],
+    ),
     "all candidates die": (
         reader_lease.ReaderLease,
         "_lapsed",
