--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: bench-calls bench-config bench-outcomes check demo env format test
+.PHONY: bench-calls bench-config bench-outcomes check demo env format \
+    known-red prove settings-doc test
 
 env: $(STAMP)
 
@@ -31,6 +32,16 @@
 demo: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.demo
 
+# All cases: make prove FULL=1
+prove: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.prove $(if $(FULL),--full)
+
+known-red: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.known_red
+
+settings-doc: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.settings_page docs/OPERATING.md
+
 bench-calls: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.call_faults
 	$(BIN)/python -m balsamramp_testing.benches.added_time
@@ -38,6 +49,7 @@
 bench-config: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.config
 	$(BIN)/python -m balsamramp_testing.benches.config_costs
+	$(BIN)/python -m balsamramp_testing.benches.config_processes
 
 bench-outcomes: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.outcomes
--- a/packages/testing/src/balsamramp_testing/memory_network.py
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -16,7 +16,7 @@
 from balsamramp_core import clock
 from balsamramp_core import settings
 from balsamramp_core import verdict
-from balsamramp_node import stream_server
+from balsamramp_testing import virtual_time
 from balsamramp_wire import control
 from balsamramp_wire import messages
 
@@ -45,33 +45,42 @@
         self._clock = time
         self._random = choice
         self._controls: dict[settings.Address, MemoryControl] = {}
-        self._streams: dict[settings.Address, stream_server.StreamServer] = {}
         self._zones: dict[str, str] = {PLATFORM: PLATFORM}
+        self._scopes: dict[str, virtual_time.Scope] = {}
         self._cuts: set[frozenset[str]] = set()
         self.delay = DELAY
         self.loss_share = 0.0
         self.down: set[str] = set()
         self.silent: set[str] = set()
         self.traffic: dict[str, Traffic] = {}
+        self.hear: typing.Callable[[str, str, object], None] | None = None
 
     def add(
         self,
         node: str,
         zone: str,
         served: "MemoryControl",
-        calls: stream_server.StreamServer,
+        scope: virtual_time.Scope | None = None,
     ) -> None:
-        """Connect a node, replacing an earlier one of the same name."""
-        self.add_control(node, zone, served)
-        self._streams[settings.Address(node, 2)] = calls
+        """Connect a node, replacing an earlier one of the same name.
+
+        What the node is asked runs in ``scope``, so that it stands still
+        or ends together with the node.
+        """
+        self._zones[node] = zone
+        self._scopes[node] = scope or virtual_time.Scope(node)
+        self._controls[settings.Address(node, 1)] = served
+        self.down.discard(node)
 
     def add_control(
         self, node: str, zone: str, served: "MemoryControl"
     ) -> None:
         """Connect the control side of a node alone."""
-        self._zones[node] = zone
-        self._controls[settings.Address(node, 1)] = served
-        self.down.discard(node)
+        self.add(node, zone, served)
+
+    def scope_of(self, node: str) -> virtual_time.Scope:
+        """Return the scope in which the node's tasks run."""
+        return self._scopes[node]
 
     def cut(self, left: str, right: str) -> None:
         """Cut the link between two zones, nodes, or one and PLATFORM."""
@@ -85,6 +94,10 @@
         """Tell whether messages pass from ``sender`` to ``receiver``."""
         if sender in self.down or receiver in self.down:
             return False
+        return self.links(sender, receiver)
+
+    def links(self, sender: str, receiver: str) -> bool:
+        """Tell whether no cut lies between ``sender`` and ``receiver``."""
         ends = {sender, receiver}
         zones = {self._zones.get(sender, ""), self._zones.get(receiver, "")}
         return (
@@ -111,12 +124,6 @@
         """Return the node's control side at ``address``, if any."""
         return self._controls.get(address)
 
-    def stream_at(
-        self, address: settings.Address
-    ) -> stream_server.StreamServer | None:
-        """Return the stream server at ``address``, if any."""
-        return self._streams.get(address)
-
 
 class MemoryControl(control.PeerTransport):
     """Control requests of one node over a memory network."""
@@ -150,6 +157,8 @@
     ) -> result.Result[typing.Any, verdict.Failure]:
         encoded = msgspec.msgpack.encode(request)
         self._network.count(self._node, len(encoded))
+        if self._network.hear is not None:
+            self._network.hear(self._node, peer.host, request)
         if not await self._network.carry(self._node, peer.host):
             return _lost(peer)
         served = self._network.control_at(peer)
@@ -158,9 +167,14 @@
         if peer.host in self._network.silent:
             await asyncio.Event().wait()
         arrived = msgspec.msgpack.decode(encoded, type=type(request))
-        reply = await served.handlers[type(request)](arrived)
+        handled = served.handlers[type(request)](arrived)
+        reply = await self._network.scope_of(peer.host).run(handled)
+        if reply is None:
+            return _lost(peer)
         answer = msgspec.msgpack.encode(reply)
         self._network.count(peer.host, len(answer))
+        if self._network.hear is not None:
+            self._network.hear(peer.host, self._node, reply)
         if not await self._network.carry(peer.host, self._node):
             return _lost(peer)
         return result.Success(
--- a/packages/testing/src/balsamramp_testing/memory_streams.py
+++ b/packages/testing/src/balsamramp_testing/memory_streams.py
@@ -1,90 +1,261 @@
-"""Memory streams: byte streams between nodes without sockets.
+"""Memory streams: byte streams between nodes, in virtual time.
 
-The real stream client and stream server run on them, in the time of the
-loop, over links of a memory network that can be cut, delay or go silent.
+The product's own stream client and server run on them unchanged. Bytes
+take the delay of the memory network; a link that is cut holds them back
+until it is healed, as TCP does; a silent connection swallows them for
+good while new connections work.
 """
 
 import asyncio
 from collections import abc
+import datetime
 import typing
 
+from balsamramp_core import clock
 from balsamramp_core import settings
-from balsamramp_node import stream_server
 from balsamramp_testing import memory_network
+from balsamramp_testing import virtual_time
 
-__all__ = ["MemoryConnector", "MemoryWriter"]
+__all__ = ["MemoryConnector", "MemoryStreams"]
 
+RETRY_INTERVAL = datetime.timedelta(milliseconds=50)
+CALLER = "caller"
 
-class MemoryWriter:
-    """Writing end of one direction; stands in for a StreamWriter."""
+Hearer = abc.Callable[[str, str, bytes], None]
+
+
+class _End(asyncio.Transport):
+    """One end of a connection."""
 
     def __init__(
         self,
-        network: memory_network.MemoryNetwork,
-        ends: tuple[str, str],
-        reader: asyncio.StreamReader,
+        streams: "MemoryStreams",
+        owner: str,
+        peer: str,
+        scope: virtual_time.Scope | None,
     ) -> None:
-        self._network = network
-        self._sender, self._receiver = ends
-        self._reader = reader
-        self._closed = False
+        super().__init__({"peername": (peer, 0), "sockname": (owner, 0)})
+        self.owner = owner
+        self.scope = scope
+        self.other: _End | None = None
+        self.protocol: typing.Any = None
         self.silent = False
-        self.other: MemoryWriter | None = None
+        self._streams = streams
+        self._closing = False
+        self._queue: asyncio.Queue[bytes | None] = asyncio.Queue()
+
+    def write(self, data: typing.Any) -> None:
+        if self._closing:
+            return
+        self._streams.note(
+            self.owner, self.get_extra_info("peername")[0], data
+        )
+        self._queue.put_nowait(bytes(data))
 
-    @property
-    def transport(self) -> typing.Self:
-        """Return what can be aborted."""
-        return self
+    def writelines(self, parts: typing.Any) -> None:
+        self.write(b"".join(parts))
 
-    def write(self, data: bytes) -> None:
-        """Deliver ``data`` after the delay of the network."""
-        if self._closed:
+    def close(self) -> None:
+        if self._closing:
             return
-        loop = asyncio.get_running_loop()
-        seconds = self._network.delay.total_seconds()
-        loop.call_later(seconds, self._deliver, data)
+        self._closing = True
+        self._queue.put_nowait(None)
+        self._lose()
+
+    def abort(self) -> None:
+        self.close()
+
+    def is_closing(self) -> bool:
+        return self._closing
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def can_write_eof(self) -> bool:
+        return False
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        self.protocol = protocol
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        return self.protocol
+
+    def pause_reading(self) -> None:
+        """Reading goes on: the fakes keep no bounded buffer."""
+
+    def resume_reading(self) -> None:
+        """Reading never paused."""
 
     def go_silent(self) -> None:
-        """Lose all that is written at either end from now on."""
+        """Carry nothing any more, in both directions."""
         self.silent = True
         if self.other is not None:
             self.other.silent = True
 
-    def is_closing(self) -> bool:
-        """Tell whether the connection is closed at this end."""
-        return self._closed
+    async def carry(self) -> None:
+        """Carry what this end writes to the other, in order."""
+        assert self.other is not None
+        while True:
+            data = await self._queue.get()
+            await self._streams.pass_link(self.owner, self.other.owner)
+            if self.silent or self._streams.is_down(self.owner, self.other):
+                continue
+            if data is None:
+                self.other.end()
+                return
+            self.other.deliver(data)
 
-    def close(self) -> None:
-        """Close both directions; the other end reads what is on its way."""
-        if self._closed:
+    def deliver(self, data: bytes) -> None:
+        """Hand bytes that arrived to the protocol of this end."""
+        if self._closing:
             return
-        self._closed = True
-        loop = asyncio.get_running_loop()
-        seconds = self._network.delay.total_seconds()
-        loop.call_later(seconds, self._end)
+        self._do(self._receive, data)
 
-    def abort(self) -> None:
-        """Close at once."""
-        self.close()
+    def _receive(self, data: bytes) -> None:
+        if not self._closing:
+            self.protocol.data_received(data)
+
+    def end(self) -> None:
+        """Note that the other end closed the connection."""
+        if self._closing:
+            return
+        self._closing = True
+        self._queue.put_nowait(None)
+        self._lose()
+
+    def _lose(self) -> None:
+        if self.protocol is not None:
+            self._do(self.protocol.connection_lost, None)
+
+    def _do(
+        self, function: abc.Callable[..., None], value: bytes | None
+    ) -> None:
+        if self.scope is not None:
+            self.scope.call(function, value)
+            return
+        asyncio.get_running_loop().call_soon(function, value)
+
+
+class _Listener:
+    """A listening port."""
+
+    def __init__(
+        self, streams: "MemoryStreams", place: tuple[str, int]
+    ) -> None:
+        self._streams = streams
+        self._place = place
+        self.sockets = [self]
+
+    def getsockname(self) -> tuple[str, int]:
+        """Return the host and port."""
+        return self._place
+
+    def close(self) -> None:
+        """Accept no further connections."""
+        self._streams.forget(self._place)
 
     async def wait_closed(self) -> None:
-        """Return when the connection is closed."""
+        """Return at once: nothing is left to wait for."""
 
-    def _passes(self) -> bool:
-        if self.silent:
-            return False
-        return self._network.reaches(self._sender, self._receiver)
+    def _attach(self, *_: typing.Any) -> None:
+        """Match the server's private interface used by the streams."""
 
-    def _deliver(self, data: bytes) -> None:
-        if self._passes() and not self._reader.at_eof():
-            self._reader.feed_data(data)
 
-    def _end(self) -> None:
-        if not self._passes():
-            return
-        self._reader.feed_eof()
-        if self.other is not None:
-            self.other._closed = True
+class MemoryStreams(virtual_time.StreamNetwork):
+    """Connects nodes by name over a memory network.
+
+    ``hear`` is called with every write, for golden sessions.
+    """
+
+    def __init__(
+        self, network: memory_network.MemoryNetwork, time: clock.Clock
+    ) -> None:
+        self._network = network
+        self._clock = time
+        self._scope = virtual_time.Scope("streams")
+        self._listening: dict[
+            tuple[str, int], tuple[typing.Any, virtual_time.Scope | None]
+        ] = {}
+        self._ends: list[_End] = []
+        self.hear: Hearer | None = None
+
+    def note(self, sender: str, receiver: str, data: bytes) -> None:
+        """Hand on what ``sender`` wrote to whoever wants to hear it."""
+        if self.hear is not None:
+            self.hear(sender, receiver, bytes(data))
+
+    def forget(self, place: tuple[str, int]) -> None:
+        """End listening at ``place``."""
+        self._listening.pop(place, None)
+
+    def silence(self, node: str) -> int:
+        """Let the open connections of ``node`` carry nothing any more."""
+        count = 0
+        for end in self._ends:
+            if end.is_closing() or node not in (end.owner, _owner(end.other)):
+                continue
+            end.silent = True
+            count += 1
+        return count
+
+    def kill(self, node: str) -> None:
+        """Close the connections of a node that ended, and its ports."""
+        for place in [item for item in self._listening if item[0] == node]:
+            del self._listening[place]
+        for end in list(self._ends):
+            if end.owner == node:
+                end.close()
+        self._ends = [end for end in self._ends if not end.is_closing()]
+
+    def is_down(self, owner: str, other: "_End") -> bool:
+        """Tell whether one end of a connection is a node that is down."""
+        return bool({owner, other.owner} & self._network.down)
+
+    async def pass_link(self, sender: str, receiver: str) -> None:
+        """Wait until the link has carried one write."""
+        network = self._network
+        await self._clock.sleep(network.delay)
+        while not network.links(sender, receiver):
+            await self._clock.sleep(RETRY_INTERVAL)
+
+    async def listen(
+        self, make_protocol: typing.Any, host: str, port: int
+    ) -> typing.Any:
+        place = (host, port)
+        self._listening[place] = (make_protocol, virtual_time.current_scope())
+        return _Listener(self, place)
+
+    async def connect(
+        self, make_protocol: typing.Any, host: str, port: int
+    ) -> tuple[asyncio.Transport, asyncio.Protocol]:
+        scope = virtual_time.current_scope()
+        owner = scope.name.partition("/")[0] if scope else CALLER
+        await self.pass_link(owner, host)
+        found = self._listening.get((host, port))
+        if found is None or host in self._network.down:
+            raise ConnectionRefusedError(f"nothing listens on {host}:{port}")
+        make_served, served_scope = found
+        near = _End(self, owner, host, scope)
+        far = _End(self, host, owner, served_scope)
+        near.other, far.other = far, near
+        near.protocol = make_protocol()
+        self._ends += [near, far]
+        for end in (near, far):
+            self._scope.spawn(end.carry())
+        if served_scope is None:
+            self._accept(far, make_served)
+        else:
+            accept = self._accept_here(far, make_served)
+            served_scope.spawn(accept)
+        near.protocol.connection_made(near)
+        return near, near.protocol
+
+    async def _accept_here(self, end: _End, make: typing.Any) -> None:
+        self._accept(end, make)
+
+    def _accept(self, end: _End, make: typing.Any) -> None:
+        end.protocol = make()
+        end.protocol.connection_made(end)
 
 
 class MemoryConnector:
@@ -94,44 +265,25 @@
     and after how many seconds.
     """
 
-    def __init__(
-        self, node: str, network: memory_network.MemoryNetwork
-    ) -> None:
-        self._node = node
-        self._network = network
-        self._tasks: set[asyncio.Task[None]] = set()
-        self.opened: list[MemoryWriter] = []
+    def __init__(self) -> None:
+        self.opened: list[_End] = []
         self.silence: abc.Callable[[], float | None] = lambda: None
 
     async def connect(
         self, peer: settings.Address
-    ) -> tuple[asyncio.StreamReader, typing.Any]:
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Return reader and writer of a new connection to ``peer``."""
-        await asyncio.sleep(2 * self._network.delay.total_seconds())
-        server = self._network.stream_at(peer)
-        if server is None or peer.host in self._network.down:
-            raise ConnectionRefusedError(str(peer))
-        if not self._network.reaches(self._node, peer.host):
-            await asyncio.Event().wait()
-        return self._open(peer, server)
-
-    def _open(
-        self, peer: settings.Address, server: stream_server.StreamServer
-    ) -> tuple[asyncio.StreamReader, typing.Any]:
-        here = asyncio.StreamReader()
-        there = asyncio.StreamReader()
-        ends = (self._node, peer.host)
-        writer = MemoryWriter(self._network, ends, there)
-        back = MemoryWriter(self._network, ends[::-1], here)
-        writer.other, back.other = back, writer
+        reader, writer = await asyncio.open_connection(peer.host, peer.port)
+        end = writer.transport
+        assert isinstance(end, _End)
         self.opened = [item for item in self.opened if not item.is_closing()]
-        self.opened.append(writer)
+        self.opened.append(end)
         seconds = self.silence()
         if seconds is not None:
             loop = asyncio.get_running_loop()
-            loop.call_later(seconds, writer.go_silent)
-        served = server.serve(there, typing.cast(typing.Any, back))
-        task = asyncio.create_task(served)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return here, writer
+            loop.call_later(seconds, end.go_silent)
+        return reader, writer
+
+
+def _owner(end: _End | None) -> str:
+    return "" if end is None else end.owner
