Admission: a fresh target keeps its initial limit for a warm-up

Cause: the adaptive limit rose after 200 ms of use, while a target that started cold still bore what it began with; one call more than it bears cannot be found out without giving it. Ruled out: a slower rise (it only moves the probe), latency as the sign (a target may shed before it slows). Change: [targets] warm_up, 5 s: time for which a fresh target keeps its initial limit, also after its connections were refused. A cut answer halves the limit, a passed deadline says nothing of the target.

--- a/packages/node/src/balsamramp_node/admission.py
+++ b/packages/node/src/balsamramp_node/admission.py
@@ -9,11 +9,17 @@
 
 
 class Outcome(enum.Enum):
-    """How a call ended, as far as the limit is concerned."""
+    """How a call ended, as far as the limit is concerned.
+
+    FAILED is a call for which the target took no connection, CUT one
+    that it began and did not finish, and CANCELLED one that was ended
+    from outside, by its caller or its deadline.
+    """
 
     ANSWERED = "answered"
     SHED = "shed"
     FAILED = "failed"
+    CUT = "cut"
     CANCELLED = "cancelled"
 
 
@@ -27,8 +33,13 @@
     name: typing.ClassVar[str]
     doc: typing.ClassVar[str]
 
-    def __init__(self, initial: int) -> None:
+    def __init__(
+        self,
+        initial: int,
+        warm_up: datetime.timedelta = datetime.timedelta(),
+    ) -> None:
         self._initial = initial
+        self._warm_up = warm_up
 
     @property
     @abc.abstractmethod
--- a/packages/node/src/balsamramp_node/admissions/adaptive.py
+++ b/packages/node/src/balsamramp_node/admissions/adaptive.py
@@ -24,20 +24,28 @@
     """Starts low, rises with evidence, falls at once.
 
     The limit rises by one after as many answers as the limit, given
-    while the limit was in use, and at most once in ``RISE_INTERVAL``.
+    while the limit was in use, and at most once in ``RISE_INTERVAL``; not
+    before ``warm_up`` is over, counted from the first call to a target
+    that is fresh, since there is no finding out what a cold target bears
+    without giving it more.
     When the target sheds, the limit falls below the number then in
     flight, which is remembered as a ceiling for a while. It starts anew
-    when the target fails, sheds at half the limit or less, or was idle
-    for ``IDLE_MAX``: it may have turned cold. While the mean latency of
-    the last calls is over ``SLOW_FACTOR`` times the usual one, the limit
-    is halved each ``FALL_INTERVAL``, down to where it started.
+    when the target takes no connection, sheds at half the limit or less,
+    or was idle for ``IDLE_MAX``: it may have turned cold. While answers
+    are cut, or the mean latency of the last calls is over
+    ``SLOW_FACTOR`` times the usual one, the limit is halved each
+    ``FALL_INTERVAL``, down to where it started.
     """
 
     name = "adaptive"
     doc = "rises with answers, falls when the target sheds or turns cold"
 
-    def __init__(self, initial: int) -> None:
-        super().__init__(initial)
+    def __init__(
+        self,
+        initial: int,
+        warm_up: datetime.timedelta = datetime.timedelta(),
+    ) -> None:
+        super().__init__(initial, warm_up)
         self._learnt = _Learnt(initial)
 
     @property
@@ -63,7 +71,9 @@
             self.reset()
             self._learnt.last = now
             return
-        if self._is_slow(latency):
+        if self._learnt.warm_at is None:
+            self._learnt.warm_at = now + self._warm_up
+        if outcome is admission.Outcome.CUT or self._is_slow(latency):
             self._halve(now)
             return
         self._rise(now, in_flight)
@@ -79,6 +89,7 @@
         if borne <= learnt.limit * COLD_SHARE:
             learnt.limit = min(self._initial, borne)
             learnt.ceiling = LIMIT_MAX
+            learnt.warm_at = now + self._warm_up
             return
         learnt.limit = min(learnt.limit, borne)
         learnt.ceiling = learnt.limit
@@ -103,6 +114,8 @@
             learnt.risen_at = now
         if learnt.answers < learnt.limit:
             return
+        if learnt.warm_at is not None and now < learnt.warm_at:
+            return
         if now - learnt.risen_at < RISE_INTERVAL:
             return
         if learnt.limit >= learnt.ceiling:
@@ -130,6 +143,7 @@
 
     limit: int
     answers: int = 0
+    warm_at: datetime.timedelta | None = None
     risen_at: datetime.timedelta | None = None
     ceiling: int = LIMIT_MAX
     ceiling_at: datetime.timedelta = datetime.timedelta()
--- a/packages/node/src/balsamramp_node/core.py
+++ b/packages/node/src/balsamramp_node/core.py
@@ -321,4 +321,7 @@
         limit_type = admissions.find_limit(
             self._settings.text("targets", "admission")
         )
-        return limit_type(self._settings.integer("targets", "initial_limit"))
+        return limit_type(
+            self._settings.integer("targets", "initial_limit"),
+            self._settings.duration("targets", "warm_up"),
+        )
--- a/packages/node/src/balsamramp_node/door.py
+++ b/packages/node/src/balsamramp_node/door.py
@@ -365,17 +365,24 @@
     called: result.Result[target_client.TargetAnswer, verdict.Failure],
 ) -> admission.Outcome:
     if isinstance(called, result.Failure):
-        failure = called.failure()
-        if failure.reason is verdict.Reason.OVERLOADED:
-            return admission.Outcome.SHED
-        if failure.verdict is verdict.Verdict.RAN:
-            return admission.Outcome.ANSWERED
-        return admission.Outcome.FAILED
+        return _failed_outcome(called.failure())
     if called.unwrap().status in SHED_STATUSES:
         return admission.Outcome.SHED
     return admission.Outcome.ANSWERED
 
 
+def _failed_outcome(failure: verdict.Failure) -> admission.Outcome:
+    if failure.reason is verdict.Reason.OVERLOADED:
+        return admission.Outcome.SHED
+    if failure.reason is verdict.Reason.DEADLINE:
+        return admission.Outcome.CANCELLED
+    if failure.verdict is verdict.Verdict.RAN:
+        return admission.Outcome.ANSWERED
+    if failure.verdict is verdict.Verdict.NOT_RUN:
+        return admission.Outcome.FAILED
+    return admission.Outcome.CUT
+
+
 def _unready(
     name: str, target: targets.LocalTarget | None
 ) -> verdict.Failure | None:
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/options.py
@@ -201,6 +201,16 @@
         default="adaptive",
         doc="how the concurrency limit of a target is found",
     ),
+    settings.Option(
+        section="targets",
+        name="warm_up",
+        kind="duration",
+        unit="ms",
+        default="5000",
+        low=0,
+        high=600000,
+        doc="time for which a fresh target keeps its initial limit",
+    ),
     settings.Option(
         section="targets",
         name="initial_limit",
--- a/packages/node/tests/test_adaptive_limit.py
+++ b/packages/node/tests/test_adaptive_limit.py
@@ -13,6 +13,7 @@
 ROUND = datetime.timedelta(milliseconds=50)
 FAST = datetime.timedelta(milliseconds=10)
 ANSWERED = admission.Outcome.ANSWERED
+CUT = admission.Outcome.CUT
 FAILED = admission.Outcome.FAILED
 SHED = admission.Outcome.SHED
 
@@ -96,3 +97,20 @@
         latency = choice.choice([FAST, FAST, FAST * 5])
         demand.limit.finish(demand.now, latency, ANSWERED, 10)
     assert demand.limit.limit == 20
+
+
+def test_keeps_initial_limit_while_target_warms_up() -> None:
+    warm_up = datetime.timedelta(seconds=10)
+    demand = _Demand(adaptive.AdaptiveLimit(INITIAL, warm_up))
+    demand.run(INITIAL, 10)
+    assert demand.shed == 0
+    demand.run(20, 60)
+    assert demand.limit.limit == 20
+
+
+def test_halves_when_an_answer_is_cut() -> None:
+    demand = _Demand()
+    demand.run(20, 60)
+    for _ in range(20):
+        demand.limit.finish(demand.now, FAST, CUT, 20)
+    assert demand.limit.limit == 10
