--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: bench-calls bench-config check demo env format known-red prove test
+.PHONY: bench-calls bench-config bench-outcomes check demo env format known-red prove test
 
 env: $(STAMP)
 
@@ -37,9 +37,15 @@
 
 known-red:
 	@cat KNOWN-RED.txt
+
 bench-calls: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.call_faults
+	$(BIN)/python -m balsamramp_testing.benches.added_time
 
 bench-config: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.config
 	$(BIN)/python -m balsamramp_testing.benches.config_costs
+
+bench-outcomes: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.benches.outcomes
+	$(BIN)/python -m balsamramp_testing.benches.outcome_costs
--- a/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
@@ -102,7 +102,7 @@
         self.record.stopping.append((node, self.now))
         self._stopping.add(node)
         found = self.world.nodes[node]
-        found.core.targets.drain_all()
+        found.scope.do(found.core.targets.drain_all)
         while self._serving.get(node):
             await self.clock.sleep(IDLE_CHECK_INTERVAL)
         await self.world.stop_node(node)
@@ -159,7 +159,7 @@
         self.record.leaving.append((target, self.now))
         node = self.world.nodes.get(found.plan.node)
         if node is not None and found.plan.node not in self._frozen:
-            node.core.targets.drain(target)
+            node.scope.do(node.core.targets.drain, target)
 
     def change_target(self, target: str, **changes: typing.Any) -> None:
         found = self.targets[target]
@@ -316,15 +316,15 @@
             return
         if node in self._frozen:
             return
-        self.world.nodes[node].core.targets.announce(
-            targets.Announcement(
-                target=target.name,
-                service=target.plan.service,
-                url=f"http://{target.name}",
-                instance=str(target.instance),
-                labels={"version": target.plan.version},
-            )
+        announcement = targets.Announcement(
+            target=target.name,
+            service=target.plan.service,
+            url=f"http://{target.name}",
+            instance=str(target.instance),
+            labels={"version": target.plan.version},
         )
+        found = self.world.nodes[node]
+        found.scope.do(found.core.targets.announce, announcement)
 
     async def _renew(self, target: target_module.ScenarioTarget) -> None:
         while not target.leaving:
