Keyed calls are sent twice in the demo and among kills; one known red

Cause: idempotency keys are recognised now, so the demo and the test of kills send every keyed call twice.

Ruled out: counting a repeat that is refused as duplicate as a lost call; the refusal says may-have-run, which a repeated key may get.

Change: the demo counts such refusals apart. The test of kills asks that most calls without a key go on; that most calls with a key do so as well is a test of its own, which fails for a real fault and is listed: while all targets are younger than key_retention (300 s by default), the death of any node has every key of the service refused as duplicate, first sends included, for as long.

Conclusion: the fault is open, in the homes of keys.

--- a/packages/testing/src/balsamramp_testing/callers.py
+++ b/packages/testing/src/balsamramp_testing/callers.py
@@ -38,12 +38,14 @@
 class Record:
     """One call and its end; ``status`` 0 means that no answer came.
 
-    ``sent_at`` is in seconds of the machine's monotonic clock.
+    ``repeat`` tells that the same key was sent before. ``sent_at`` is in
+    seconds of the machine's monotonic clock.
     """
 
     kind: CallKind
     service: str
     body: str
+    repeat: bool = False
     sent_at: float
     latency: float = 0.0
     status: int = 0
@@ -151,12 +153,18 @@
         service = self._random.choices(self._services, self._weights)[0]
         body = "" if kind is CallKind.IDEMPOTENT else f"{self._name} {number}"
         sends = self._sends_of_keyed if kind is CallKind.KEYED else 1
-        for _ in range(sends):
-            await self._send(kind, service, body)
+        for number_sent in range(sends):
+            await self._send(kind, service, body, number_sent > 0)
 
-    async def _send(self, kind: CallKind, service: str, body: str) -> None:
+    async def _send(
+        self, kind: CallKind, service: str, body: str, repeat: bool
+    ) -> None:
         record = Record(
-            kind=kind, service=service, body=body, sent_at=time.monotonic()
+            kind=kind,
+            service=service,
+            body=body,
+            repeat=repeat,
+            sent_at=time.monotonic(),
         )
         entries = self._random.sample(
             self.entries, min(ENTRIES_MAX, len(self.entries))
--- a/packages/testing/src/balsamramp_testing/demo_steps.py
+++ b/packages/testing/src/balsamramp_testing/demo_steps.py
@@ -155,14 +155,25 @@
         self._report.line(
             not doubled, f"other calls that ran twice: {len(doubled)}"
         )
-        failed = [item for item in records if item.status != 200]
-        good = [
-            item for item in failed if (item.target, item.status) != BAD_ANSWER
+        refused = [item for item in records if _is_refused_repeat(item)]
+        repeats = [item for item in records if item.repeat]
+        self._report.line(
+            len(refused) < len(repeats),
+            f"repeated keys: {len(repeats)}, of which {len(refused)} were "
+            "refused as duplicate, the others got the recorded answer",
+        )
+        failed = [
+            item
+            for item in records
+            if item.status != 200
+            and (item.target, item.status) != BAD_ANSWER
+            and not _is_refused_repeat(item)
         ]
         self._report.line(
-            not good,
-            f"calls without a good answer, apart from caja's v2: {len(good)} "
-            f"{sorted({(item.status, item.reason) for item in good})}",
+            not failed,
+            f"other calls without a good answer, apart from caja's v2: "
+            f"{len(failed)} "
+            f"{sorted({(item.status, item.reason) for item in failed})}",
         )
         slowest = callers_module.slowest_latency(records) * 1000
         self._report.line(True, f"99 of 100 calls took under {slowest:.1f} ms")
@@ -248,6 +259,15 @@
 BAD_ANSWER = ("caja-4", 500)
 
 
+def _is_refused_repeat(record: callers_module.Record) -> bool:
+    """Tell whether a key was refused because it may have run before."""
+    return (
+        record.repeat
+        and record.reason == "duplicate"
+        and record.verdict != "not-run"
+    )
+
+
 def _at_most(calls: int, share: float) -> float:
     """Return how many of ``calls`` may fall to ``share`` by chance."""
     deviation = math.sqrt(share * (1 - share) * calls)
--- a/packages/testing/tests/test_kills.py
+++ b/packages/testing/tests/test_kills.py
@@ -19,6 +19,11 @@
 # What is killed while calls go on; killed nodes stay dead.
 CASES = ("node n0", "node n3", "platform")
 
+GOING_ON = (
+    callers_module.CallKind.IDEMPOTENT,
+    callers_module.CallKind.PLAIN,
+)
+
 CHANGE: dict[str, typing.Any] = {
     "author": "test",
     "puts": [
@@ -58,7 +63,7 @@
         platform = await _start(fleet)
         for case in CASES:
             callers = callers_module.Callers(
-                fleet, {"caja": 1}, CALLS_PER_SECOND, SEED, name=case
+                fleet, {"caja": 1}, CALLS_PER_SECOND, SEED, 2, case
             )
             callers.start()
             await callers.until(CALLS_BEFORE)
@@ -70,18 +75,40 @@
             await callers.stop()
             assert callers.lost() == [], case
             assert await callers.doubled() == [], case
-            _check_verdicts(callers, case)
+            for kind in GOING_ON:
+                _check_that_most_ran(callers, kind, case)
+
 
+def _check_that_most_ran(
+    callers: callers_module.Callers, kind: callers_module.CallKind, case: str
+) -> None:
+    records = [item for item in callers.records if item.kind is kind]
+    ran = [item for item in records if item.verdict == "ran"]
+    assert len(ran) > len(records) / 2, (case, kind)
 
-def _check_verdicts(callers: callers_module.Callers, case: str) -> None:
-    """See that the calls of all kinds went on for the most part."""
-    for kind in callers_module.CallKind:
-        records = [item for item in callers.records if item.kind is kind]
-        ran = [item for item in records if item.verdict == "ran"]
-        assert len(ran) > len(records) / 2, (case, kind)
+
+async def _kill_under_keyed_calls(directory: pathlib.Path) -> None:
+    async with fleet_module.Fleet(directory) as fleet:
+        await _start(fleet)
+        callers = callers_module.Callers(
+            fleet, {"caja": 1}, CALLS_PER_SECOND, SEED, 2
+        )
+        callers.start()
+        await callers.until(CALLS_BEFORE)
+        fleet.nodes.pop("n0").kill()
+        await callers.until(CALLS_BEFORE + CALLS_AFTER)
+        await callers.stop()
+        assert await callers.doubled() == []
+        _check_that_most_ran(callers, callers_module.CallKind.KEYED, "n0")
 
 
 def test_kill_of_a_node_or_the_platform_loses_no_idempotent_call(
     tmp_path: pathlib.Path,
 ) -> None:
     asyncio.run(_kill_under_load(tmp_path))
+
+
+def test_keyed_calls_go_on_after_the_kill_of_a_node(
+    tmp_path: pathlib.Path,
+) -> None:
+    asyncio.run(_kill_under_keyed_calls(tmp_path))
