--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: bench-calls bench-config check demo env format test
+.PHONY: bench-calls bench-config bench-outcomes check demo env format test
 
 env: $(STAMP)
 
@@ -33,8 +33,13 @@
 
 bench-calls: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.call_faults
+	$(BIN)/python -m balsamramp_testing.benches.added_time
 
 bench-config: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.config
 	$(BIN)/python -m balsamramp_testing.benches.config_costs
 	$(BIN)/python -m balsamramp_testing.benches.config_processes
+
+bench-outcomes: $(STAMP)
+	$(BIN)/python -m balsamramp_testing.benches.outcomes
+	$(BIN)/python -m balsamramp_testing.benches.outcome_costs
