--- a/packages/testing/src/balsamramp_testing/world.py
+++ b/packages/testing/src/balsamramp_testing/world.py
@@ -43,17 +43,21 @@
 seeds = {seeds}
 {extra}
 """
-RENEW_INTERVAL = datetime.timedelta(milliseconds=500)
+STREAM_PORT = 2
 
 
 @attrs.define(eq=False)
 class WorldNode:
-    """A running node and what it was made of."""
+    """A running node and what it was made of.
+
+    Its tasks run in ``scope``.
+    """
 
     core: core.Core
     metrics: metrics.Metrics
     targets: memory_target.MemoryTargetClient
     connector: memory_streams.MemoryConnector
+    scope: virtual_time.Scope
 
 
 class World:
@@ -82,6 +86,7 @@
         self.network = memory_network.MemoryNetwork(
             self.clock, random.Random(seed + 1)
         )
+        self.streams = memory_streams.MemoryStreams(self.network, self.clock)
         self.nodes: dict[str, WorldNode] = {}
         self._region = region
         self._incarnation = 0
@@ -90,6 +95,7 @@
         self, name: str, zone: str, extra: str = ""
     ) -> WorldNode:
         """Start a node; one that was killed starts empty again."""
+        virtual_time.use_streams(self.streams)
         seeds = ", ".join(f"{other}:1" for other in list(self.nodes)[:3])
         text = SETTINGS.format(
             name=name,
@@ -100,11 +106,48 @@
         )
         checked = settings.parse(text, f"{name}.ini", options.OPTIONS).unwrap()
         self._incarnation += 1
+        identity = core.Identity(name, zone, self._region, self._incarnation)
+        scope = virtual_time.Scope(f"{name}/{self._incarnation}")
+        node = await scope.run(self._start(identity, checked, scope))
+        assert node is not None
+        self.nodes[name] = node
+        return node
+
+    async def kill_node(self, name: str) -> None:
+        """End a node at once, without any of its messages getting out."""
+        self.network.down.add(name)
+        await self.nodes.pop(name).scope.kill()
+        self.streams.kill(name)
+
+    async def stop_node(self, name: str) -> None:
+        """Shut a node down as its process does when asked to end."""
+        node = self.nodes[name]
+        await node.scope.run(self._shut_down(node))
+        self.network.down.add(name)
+        del self.nodes[name]
+        await node.scope.kill()
+        self.streams.kill(name)
+
+    async def stop(self) -> None:
+        """Stop all nodes."""
+        for name in list(self.nodes):
+            await self.kill_node(name)
+
+    def prepare(self, node: WorldNode) -> None:
+        """Complete a node between its making and its start."""
+
+    async def _start(
+        self,
+        identity: core.Identity,
+        checked: settings.Settings,
+        scope: virtual_time.Scope,
+    ) -> WorldNode:
+        name = identity.node
+        counters = metrics.Metrics()
+        hello = messages.Hello(name, identity.incarnation)
         served = memory_network.MemoryControl(name, self.network)
         client = memory_target.MemoryTargetClient(self.clock)
-        counters = metrics.Metrics()
-        hello = messages.Hello(name, self._incarnation)
-        connector = memory_streams.MemoryConnector(name, self.network)
+        connector = memory_streams.MemoryConnector()
         streams = stream_client.StreamClient(
             hello, self.clock, counters, connector.connect
         )
@@ -121,35 +164,31 @@
             services=(streams,),
         )
         made = core.Core(
-            core.Identity(name, zone, self._region, self._incarnation),
+            identity,
             checked,
             outside,
             self.clock,
             counters,
             random.Random(self.random.random()),
         )
-        server = stream_server.StreamServer(
-            hello,
-            settings.Address(name, 2),
-            made.door,
-            self.clock,
-            counters,
+        made.kernel.add(
+            stream_server.StreamServer(
+                hello,
+                settings.Address(name, STREAM_PORT),
+                made.door,
+                self.clock,
+                counters,
+            )
         )
-        self.network.add(name, zone, served, server)
+        self.network.add(name, identity.zone, served, scope)
+        node = WorldNode(made, counters, client, connector, scope)
+        self.prepare(node)
         await made.kernel.start()
-        node = WorldNode(made, counters, client, connector)
-        self.nodes[name] = node
         return node
 
-    async def kill_node(self, name: str) -> None:
-        """End a node without any of its messages getting out."""
-        self.network.down.add(name)
-        await self.nodes.pop(name).core.kernel.stop()
-
-    async def stop(self) -> None:
-        """Stop all nodes."""
-        for name in list(self.nodes):
-            await self.kill_node(name)
+    async def _shut_down(self, node: WorldNode) -> None:
+        node.core.targets.drain_all()
+        await node.core.kernel.stop()
 
     def announce(
         self,
@@ -196,15 +235,18 @@
         key: str = "",
     ) -> call_transport.Reply:
         """Send a call to ``node`` as a caller would."""
-        return await self.nodes[node].core.calls.call(
-            calls.CallerRequest(
-                service=service,
-                method=method,
-                path=path,
-                headers=(),
-                body=body,
-                timeout=timeout,
-                retries=2,
-                idempotency_key=key,
-            )
+        request = calls.CallerRequest(
+            service=service,
+            method=method,
+            path=path,
+            headers=(),
+            body=body,
+            timeout=timeout,
+            retries=2,
+            idempotency_key=key,
         )
+        found = self.nodes[node]
+        reply = await found.scope.run(found.core.calls.call(request))
+        if reply is None:
+            raise ConnectionResetError(f"node {node} was killed")
+        return reply
