Rollouts: zones without an old call in a window are not pooled

Cause: a good version whose only targets stood in a sick zone was taken back ('new 18 of 31 calls, old 84 of 685'): callers avoid failing targets, so some windows had no call of the old version in that zone, and these were compared with the old version of all zones. Ruled out: the cache of the windows (the same without it). Change: only a zone in which the old version never got a call is compared with all zones. Scenarios seen to fail with each mechanism taken out: the door's refusal, the platform's record, evidence sent, states spread, zones apart, the doubt. The bench tells decision to last call and the forecast.

--- a/packages/node/src/balsamramp_node/rollout_evidence.py
+++ b/packages/node/src/balsamramp_node/rollout_evidence.py
@@ -120,6 +120,7 @@
         self._cache: dict[
             WindowKey, dict[TestKey, sequential_test.WindowLogs]
         ] = {}
+        self._old_zones: set[str] = set()
         self._totals: dict[TotalKey, Counts] = {}
 
     def rows(self) -> list[Row]:
@@ -182,8 +183,8 @@
         """Return the windows in order, each with a stratum per zone.
 
         A change of the share starts a new window. Bad calls are those
-        slower than bucket ``slow`` or, without one, failures. Zones
-        without any call of the old version are compared with the old
+        slower than bucket ``slow`` or, without one, failures. Zones in
+        which the old version never got a call are compared with the old
         version of all zones in the same window.
         """
         return [
@@ -217,9 +218,12 @@
                 continue
             pair = zones.setdefault(zone, _Pair())
             pair.add(is_new, counts.calls, counts.bad(slow))
-        return _window_strata(zones)
+        return _window_strata(zones, self._old_zones)
 
     def _add(self, row: Row, sign: int = 1) -> None:
+        if not row.new and row.zone not in self._old_zones:
+            self._old_zones.add(row.zone)
+            self._cache.clear()
         window = (row.window, row.epoch)
         self._cache.pop(window, None)
         groups = self._windows.setdefault(window, {})
@@ -247,12 +251,14 @@
         return None
 
 
-def _window_strata(zones: Zones) -> list[sequential_test.Stratum]:
+def _window_strata(
+    zones: Zones, old_zones: abc.Container[str]
+) -> list[sequential_test.Stratum]:
     strata = []
     alone = _Pair()
-    for pair in zones.values():
+    for zone, pair in zones.items():
         alone.add(False, pair.old_calls, pair.old_bad)
-        if pair.old_calls:
+        if zone in old_zones:
             strata.append(pair.stratum())
             continue
         alone.add(True, pair.new_calls, pair.new_bad)
--- a/packages/node/src/balsamramp_node/rollout_spread.py
+++ b/packages/node/src/balsamramp_node/rollout_spread.py
@@ -27,6 +27,7 @@
 TICKS_BETWEEN_REPORTS = 4
 TICKS_BETWEEN_EXCHANGES = 2
 PUSH_FANOUT = 4
+SPARE_PEERS = 4
 HEARING_INTERVAL = datetime.timedelta(milliseconds=50)
 HEARING_TIMEOUT = datetime.timedelta(seconds=3)
 
@@ -228,13 +229,15 @@
 
     def _some_peers(self, count: int) -> list[settings.Address]:
         own = self._members.own.node
+        members = self._members.members()
+        drawn = min(len(members), count + SPARE_PEERS)
         peers = [
             member.control
-            for member in self._members.members()
+            for member in self._random.sample(members, drawn)
             if member.node != own
             and member.state is messages.MemberState.ALIVE
         ]
-        return self._random.sample(peers, min(count, len(peers)))
+        return peers[:count]
 
     def _spawn(
         self, work: abc.Coroutine[typing.Any, typing.Any, None]
--- a/packages/node/src/balsamramp_node/router.py
+++ b/packages/node/src/balsamramp_node/router.py
@@ -162,6 +162,7 @@
         return {
             "services": sorted(self._services),
             "zones_out": sorted(self._zones.out),
+            "zones": self._zones.report(),
             "unknown_names": dict(sorted(self._unknown.items())),
         }
 
--- a/packages/node/src/balsamramp_node/zone_states.py
+++ b/packages/node/src/balsamramp_node/zone_states.py
@@ -1,6 +1,7 @@
 """Zone states: which availability zones may take a call."""
 
 import datetime
+import typing
 
 import xxhash
 
@@ -25,6 +26,7 @@
         self._clock = time
         self._out: frozenset[str] = frozenset()
         self._returning: dict[str, zone.Zone] = {}
+        self._declared: dict[str, zone.Zone] = {}
 
     @property
     def out(self) -> frozenset[str]:
@@ -35,9 +37,11 @@
         """Take over the declaration of zone ``name``, None if deleted."""
         was_out = name in self._out or name in self._returning
         self._returning.pop(name, None)
+        self._declared.pop(name, None)
         self._out -= {name}
         if item is None:
             return
+        self._declared[name] = item
         if item.out:
             self._out |= {name}
         elif was_out:
@@ -57,6 +61,20 @@
             return 1.0
         return max(RETURN_SHARE_MIN, passed / planned)
 
+    def report(self) -> dict[str, typing.Any]:
+        """Return the declared zones, their state and their share."""
+        shown = {}
+        for name, item in sorted(self._declared.items()):
+            share = self.share(name)
+            state = "returning" if share < 1.0 else "in"
+            shown[name] = {
+                "state": "out" if item.out else state,
+                "share": share,
+                "since": item.since,
+                "author": item.author,
+            }
+        return shown
+
     def admits(self, name: str, call_id: str) -> bool:
         """Tell whether zone ``name`` may take the call."""
         if name not in self._out and name not in self._returning:
--- a/packages/testing/src/balsamramp_testing/benches/outcome_kinds.py
+++ b/packages/testing/src/balsamramp_testing/benches/outcome_kinds.py
@@ -48,6 +48,16 @@
             )
         ),
     ),
+    Kind(
+        name="good, only in sick zone",
+        good=True,
+        plan=_plan(
+            rollout_trial.Fault(
+                zones=("zone-c",), failing=0.6, begins=5.0, ends=30.0
+            ),
+            new_zones=("zone-c",),
+        ),
+    ),
     Kind(
         name="good, old sick too",
         good=True,
--- a/packages/testing/src/balsamramp_testing/benches/outcomes.py
+++ b/packages/testing/src/balsamramp_testing/benches/outcomes.py
@@ -58,9 +58,10 @@
     print(f"Rollouts, {len(seeds)} seeds a kind; medians over the seeds.\n")
     print(
         "| kind | policy | right | share of calls to new | calls to new "
-        "| bad calls | first sign to last call, s |"
+        "| bad calls | first sign to last call, s "
+        "| decision to last call, s | forecast wrong by, s |"
     )
-    print("|---|---|---|---|---|---|---|")
+    print("|---|---|---|---|---|---|---|---|---|")
     for kind in outcome_kinds.KINDS:
         for policy in POLICIES:
             found = [
@@ -78,12 +79,6 @@
     found: list[rollout_trial.TrialResult],
 ) -> str:
     right = sum(_is_right(kind, item) for item in found)
-    times = [
-        item.sign_to_last for item in found if item.sign_to_last is not None
-    ]
-    stopped = "-"
-    if not kind.good and times:
-        stopped = f"{statistics.median(times):.1f}"
     cells = (
         kind.name,
         policy,
@@ -91,11 +86,18 @@
         f"{statistics.median(item.share for item in found):.3f}",
         f"{statistics.median(item.new_calls for item in found):.0f}",
         f"{statistics.median(item.new_bad for item in found):.0f}",
-        stopped,
+        "-" if kind.good else _median(item.sign_to_last for item in found),
+        "-" if kind.good else _median(item.decision_to_last for item in found),
+        _median(item.forecast_error for item in found) if kind.good else "-",
     )
     return f"| {' | '.join(cells)} |"
 
 
+def _median(values: abc.Iterable[float | None]) -> str:
+    known = [value for value in values if value is not None]
+    return f"{statistics.median(known):.1f}" if known else "-"
+
+
 def _is_right(
     kind: outcome_kinds.Kind, found: rollout_trial.TrialResult
 ) -> bool:
--- a/packages/testing/src/balsamramp_testing/rollout_trial.py
+++ b/packages/testing/src/balsamramp_testing/rollout_trial.py
@@ -79,6 +79,7 @@
     keep_old: int = 15
     platform_down: tuple[float, float] | None = None
     targets_per_zone: int = 1
+    new_zones: tuple[str, ...] = ZONES
     slots: int = 20
     cold_slots: int = 20
     cold: float = 0.0
@@ -92,7 +93,8 @@
     """What became of the rollout and of the calls during it.
 
     ``share`` is the part of all calls between start and end that new
-    targets ran. Seconds count from the start of the rollout.
+    targets ran. Seconds count from the start of the rollout;
+    ``forecast`` is what was reported when half the time had passed.
     """
 
     report: rollout_report.RolloutReport
@@ -106,6 +108,29 @@
     first_sign: float | None
     last_new_call: float | None
     ended: float
+    forecast: datetime.datetime | None
+
+    @property
+    def decision_to_last(self) -> float | None:
+        """Return the time from the take-back to the last call, or None."""
+        back = {phase.value for phase in rollout_state.BACK}
+        if self.report.phase not in back or self.last_new_call is None:
+            return None
+        assert self.report.decided_at is not None
+        decided = self.report.decided_at - self.report.start
+        return self.last_new_call - decided.total_seconds()
+
+    @property
+    def forecast_error(self) -> float | None:
+        """Return by how much the forecast at half time was wrong."""
+        ends = [
+            event.at
+            for event in self.report.history
+            if event.event == rollout_state.RolloutPhase.COMPLETED.value
+        ]
+        if not ends or self.forecast is None:
+            return None
+        return abs((self.forecast - ends[0]).total_seconds())
 
     @property
     def share(self) -> float:
@@ -190,6 +215,7 @@
         self.counts: dict[str, int] = {}
         self.first_sign: float | None = None
         self.new_runs: list[float] = []
+        self.forecast: datetime.datetime | None = None
         self._callers: asyncio.Task[None] | None = None
         self._in_flight: set[asyncio.Task[None]] = set()
 
@@ -220,6 +246,8 @@
                 self.old_nodes.append(
                     await self.start_node(f"{zone}-old-{number}", zone, OLD)
                 )
+                if zone not in self.plan.new_zones:
+                    continue
                 self.new_nodes.append(
                     await self.start_node(f"{zone}-new-{number}", zone, NEW)
                 )
@@ -293,6 +321,8 @@
         horizon = plan.horizon or plan.duration + plan.keep_old + 5.0
         while self.elapsed() < horizon:
             await self.world.clock.sleep(CHECK_INTERVAL)
+            if self.forecast is None and self.elapsed() >= plan.duration / 2:
+                self.forecast = self.report().forecast
             phases = {
                 report.phase
                 for node in self.world.nodes.values()
@@ -331,6 +361,7 @@
             first_sign=self.first_sign,
             last_new_call=self.new_runs[-1] if self.new_runs else None,
             ended=self.elapsed(),
+            forecast=self.forecast,
         )
         await self.world.stop()
         return measured
--- a/packages/testing/tests/test_rollout_scenarios.py
+++ b/packages/testing/tests/test_rollout_scenarios.py
@@ -4,7 +4,12 @@
 import pytest
 
 from balsamramp_core import verdict
+from balsamramp_node import rollout_evidence
 from balsamramp_node import rollout_record
+from balsamramp_node import rollout_spread
+from balsamramp_node import rollouts
+from balsamramp_node import sequential_test
+from balsamramp_node.policies import evidence
 from balsamramp_testing import rollout_trial
 from balsamramp_wire import messages
 
@@ -64,9 +69,10 @@
         plan=rollout_trial.Plan(
             faults=(
                 rollout_trial.Fault(
-                    zones=("zone-c",), failing=0.5, begins=5.0, ends=30.0
+                    zones=("zone-c",), failing=0.6, begins=5.0, ends=30.0
                 ),
-            )
+            ),
+            new_zones=("zone-c",),
         ),
         outcome="completed at",
     ),
@@ -270,6 +276,80 @@
     rollout_trial.run(plan, disturb)
 
 
+async def _read_nothing(record: rollout_record.RolloutRecord) -> bool:
+    return True
+
+
+def _pool_zones(
+    zones: rollout_evidence.Zones, old_zones: set[str]
+) -> list[sequential_test.Stratum]:
+    """Compare all calls of the new version with all of the old."""
+    fields = ("old_calls", "old_bad", "new_calls", "new_bad")
+    sums = [
+        sum(getattr(pair, field) for pair in zones.values())
+        for field in fields
+    ]
+    return [sequential_test.Stratum(*sums)]
+
+
+def _never(*arguments: object) -> bool:
+    return False
+
+
+def _send_nothing(*arguments: object) -> None:
+    return None
+
+
+ENFORCEMENTS = {
+    "refusal at the door": (
+        rollouts.Rollouts,
+        "is_condemned",
+        _never,
+        lambda: test_condemned_stays_so(_condemn_and_lapse, None),
+    ),
+    "record on the platform": (
+        rollout_record.RolloutRecord,
+        "_synchronise",
+        _read_nothing,
+        lambda: test_condemned_stays_so(_condemn_and_restart, None),
+    ),
+    "evidence sent to the deciders": (
+        rollout_spread.RolloutSpread,
+        "_send_rows",
+        _send_nothing,
+        lambda: test_scenario("good"),
+    ),
+    "states pushed and exchanged": (
+        rollouts.Rollouts,
+        "merge",
+        _send_nothing,
+        lambda: test_scenario("bad later"),
+    ),
+    "zones compared with themselves": (
+        rollout_evidence,
+        "_window_strata",
+        _pool_zones,
+        lambda: test_scenario("good but its zone is sick"),
+    ),
+    "doubt after the completion": (
+        evidence,
+        "_against_record",
+        lambda *arguments: [],
+        lambda: test_scenario("bad after full promotion"),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", ENFORCEMENTS)
+def test_scenario_fails_without(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    owner, attribute, replacement, scenario = ENFORCEMENTS[name]
+    monkeypatch.setattr(owner, attribute, replacement)
+    with pytest.raises(AssertionError):
+        scenario()
+
+
 async def _name_again(trial: rollout_trial.Trial) -> None:
     await trial.until(20.0)
     assert trial.report().phase == "taken-back"
