Forecast of a rollout runs its schedule forward

Cause: the plain extrapolation moves the whole plan by the delay of the next step, though a rollout that is late catches up. Ruled out: keeping the extrapolation (it stays as the baseline). Change: forecast runs the steps forward with the calls they need at the rate seen so far, the dwell and the skipping of steps.

--- a/packages/node/src/balsamramp_node/policies/evidence.py
+++ b/packages/node/src/balsamramp_node/policies/evidence.py
@@ -121,6 +121,37 @@
         part = MOVING_PART * (step - 1) / (self.last_step - 1)
         return intent.start + part * (intent.deadline - intent.start)
 
+    def forecast(
+        self,
+        intent: rollout.Rollout,
+        state: State,
+        evidence: Evidence,
+        now: datetime.datetime,
+    ) -> datetime.datetime:
+        """Return when the last step is expected.
+
+        The schedule is run forward from the present step: each step waits
+        for its time, for the dwell and for the calls it needs, which come
+        at the rate seen so far.
+        """
+        step = rollout_state.step(state)
+        started = state.marks.get(PHASE.MOVING.value)
+        calls = evidence.total(False).calls + evidence.total(True).calls
+        if started is None or not calls or now <= started.at:
+            return self.extrapolate(intent, state, now)
+        gap = (now - started.at) / calls
+        seen = evidence.total(True, None, step).calls
+        at = rollout_state.stepped_at(state) or now
+        while 0 < step < self.last_step:
+            missing = max(0, _calls_needed(step) - seen)
+            wait = missing / self.shares[step] * gap
+            dwelt = at + _dwell(intent)
+            at = max(self.due(intent, step + 1), dwelt, now + wait)
+            now = at
+            step = self._following(intent, step, now)
+            seen = 0
+        return at
+
     def _move(
         self,
         intent: rollout.Rollout,
@@ -163,8 +194,7 @@
         stepped = rollout_state.stepped_at(state) or intent.start
         if now < self.due(intent, step + 1):
             return "the next step is not due"
-        planned = intent.deadline - intent.start
-        if now < stepped + max(DWELL_MIN, DWELL_PART * planned):
+        if now < stepped + _dwell(intent):
             return "the last step is too recent"
         if ratio >= SUSPICION_RATIO:
             return f"the new version is {ratio:.0f} times likelier worse"
@@ -276,8 +306,16 @@
     return worst
 
 
+def _dwell(intent: rollout.Rollout) -> datetime.timedelta:
+    return max(DWELL_MIN, DWELL_PART * (intent.deadline - intent.start))
+
+
+def _calls_needed(step: int) -> int:
+    return CALLS_NEEDED if step <= 1 else STEP_CALLS_NEEDED
+
+
 def _missing(evidence: Evidence, step: int) -> str:
-    needed = CALLS_NEEDED if step <= 1 else STEP_CALLS_NEEDED
+    needed = _calls_needed(step)
     at_step = evidence.total(True, None, step)
     if at_step.calls < needed:
         return f"{at_step.calls} of {needed} calls seen at this step"
--- a/packages/node/src/balsamramp_node/rollout_policy.py
+++ b/packages/node/src/balsamramp_node/rollout_policy.py
@@ -54,15 +54,25 @@
         return intent.start + part * (intent.deadline - intent.start)
 
     def forecast(
+        self,
+        intent: rollout.Rollout,
+        state: rollout_messages.RolloutState,
+        evidence: rollout_evidence.Evidence,
+        now: datetime.datetime,
+    ) -> datetime.datetime:
+        """Return when the last step is expected."""
+        return self.extrapolate(intent, state, now)
+
+    def extrapolate(
         self,
         intent: rollout.Rollout,
         state: rollout_messages.RolloutState,
         now: datetime.datetime,
     ) -> datetime.datetime:
-        """Return when the last step is expected.
+        """Return when the last step is expected by plain extrapolation.
 
-        A plain extrapolation: the steps left take as long as planned, and
-        the next one is as late as it is by now.
+        The steps left take as long as planned, and the next one is as
+        late as it is by now.
         """
         following = min(rollout_state.step(state) + 1, self.last_step)
         delay = max(now - self.due(intent, following), datetime.timedelta())
--- a/packages/node/src/balsamramp_node/rollout_report.py
+++ b/packages/node/src/balsamramp_node/rollout_report.py
@@ -80,7 +80,7 @@
     waits_for = ""
     phase = rollout_state.phase(state)
     if intent is not None and phase is PHASE.MOVING:
-        forecast = policy.forecast(intent, state, now)
+        forecast = policy.forecast(intent, state, evidence, now)
         waits_for = policy.waits_for(intent, state, evidence, now)
     if not rollout_state.is_vouched(state) and phase is PHASE.WAITING:
         waits_for = "a peer or the platform that knows what happened so far"
--- a/packages/testing/src/balsamramp_testing/benches/outcomes.py
+++ b/packages/testing/src/balsamramp_testing/benches/outcomes.py
@@ -59,9 +59,10 @@
     print(
         "| kind | policy | right | share of calls to new | calls to new "
         "| bad calls | first sign to last call, s "
-        "| decision to last call, s | forecast wrong by, s |"
+        "| decision to last call, s "
+        "| forecast at half time wrong by, s | extrapolation, s |"
     )
-    print("|---|---|---|---|---|---|---|---|---|")
+    print("|---|---|---|---|---|---|---|---|---|---|")
     for kind in outcome_kinds.KINDS:
         for policy in POLICIES:
             found = [
@@ -89,6 +90,9 @@
         "-" if kind.good else _median(item.sign_to_last for item in found),
         "-" if kind.good else _median(item.decision_to_last for item in found),
         _median(item.forecast_error for item in found) if kind.good else "-",
+        _median(item.extrapolation_error for item in found)
+        if kind.good
+        else "-",
     )
     return f"| {' | '.join(cells)} |"
 
--- a/packages/testing/src/balsamramp_testing/rollout_trial.py
+++ b/packages/testing/src/balsamramp_testing/rollout_trial.py
@@ -9,6 +9,7 @@
 import attrs
 
 from balsamramp_core import clock
+from balsamramp_node import policies
 from balsamramp_node import rollout_report
 from balsamramp_node import rollout_state
 from balsamramp_node import target_client
@@ -94,7 +95,8 @@
 
     ``share`` is the part of all calls between start and end that new
     targets ran. Seconds count from the start of the rollout;
-    ``forecast`` is what was reported when half the time had passed.
+    ``forecast`` is what was reported when half the time had passed,
+    ``extrapolated`` the plain extrapolation of that moment.
     """
 
     report: rollout_report.RolloutReport
@@ -109,6 +111,7 @@
     last_new_call: float | None
     ended: float
     forecast: datetime.datetime | None
+    extrapolated: datetime.datetime | None
 
     @property
     def decision_to_last(self) -> float | None:
@@ -122,15 +125,23 @@
 
     @property
     def forecast_error(self) -> float | None:
-        """Return by how much the forecast at half time was wrong."""
+        """Return by how many seconds the forecast was wrong."""
+        return self._error(self.forecast)
+
+    @property
+    def extrapolation_error(self) -> float | None:
+        """Return by how many seconds the extrapolation was wrong."""
+        return self._error(self.extrapolated)
+
+    def _error(self, expected: datetime.datetime | None) -> float | None:
         ends = [
             event.at
             for event in self.report.history
             if event.event == rollout_state.RolloutPhase.COMPLETED.value
         ]
-        if not ends or self.forecast is None:
+        if not ends or expected is None:
             return None
-        return abs((self.forecast - ends[0]).total_seconds())
+        return abs((expected - ends[0]).total_seconds())
 
     @property
     def share(self) -> float:
@@ -216,6 +227,7 @@
         self.first_sign: float | None = None
         self.new_runs: list[float] = []
         self.forecast: datetime.datetime | None = None
+        self.extrapolated: datetime.datetime | None = None
         self._callers: asyncio.Task[None] | None = None
         self._in_flight: set[asyncio.Task[None]] = set()
 
@@ -298,6 +310,20 @@
         self.zone_of[name] = zone
         return name
 
+    def _forecast(self) -> None:
+        report = self.report()
+        self.forecast = report.forecast
+        for node in self.world.nodes.values():
+            held = node.core.rollouts
+            state = held.state(report.intent)
+            intent = held.intents.get(report.intent)
+            if state is None or intent is None:
+                continue
+            now = self.world.clock.now()
+            policy = policies.find_policy(self.plan.policy)()
+            self.extrapolated = policy.extrapolate(intent, state, now)
+            return
+
     def report(self) -> rollout_report.RolloutReport:
         """Return the report of a node that decides, else of any."""
         reports = [
@@ -322,7 +348,7 @@
         while self.elapsed() < horizon:
             await self.world.clock.sleep(CHECK_INTERVAL)
             if self.forecast is None and self.elapsed() >= plan.duration / 2:
-                self.forecast = self.report().forecast
+                self._forecast()
             phases = {
                 report.phase
                 for node in self.world.nodes.values()
@@ -362,6 +388,7 @@
             last_new_call=self.new_runs[-1] if self.new_runs else None,
             ended=self.elapsed(),
             forecast=self.forecast,
+            extrapolated=self.extrapolated,
         )
         await self.world.stop()
         return measured
