--- a/packages/testing/src/balsamramp_testing/world.py
+++ b/packages/testing/src/balsamramp_testing/world.py
@@ -202,15 +202,14 @@
         made = memory_target.MemoryTarget(target)
         found = self.nodes[node]
         known = found.targets.targets.setdefault(target, made)
-        found.core.targets.announce(
-            targets.Announcement(
-                target=target,
-                service=service,
-                url=f"http://{target}",
-                instance=instance,
-                labels={"version": version},
-            )
-        ).unwrap()
+        announcement = targets.Announcement(
+            target=target,
+            service=service,
+            url=f"http://{target}",
+            instance=instance,
+            labels={"version": version},
+        )
+        found.scope.do(found.core.targets.announce, announcement).unwrap()
         return known
 
     async def apply(self, node: str, *documents: dict[str, typing.Any]) -> int:
@@ -221,8 +220,12 @@
             author="test",
             puts=puts,
         )
-        operations = self.nodes[node].core.operations
-        return (await operations.submit(submission)).unwrap().version
+        found = self.nodes[node]
+        work = found.core.operations.submit(submission)
+        submitted = await found.scope.run(work)
+        if submitted is None:
+            raise ConnectionResetError(f"node {node} was killed")
+        return submitted.unwrap().version
 
     async def call(
         self,
