--- a/packages/node/src/balsamramp_node/peer_stream.py
+++ b/packages/node/src/balsamramp_node/peer_stream.py
@@ -106,9 +106,7 @@
     async def _read(self) -> None:
         try:
             while True:
-                message = await frames.read(self._reader)
-                self._heard_at = self._clock.monotonic()
-                self._pinged_at = None
+                message = await frames.read(self._reader, self._hear)
                 if not isinstance(
                     message, messages.CallAnswer | messages.CallFailure
                 ):
@@ -125,6 +123,10 @@
         finally:
             self._end()
 
+    def _hear(self) -> None:
+        self._heard_at = self._clock.monotonic()
+        self._pinged_at = None
+
     def _end(self) -> None:
         self._closed = True
         self._writer.transport.abort()
--- a/packages/node/tests/test_streams.py
+++ b/packages/node/tests/test_streams.py
@@ -20,10 +20,13 @@
 from balsamramp_node import target_client
 from balsamramp_node import targets
 from balsamramp_node.admissions import fixed
+from balsamramp_wire import frames
 from balsamramp_wire import messages
 
 LOOPBACK = settings.Address("127.0.0.1", 0)
 TIMEOUT = datetime.timedelta(seconds=20)
+PIECES = 20
+PIECE_SECONDS = 0.05
 
 
 class _Target(target_client.TargetClient):
@@ -255,6 +258,45 @@
     assert runs == 2
 
 
+async def _trickle(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer the first call piece by piece, and no ping meanwhile."""
+    await frames.read(reader)
+    request = await frames.read(reader)
+    answer = messages.CallAnswer(
+        call_id=request.call_id,
+        status=200,
+        headers=(),
+        body=b"x" * PIECES,
+        load=messages.Load(0, 0),
+    )
+    frame = frames.encode(answer)
+    size = len(frame) // PIECES + 1
+    for start in range(0, len(frame), size):
+        writer.write(frame[start : start + size])
+        await asyncio.sleep(PIECE_SECONDS)
+    writer.close()
+
+
+async def _call_slow_link() -> call_transport.Reply:
+    server = await asyncio.start_server(_trickle, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    pair = await _make_pair()
+    pair.peer = settings.Address("127.0.0.1", port)
+    reply = await pair.call()
+    await pair.client.stop()
+    await pair.relay.stop()
+    server.close()
+    return reply
+
+
+def test_answer_that_arrives_slowly_is_not_silence() -> None:
+    reply = asyncio.run(_call_slow_link())
+    assert isinstance(reply, messages.CallAnswer), reply
+    assert len(reply.body) == PIECES
+
+
 async def _call_nobody() -> call_transport.Reply:
     pair = await _make_pair()
     await pair.relay.stop()
--- a/packages/wire/src/balsamramp_wire/frames.py
+++ b/packages/wire/src/balsamramp_wire/frames.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import abc
 import struct
 import typing
 
@@ -56,14 +57,31 @@
         raise FrameError(f"malformed frame: {error}") from error
 
 
-async def read(reader: asyncio.StreamReader) -> typing.Any:
+def _ignore() -> None:
+    return None
+
+
+async def read(
+    reader: asyncio.StreamReader, heard: abc.Callable[[], None] = _ignore
+) -> typing.Any:
     """Return the next message.
 
-    Raises FrameError on a malformed frame and
-    asyncio.IncompleteReadError when the stream ends.
+    ``heard`` is called whenever bytes of it have come. Raises FrameError
+    on a malformed frame and asyncio.IncompleteReadError when the stream
+    ends.
     """
     header = await reader.readexactly(HEADER.size)
+    heard()
     length, number = HEADER.unpack(header)
     if length > PAYLOAD_MAX_BYTES:
         raise FrameError(f"frame of {length} bytes is too large")
-    return decode(number, await reader.readexactly(length))
+    left = length
+    parts: list[bytes] = []
+    while left:
+        part = await reader.read(left)
+        if not part:
+            raise asyncio.IncompleteReadError(b"".join(parts), length)
+        heard()
+        parts.append(part)
+        left -= len(part)
+    return decode(number, b"".join(parts))
