--- a/packages/node/src/balsamramp_node/membership.py
+++ b/packages/node/src/balsamramp_node/membership.py
@@ -36,7 +36,7 @@
 ROSTER_INTERVAL = datetime.timedelta(seconds=5)
 PUBLISH_INTERVAL = datetime.timedelta(milliseconds=100)
 GONE_RETENTION = datetime.timedelta(seconds=300)
-RECENT_MAX_MEMBERS = 24
+RECENT_MAX_MEMBERS = 10
 CROSS_EXCHANGES = 4
 PARTNERS_MAX = 8
 PARTNER_RENEWAL_SHARE = 1 / 8
--- a/packages/testing/src/balsamramp_testing/benches/config_costs.py
+++ b/packages/testing/src/balsamramp_testing/benches/config_costs.py
@@ -26,6 +26,7 @@
 from balsamramp_core.resources import service
 from balsamramp_node import member_list
 from balsamramp_node import membership
+from balsamramp_node import platform_client
 from balsamramp_node import tree
 from balsamramp_testing import fleet as fleet_module
 from balsamramp_testing.benches import byte_relay
@@ -121,6 +122,8 @@
     kept = configuration_codec.snapshot_from_bytes(data).unwrap()
     per_resource = tracemalloc.get_traced_memory()[0] / RESOURCES
     tracemalloc.stop()
+    alone = msgspec.msgpack.encode(make_members(1)[0])
+    print(f"a member in an exchange: {len(alone)} bytes")
     print(f"memory a member: {per_member:.0f} bytes")
     print(f"memory a resource: {per_resource:.0f} bytes")
     print(f"packed members: {len(packed) / KB:.0f} kB for {MEMBERS}")
@@ -296,9 +299,22 @@
     await relay.stop()
 
 
+async def _print_platform(url: str) -> None:
+    client = platform_client.PlatformClient(url, TIMEOUT)
+    await client.start()
+    table = platform_client.HttpTable(client)
+    started = time.process_time()
+    for _ in range(REQUESTS):
+        (await table.read("configuration/head")).unwrap()
+    taken_s = time.process_time() - started
+    print(f"a read of the table: {taken_s / REQUESTS * 1e6:.0f} us")
+    await client.stop()
+
+
 async def _print_processes(directory: pathlib.Path) -> None:
     async with fleet_module.Fleet(directory) as fleet:
-        await fleet.start_platform()
+        platform = await fleet.start_platform()
+        await _print_platform(platform.url("http"))
         node = await fleet.start_node("n0", "zone-0")
         bound = node.addresses["control"]
         peer = settings.Address(bound["host"], bound["port"])
