Split membership: view, choice of peers, repair, codec

Ruled out: nothing. Change: four modules of one job each; the number of rounds that cross a zone is stated once.

--- a/packages/node/src/balsamramp_node/member_list.py
+++ b/packages/node/src/balsamramp_node/member_list.py
@@ -1,6 +1,7 @@
 """Member list: all known nodes by zone, with digests that locate changes."""
 
 from collections import abc
+import math
 import typing
 
 import attrs
@@ -9,7 +10,7 @@
 from balsamramp_core import settings
 from balsamramp_wire import messages
 
-__all__ = ["BUCKETS", "GONE", "MemberList", "supersedes"]
+__all__ = ["BUCKETS", "GONE", "MemberList", "rounds_across", "supersedes"]
 
 BUCKETS = 64
 
@@ -24,6 +25,11 @@
     return left > right
 
 
+def rounds_across(zone_size: int) -> int:
+    """Return how many rounds of exchanges an update takes in a zone."""
+    return math.ceil(math.log2(zone_size + 1))
+
+
 def bucket_of(node: str) -> int:
     """Return the bucket of its zone into which a node falls."""
     return xxhash.xxh64_intdigest(node.encode()) % BUCKETS
--- a/packages/node/src/balsamramp_node/membership.py
+++ b/packages/node/src/balsamramp_node/membership.py
@@ -3,14 +3,11 @@
 import asyncio
 from collections import abc
 import datetime
-import math
 import random
 import typing
-import zlib
 
 from absl import logging
 import attrs
-import msgspec
 from returns import result
 
 from balsamramp_core import clock
@@ -20,6 +17,9 @@
 from balsamramp_node import distribution
 from balsamramp_node import failure_detector
 from balsamramp_node import member_list
+from balsamramp_node import member_repair
+from balsamramp_node import member_view
+from balsamramp_node import peer_choice
 from balsamramp_node import reader_lease
 from balsamramp_node import readiness
 from balsamramp_node import roster
@@ -30,21 +30,15 @@
 from balsamramp_wire import control
 from balsamramp_wire import messages
 
-__all__ = ["Membership", "supersedes"]
+__all__ = ["Membership"]
 
 REQUEST_TIMEOUT = datetime.timedelta(seconds=1)
 ROSTER_INTERVAL = datetime.timedelta(seconds=5)
-PUBLISH_INTERVAL = datetime.timedelta(milliseconds=100)
 GONE_RETENTION = datetime.timedelta(seconds=300)
 RECENT_MAX_MEMBERS = 10
 CROSS_EXCHANGES = 4
-PARTNERS_MAX = 8
-PARTNER_RENEWAL_SHARE = 1 / 8
 RETRY_GONE_SHARE = 1 / 8
 ROUNDS_UNTIL_TRIED = 2
-PACK_LEVEL = 1
-
-supersedes = member_list.supersedes
 
 
 class Membership(kernel.Service):
@@ -79,7 +73,6 @@
         choice: random.Random,
     ) -> None:
         self._own = own
-        self._seeds = seeds
         self._members = members
         self._transport = transport
         self._store = configurations
@@ -89,31 +82,35 @@
         self._roster = addresses
         self._reports = reports
         self._contacts = contacts
-        self._budget = budget
         self._clock = time
         self._metrics = counters
         self._interval = interval
         self._random = choice
+        self._choice = peer_choice.PeerChoice(own, seeds, members, choice)
         self._detector = failure_detector.FailureDetector(
             own.node, members, transport, time, counters, choice
         )
+        self._repair = member_repair.MemberRepair(
+            own.zone,
+            members,
+            self._learn,
+            transport,
+            budget,
+            time,
+            interval,
+            choice,
+        )
         self._targets = own.targets
         self._rounds = 0
-        self._partners: dict[int, str] = {}
         self._spread: dict[str, int] = {}
         self._versions: dict[str, int] = {}
         self._gone_at: dict[str, datetime.timedelta] = {}
-        self._repair_at = datetime.timedelta()
         self._roster_at = datetime.timedelta()
-        self._generation = 0
-        self._stale = True
-        self._published_at: datetime.timedelta | None = None
-        self._view: list[messages.Member] = []
+        self._view = member_view.MemberView(members, contacts, time)
         self._task: asyncio.Task[None] | None = None
         self._put(own)
         configurations.listen(lambda current: self._publish_targets())
         transport.handle(messages.ExchangeRequest, self._serve_exchange)
-        transport.handle(messages.BucketsRequest, self._serve_buckets)
 
     @property
     def own(self) -> messages.Member:
@@ -122,14 +119,8 @@
 
     @property
     def generation(self) -> int:
-        """Return a number that rises as the list changes.
-
-        Changes heard from others within PUBLISH_INTERVAL count as one,
-        so that readers rebuild what depends on it at a bounded rate.
-        """
-        if self._stale:
-            self._refresh()
-        return self._generation
+        """Return a number that rises as the list changes."""
+        return self._view.generation
 
     @property
     def versions(self) -> abc.Mapping[str, int]:
@@ -163,9 +154,7 @@
 
         Those in a zone without contact for long are shown as suspected.
         """
-        if self._stale:
-            self._refresh()
-        return self._view
+        return self._view.members
 
     async def start(self) -> None:
         self._task = asyncio.create_task(self._run())
@@ -192,33 +181,13 @@
     def _publish(self, later: messages.Member) -> None:
         self._own = attrs.evolve(later, sequence=later.sequence + 1)
         self._put(self._own)
-        self._published_at = None
+        self._view.publish_now()
 
     def _put(self, member: messages.Member) -> None:
         self._members.put(member)
-        self._stale = True
+        self._view.note_change()
         zone_size = len(self._members.alive_in(member.zone))
-        self._spread[member.node] = 2 + _rounds_across(zone_size)
-
-    def _refresh(self) -> None:
-        now = self._clock.monotonic()
-        last = self._published_at
-        if last is not None and now - last < PUBLISH_INTERVAL:
-            return
-        self._published_at = now
-        self._stale = False
-        self._generation += 1
-        silent = self._contacts.silent()
-        if not silent:
-            self._view = list(self._members.alive())
-            return
-        suspect = messages.MemberState.SUSPECT
-        self._view = [
-            attrs.evolve(member, state=suspect)
-            if member.zone in silent
-            else member
-            for member in self._members.alive()
-        ]
+        self._spread[member.node] = 2 + member_list.rounds_across(zone_size)
 
     def _learn(self, member: messages.Member) -> None:
         if member.node == self._own.node:
@@ -227,7 +196,7 @@
         known = self._members.get(member.node)
         if known is None and member.state in member_list.GONE:
             return
-        if known is not None and not supersedes(member, known):
+        if known is not None and not member_list.supersedes(member, known):
             return
         if known is None or known.state is not member.state:
             logging.debug("member %s is %s", member.node, member.state.value)
@@ -243,7 +212,7 @@
         if rumour.incarnation > self._own.incarnation:
             logging.error("another node calls itself %s", self._own.node)
             return
-        if not supersedes(rumour, self._own):
+        if not member_list.supersedes(rumour, self._own):
             return
         self._publish(attrs.evolve(self._own, sequence=rumour.sequence))
 
@@ -282,52 +251,20 @@
             return True
         if self._random.random() < RETRY_GONE_SHARE:
             await self._exchange_with_gone()
-        seeds = [item for item in self._seeds if item != self._own.control]
-        if seeds:
-            seed = self._random.choice(seeds)
+        seed = self._choice.seed()
+        if seed is not None:
             reached = await self._exchange(seed) or reached
         if not reached:
             reached = await self._exchange_by_roster()
         return reached
 
     async def _exchange_in_zone(self) -> bool:
-        partner = self._choose_partner()
-        if partner is None:
-            return False
-        return await self._exchange(partner.control)
-
-    def _choose_partner(self) -> messages.Member | None:
-        """Return one of a few partners, which change slowly.
-
-        So the connections to them last, while over time every node
-        meets every other of its zone.
-        """
-        members = self._members.alive_in(self._own.zone)
-        if len(members) < 2:
-            return None
-        slot = self._random.randrange(min(PARTNERS_MAX, len(members) - 1))
-        known = self._partners.get(slot)
-        member = self._members.get(known) if known else None
-        usable = member is not None and member.state not in member_list.GONE
-        renew = self._random.random() < PARTNER_RENEWAL_SHARE
-        if member is not None and usable and not renew:
-            return member
-        member = self._random.choice(members)
-        while member.node == self._own.node:
-            member = self._random.choice(members)
-        self._partners[slot] = member.node
-        return member
+        peer = self._choice.in_zone()
+        return peer is not None and await self._exchange(peer.control)
 
     async def _exchange_across(self) -> bool:
-        zones = [
-            zone
-            for zone in self._members.zones
-            if zone != self._own.zone and self._members.alive_in(zone)
-        ]
-        if not zones:
-            return False
-        members = self._members.alive_in(self._random.choice(zones))
-        return await self._exchange(self._random.choice(members).control)
+        peer = self._choice.across_zones()
+        return peer is not None and await self._exchange(peer.control)
 
     async def _exchange_with_gone(self) -> None:
         if not self._gone_at:
@@ -380,7 +317,7 @@
         reply: messages.ExchangeReply = sent.unwrap()
         self._detector.note_answer(reply.node)
         self._take_in(reply, peer)
-        await self._repair(peer, reply.digests)
+        await self._repair.compare(peer, reply.digests)
         return True
 
     def _take_in(
@@ -399,34 +336,12 @@
             if said.state.in_service:
                 self._readiness.note_zone_peer(said.state.version)
         elif self._contacts.note_contact(said.zone):
-            self._stale = True
+            self._view.note_change()
         sender = self._members.get(said.node)
         address = peer or (sender.control if sender else None)
         if address is not None:
             self._distribution.hear(address, said.zone, said.state)
 
-    async def _repair(
-        self, peer: settings.Address, digests: abc.Mapping[str, int]
-    ) -> None:
-        own = self._members.digests()
-        zones = [
-            zone for zone in sorted(digests) if own.get(zone) != digests[zone]
-        ]
-        now = self._clock.monotonic()
-        if not zones or now < self._repair_at:
-            return
-        zone_size = len(self._members.alive_in(self._own.zone))
-        pause = self._interval * (2 + _rounds_across(zone_size))
-        self._repair_at = now + pause * (0.75 + 0.5 * self._random.random())
-        for zone in zones:
-            buckets = self._members.buckets(zone)
-            request = messages.BucketsRequest(zone, buckets)
-            sent = await self._transport.send(peer, request, REQUEST_TIMEOUT)
-            if isinstance(sent, result.Failure) or sent.unwrap().busy:
-                return
-            for member in unpack(sent.unwrap().packed):
-                self._learn(member)
-
     async def _note_failure(self, member: messages.Member | None) -> None:
         self._metrics.count("exchanges_failed_total")
         if member is None or member.state is not messages.MemberState.ALIVE:
@@ -440,7 +355,7 @@
 
     def _expire(self) -> None:
         zone_size = len(self._members.alive_in(self._own.zone))
-        timeout = self._interval * 2 * _rounds_across(zone_size)
+        timeout = self._interval * 2 * member_list.rounds_across(zone_size)
         for node in self._detector.overdue(timeout):
             member = self._members.get(node)
             if member is not None:
@@ -454,7 +369,7 @@
             self._spread.pop(node, None)
             self._members.remove(node)
         if self._contacts.changed():
-            self._stale = True
+            self._view.note_change()
 
     async def _serve_exchange(
         self, request: messages.ExchangeRequest
@@ -469,29 +384,3 @@
             contact_ages=self._contacts.ages(),
             summaries=self._reports.some_summaries(),
         )
-
-    async def _serve_buckets(
-        self, request: messages.BucketsRequest
-    ) -> messages.BucketsReply:
-        if not self._budget.allows():
-            return messages.BucketsReply(busy=True)
-        found = self._members.differing(request.zone, request.buckets)
-        packed = pack(found)
-        self._budget.charge(len(packed))
-        return messages.BucketsReply(packed)
-
-
-def pack(members: abc.Sequence[messages.Member]) -> bytes:
-    """Return members as compressed MessagePack."""
-    return zlib.compress(msgspec.msgpack.encode(members), PACK_LEVEL)
-
-
-def unpack(packed: bytes) -> list[messages.Member]:
-    """Return the members that ``pack`` packed."""
-    data = zlib.decompress(packed)
-    return msgspec.msgpack.decode(data, type=list[messages.Member])
-
-
-def _rounds_across(zone_size: int) -> int:
-    """Return how many rounds an update takes to cross a zone."""
-    return math.ceil(math.log2(zone_size + 1))
--- a/packages/node/src/balsamramp_node/zone_contacts.py
+++ b/packages/node/src/balsamramp_node/zone_contacts.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import datetime
-import math
 
 from balsamramp_core import clock
 from balsamramp_node import member_list
@@ -65,7 +64,7 @@
             zone for zone in self._members.zones if zone != self._own_zone
         ]
         size = len(self._members.alive_in(self._own_zone))
-        rounds = math.ceil(math.log2(size + 1)) + len(zones)
+        rounds = member_list.rounds_across(size) + len(zones)
         limit = SILENT_AFTER + self._interval * rounds
         found = set()
         for zone in zones:
--- a/packages/testing/src/balsamramp_testing/benches/config_costs.py
+++ b/packages/testing/src/balsamramp_testing/benches/config_costs.py
@@ -24,8 +24,8 @@
 from balsamramp_core.resources import labels
 from balsamramp_core.resources import route
 from balsamramp_core.resources import service
+from balsamramp_node import member_codec
 from balsamramp_node import member_list
-from balsamramp_node import membership
 from balsamramp_node import platform_client
 from balsamramp_node import tree
 from balsamramp_testing import fleet as fleet_module
@@ -106,10 +106,10 @@
 
 
 def _print_memory() -> None:
-    packed = membership.pack(make_members(MEMBERS))
+    packed = member_codec.pack(make_members(MEMBERS))
     tracemalloc.start()
     held = member_list.MemberList()
-    for member in membership.unpack(packed):
+    for member in member_codec.unpack(packed):
         held.put(member)
     held.alive()
     per_member = tracemalloc.get_traced_memory()[0] / MEMBERS
@@ -167,7 +167,7 @@
         "list a zone after a change": put_and_list_zone,
         "list the fleet after a change": put_and_list_all,
         "place a node in a zone's tree": place,
-        "pack a zone's members": lambda: membership.pack(in_zone),
+        "pack a zone's members": lambda: member_codec.pack(in_zone),
         "encode a snapshot": lambda: configuration_codec.snapshot_to_bytes(
             snapshot
         ),
