--- a/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
@@ -30,6 +30,7 @@
 IDLE_CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
 SETTLE_TIME = datetime.timedelta(seconds=3)
 RETRIES = 2
+PLATFORM_DELAY = datetime.timedelta(milliseconds=1)
 
 
 class MemoryStage(stage.Stage):
@@ -41,6 +42,7 @@
     def __init__(self, seed: int) -> None:
         super().__init__(virtual_time.VirtualClock(), seed)
         self.world = world_module.ScenarioWorld(seed, self.record)
+        self.world.faults.delay = PLATFORM_DELAY
         self.targets: dict[str, target_module.ScenarioTarget] = {}
         self._zones: dict[str, str] = {}
         self._homes: dict[str, str] = {}
@@ -102,7 +104,7 @@
         self.record.stopping.append((node, self.now))
         self._stopping.add(node)
         found = self.world.nodes[node]
-        found.core.targets.drain_all()
+        found.scope.do(found.core.targets.drain_all)
         while self._serving.get(node):
             await self.clock.sleep(IDLE_CHECK_INTERVAL)
         await self.world.stop_node(node)
@@ -145,6 +147,7 @@
         if not found.dead:
             return
         self._settle(target)
+        self.record.restarts.append((target, self.now))
         found.dead = False
         found.leaving = False
         found.in_flight = 0
@@ -159,7 +162,7 @@
         self.record.leaving.append((target, self.now))
         node = self.world.nodes.get(found.plan.node)
         if node is not None and found.plan.node not in self._frozen:
-            node.core.targets.drain(target)
+            node.scope.do(node.core.targets.drain, target)
 
     def change_target(self, target: str, **changes: typing.Any) -> None:
         found = self.targets[target]
@@ -207,7 +210,7 @@
         if down is not None:
             self.world.faults.down = down
         if delay is not None:
-            self.world.faults.delay = delay
+            self.world.faults.delay = max(delay, PLATFORM_DELAY)
 
     async def submit(
         self,
@@ -316,15 +319,15 @@
             return
         if node in self._frozen:
             return
-        self.world.nodes[node].core.targets.announce(
-            targets.Announcement(
-                target=target.name,
-                service=target.plan.service,
-                url=f"http://{target.name}",
-                instance=str(target.instance),
-                labels={"version": target.plan.version},
-            )
+        announcement = targets.Announcement(
+            target=target.name,
+            service=target.plan.service,
+            url=f"http://{target.name}",
+            instance=str(target.instance),
+            labels={"version": target.plan.version},
         )
+        found = self.world.nodes[node]
+        found.scope.do(found.core.targets.announce, announcement)
 
     async def _renew(self, target: target_module.ScenarioTarget) -> None:
         while not target.leaving:
--- a/packages/testing/src/balsamramp_testing/virtual_time.py
+++ b/packages/testing/src/balsamramp_testing/virtual_time.py
@@ -155,6 +155,12 @@
             raise
         return None if task.cancelled() else task.result()
 
+    def do(
+        self, function: abc.Callable[..., ResultT], *values: typing.Any
+    ) -> ResultT:
+        """Call ``function`` now; the tasks it makes belong to this scope."""
+        return self._context.copy().run(function, *values)
+
     def call(self, function: abc.Callable[..., None], *values: object) -> None:
         """Call ``function`` as a task of this scope would, when it runs."""
         context = self._context.copy()
