--- a/packages/node/src/balsamramp_node/rollout_split.py
+++ b/packages/node/src/balsamramp_node/rollout_split.py
@@ -20,8 +20,8 @@
     """How the calls of one service are divided among versions.
 
     ``intent`` is the rollout that rules, if any, and ``share`` the part
-    of the calls for its new version; no call may run at a version in
-    ``excluded``.
+    of the calls for its new version. ``keeps_old`` tells that the old
+    version stays ready; no call may run at a version in ``excluded``.
     """
 
     intent: rollout.Rollout | None
@@ -29,9 +29,13 @@
     epoch: int
     share: float
     excluded: frozenset[str]
+    keeps_old: bool = True
 
     def allows(self, version: str, call_id: str, retried: bool) -> bool:
-        """Tell whether the call may go to ``version``."""
+        """Tell whether the call may go to ``version``.
+
+        While the old version is kept, a retried call goes there.
+        """
         if version in self.excluded:
             return False
         intent = self.intent
@@ -39,9 +43,9 @@
             return True
         position = xxhash.xxh64_intdigest(call_id.encode()) / HASH_SPACE
         to_new = position < self.share
-        if version == intent.new:
-            return to_new
-        return not to_new or retried
+        if retried and self.keeps_old:
+            to_new = False
+        return to_new is (version == intent.new)
 
 
 def excluded(
--- a/packages/node/src/balsamramp_node/rollouts.py
+++ b/packages/node/src/balsamramp_node/rollouts.py
@@ -380,6 +380,7 @@
             rollout_state.epoch(state),
             self._policy.share(state),
             rollout_split.excluded(states, state),
+            rollout_state.phase(state) is not PHASE.FINISHED,
         )
 
     def _forget(self, now: datetime.datetime) -> None:
--- a/packages/node/src/balsamramp_node/router.py
+++ b/packages/node/src/balsamramp_node/router.py
@@ -115,13 +115,14 @@
     ) -> list[picker.Candidate]:
         """Return the targets that may take the call now.
 
-        A call that is ``retried`` or finds no target of a new version may
-        also go to the old one. Zones that return take only their part of
-        the calls unless no other has a target.
+        During a rollout a call that is ``retried``, or finds no target of
+        the new version, goes to the old one if that has any. Zones that
+        return take only their part of the calls unless no other has a
+        target.
         """
         matching = self._candidates(resolved, call_id, retried)
-        if not matching and not retried:
-            matching = self._candidates(resolved, call_id, True)
+        if not matching:
+            matching = self._candidates(resolved, call_id, not retried)
         admitted = [
             candidate
             for candidate in matching
