Rollout start takes what happens when late; open traffic is logged

Cause: the resource knows late and keep_old_seconds, the client could not set them; the warning of traffic without TLS had no test.

Ruled out: leaving them to apply FILE alone; the choice belongs to the operator who states the deadline.

--- a/packages/client/src/balsamramp_client/commands/rollout.py
+++ b/packages/client/src/balsamramp_client/commands/rollout.py
@@ -46,6 +46,19 @@
             metavar="TIME",
             help="when calls begin to move, ISO 8601; default now",
         )
+        start.add_argument(
+            "--late",
+            choices=[item.value for item in rollout.Late],
+            default=rollout.Late.TAKE_BACK.value,
+            help="what happens if the deadline passes before the last step",
+        )
+        start.add_argument(
+            "--keep-old",
+            type=int,
+            default=rollout.KEEP_OLD_SECONDS,
+            metavar="SECONDS",
+            help="how long the old version stays ready after the last step",
+        )
         status = actions.add_parser("status", help="show rollouts")
         status.add_argument("rollout", nargs="?")
         abort = actions.add_parser("abort", help="take a rollout back")
@@ -85,6 +98,8 @@
         new=parsed.new,
         start=start,
         deadline=deadline,
+        keep_old_seconds=parsed.keep_old,
+        late=rollout.Late(parsed.late),
     )
     current = read.unwrap()
     if item.key in current.resources:
--- a/packages/node/tests/test_tls.py
+++ b/packages/node/tests/test_tls.py
@@ -9,9 +9,15 @@
 import trustme
 
 from balsamramp_client import api
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import settings
 from balsamramp_node import app
+from balsamramp_node import options
 from balsamramp_testing import deployment as deployment_module
 
+# An address kept for documentation, which no machine has.
+UNBINDABLE = "192.0.2.1"
 ANNOUNCEMENT = {"service": "caja", "url": "http://127.0.0.1:9"}
 CHANGE = {
     "author": "ana",
@@ -148,5 +154,23 @@
     asyncio.run(_join(tmp_path))
 
 
+async def _start_beyond_loopback() -> None:
+    text = deployment_module.SETTINGS.format(
+        name="n1", zone="zone-a", platform="http://x", seeds="", extra=""
+    ).replace("127.0.0.1", UNBINDABLE)
+    checked = settings.parse(text, "node.ini", options.OPTIONS).unwrap()
+    node = app.Node(checked, clock.SystemClock())
+    with pytest.raises(kernel.StartError):
+        await node.start()
+
+
+def test_node_beyond_loopback_says_that_it_talks_no_tls(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    asyncio.run(_start_beyond_loopback())
+    assert f"traffic between nodes on {UNBINDABLE} is not TLS" in caplog.text
+    assert f"traffic of callers on {UNBINDABLE} is not TLS" in caplog.text
+
+
 def test_callers_and_operators_talk_tls(tmp_path: pathlib.Path) -> None:
     asyncio.run(_call_from_outside(tmp_path))
