Client: author when the user has no name; token kept with the node

Cause: a container's user without a name ended the client with a traceback; at() wrote into another object's private attribute.

Change: the author is then unknown; at() passes the token on.

--- a/packages/client/src/balsamramp_client/api.py
+++ b/packages/client/src/balsamramp_client/api.py
@@ -72,15 +72,14 @@
         timeout: datetime.timedelta = TIMEOUT,
     ) -> None:
         self._urls = [url.rstrip("/") for url in urls]
+        self._token = token
         self._headers = {"authorization": f"Bearer {token}"} if token else {}
         self._security = security
         self._timeout = timeout
 
     def at(self, url: str) -> "NodeApi":
         """Return the interface of one other node, reached alike."""
-        made = NodeApi([url], "", self._security, self._timeout)
-        made._headers = self._headers
-        return made
+        return NodeApi([url], self._token, self._security, self._timeout)
 
     @property
     def scheme(self) -> str:
--- a/packages/client/src/balsamramp_client/cmdline.py
+++ b/packages/client/src/balsamramp_client/cmdline.py
@@ -22,6 +22,7 @@
 
 NODE_VARIABLE = "BALSAMRAMP_NODE"
 TOKEN_VARIABLE = "BALSAMRAMP_TOKEN_FILE"
+UNKNOWN_USER = "unknown"
 DEFAULT_NODE = "http://127.0.0.1:7003"
 EPILOG = """\
 exit codes:
@@ -107,6 +108,13 @@
     return result.Success(api.NodeApi(urls, token, security))
 
 
+def _user_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return UNKNOWN_USER
+
+
 def _usage(message: str) -> result.Result[api.NodeApi, api.ApiError]:
     return result.Failure(api.ApiError(message, api.ErrorKind.USAGE))
 
@@ -130,7 +138,7 @@
     )
     parser.add_argument(
         "--author",
-        default=getpass.getuser(),
+        default=_user_name(),
         help="operator's name recorded with a change",
     )
     parser.add_argument(
