--- a/packages/testing/src/balsamramp_testing/prove/__main__.py
+++ b/packages/testing/src/balsamramp_testing/prove/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import collections
+from collections import abc
 import pathlib
 import sys
 
@@ -44,9 +45,7 @@
     return tallies
 
 
-def _print(
-    tallies: dict[int, _Tally], known: dict[str, known_red.KnownRed]
-) -> bool:
+def _print(tallies: dict[int, _Tally], known: abc.Set[str]) -> bool:
     good = True
     for number, tally in tallies.items():
         item = invariants.INVARIANTS[number]
@@ -83,7 +82,8 @@
         found = [by_name[name] for name in arguments.case]
     kinds = collections.Counter(case.seed for case in found)
     print(f"{len(found)} scenarios, by seed: {dict(sorted(kinds.items()))}")
-    known = known_red.read(pathlib.Path.cwd())
+    entries = known_red.read(pathlib.Path(known_red.FILE))
+    known = {entry.test for entry in entries}
     if not _print(_run(found, arguments.show), known):
         sys.exit(1)
 
--- a/packages/testing/src/balsamramp_testing/rollout_trial.py
+++ b/packages/testing/src/balsamramp_testing/rollout_trial.py
@@ -9,6 +9,7 @@
 import attrs
 
 from balsamramp_core import clock
+from balsamramp_node import policies
 from balsamramp_node import rollout_report
 from balsamramp_node import rollout_state
 from balsamramp_node import target_client
@@ -79,6 +80,7 @@
     keep_old: int = 15
     platform_down: tuple[float, float] | None = None
     targets_per_zone: int = 1
+    new_zones: tuple[str, ...] = ZONES
     slots: int = 20
     cold_slots: int = 20
     cold: float = 0.0
@@ -92,7 +94,9 @@
     """What became of the rollout and of the calls during it.
 
     ``share`` is the part of all calls between start and end that new
-    targets ran. Seconds count from the start of the rollout.
+    targets ran. Seconds count from the start of the rollout;
+    ``forecast`` is what was reported when half the time had passed,
+    ``extrapolated`` the plain extrapolation of that moment.
     """
 
     report: rollout_report.RolloutReport
@@ -106,6 +110,38 @@
     first_sign: float | None
     last_new_call: float | None
     ended: float
+    forecast: datetime.datetime | None
+    extrapolated: datetime.datetime | None
+
+    @property
+    def decision_to_last(self) -> float | None:
+        """Return the time from the take-back to the last call, or None."""
+        back = {phase.value for phase in rollout_state.BACK}
+        if self.report.phase not in back or self.last_new_call is None:
+            return None
+        assert self.report.decided_at is not None
+        decided = self.report.decided_at - self.report.start
+        return self.last_new_call - decided.total_seconds()
+
+    @property
+    def forecast_error(self) -> float | None:
+        """Return by how many seconds the forecast was wrong."""
+        return self._error(self.forecast)
+
+    @property
+    def extrapolation_error(self) -> float | None:
+        """Return by how many seconds the extrapolation was wrong."""
+        return self._error(self.extrapolated)
+
+    def _error(self, expected: datetime.datetime | None) -> float | None:
+        ends = [
+            event.at
+            for event in self.report.history
+            if event.event == rollout_state.RolloutPhase.COMPLETED.value
+        ]
+        if not ends or expected is None:
+            return None
+        return abs((expected - ends[0]).total_seconds())
 
     @property
     def share(self) -> float:
@@ -190,6 +226,8 @@
         self.counts: dict[str, int] = {}
         self.first_sign: float | None = None
         self.new_runs: list[float] = []
+        self.forecast: datetime.datetime | None = None
+        self.extrapolated: datetime.datetime | None = None
         self._callers: asyncio.Task[None] | None = None
         self._in_flight: set[asyncio.Task[None]] = set()
 
@@ -220,6 +258,8 @@
                 self.old_nodes.append(
                     await self.start_node(f"{zone}-old-{number}", zone, OLD)
                 )
+                if zone not in self.plan.new_zones:
+                    continue
                 self.new_nodes.append(
                     await self.start_node(f"{zone}-new-{number}", zone, NEW)
                 )
@@ -270,6 +310,20 @@
         self.zone_of[name] = zone
         return name
 
+    def _forecast(self) -> None:
+        report = self.report()
+        self.forecast = report.forecast
+        for node in self.world.nodes.values():
+            held = node.core.rollouts
+            state = held.state(report.intent)
+            intent = held.intents.get(report.intent)
+            if state is None or intent is None:
+                continue
+            now = self.world.clock.now()
+            policy = policies.find_policy(self.plan.policy)()
+            self.extrapolated = policy.extrapolate(intent, state, now)
+            return
+
     def report(self) -> rollout_report.RolloutReport:
         """Return the report of a node that decides, else of any."""
         reports = [
@@ -293,6 +347,8 @@
         horizon = plan.horizon or plan.duration + plan.keep_old + 5.0
         while self.elapsed() < horizon:
             await self.world.clock.sleep(CHECK_INTERVAL)
+            if self.forecast is None and self.elapsed() >= plan.duration / 2:
+                self._forecast()
             phases = {
                 report.phase
                 for node in self.world.nodes.values()
@@ -331,6 +387,8 @@
             first_sign=self.first_sign,
             last_new_call=self.new_runs[-1] if self.new_runs else None,
             ended=self.elapsed(),
+            forecast=self.forecast,
+            extrapolated=self.extrapolated,
         )
         await self.world.stop()
         return measured
--- a/packages/testing/src/balsamramp_testing/scenario/stages/session.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/session.py
@@ -37,7 +37,15 @@
 CALL_PORT = 1
 ADMIN_PORT = 3
 STREAM_PORT = 2
-PERIODIC = ("Exchange", "Members", "Buckets", "Ping", "Pong", "Hello")
+PERIODIC = (
+    "Buckets",
+    "Exchange",
+    "Hello",
+    "Members",
+    "Ping",
+    "Pong",
+    "States",
+)
 ID_PATTERN = re.compile(r"\b[0-9a-f]{32}\b")
 DEFAULTS = ingress.IngressDefaults(
     timeout=datetime.timedelta(seconds=2), retries=2, body_max_bytes=65536
