Malformed answers of the platform count as no answer

Cause: an answer with status 200 that is not the platform's (an empty body, a page of something between) raised out of the table's and the object store's clients, a malformed head or roster out of their readers; the task that reads the log or the roster would have ended for good. A deeply nested body on the admin port was answered by 500. Ruled out: a catch-all in the reading tasks, which would hide faults. Change: the clients answer UNAVAILABLE, the head as well, a malformed roster is skipped with a log line, RecursionError is malformed JSON. Conclusion: held for these readers; rollout records and packed members are still decoded without a stated error.

--- a/packages/node/src/balsamramp_node/accepted_log.py
+++ b/packages/node/src/balsamramp_node/accepted_log.py
@@ -83,7 +83,12 @@
         row = read.unwrap()
         if row is None:
             return result.Success(HeadRow(Head(), 0))
-        head = msgspec.json.decode(row.value, type=Head)
+        try:
+            head = msgspec.json.decode(row.value, type=Head)
+        except msgspec.MsgspecError as error:
+            kind = platform.PlatformErrorKind.UNAVAILABLE
+            text = f"malformed head: {error}"
+            return result.Failure(platform.PlatformError(kind, text))
         return result.Success(HeadRow(head, row.revision))
 
     async def read_after(
--- a/packages/node/src/balsamramp_node/bodies.py
+++ b/packages/node/src/balsamramp_node/bodies.py
@@ -24,7 +24,7 @@
         )
     try:
         document = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+    except (RecursionError, msgspec.DecodeError) as error:
         raise falcon.HTTPBadRequest(
             title="malformed JSON", description=str(error)
         ) from error
--- a/packages/node/src/balsamramp_node/platform_client.py
+++ b/packages/node/src/balsamramp_node/platform_client.py
@@ -1,6 +1,7 @@
 """Platform client: the platform's table and object store over HTTP."""
 
 import base64
+from collections import abc
 import datetime
 import typing
 
@@ -16,6 +17,15 @@
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
+DECODE_ERRORS = (
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+    msgspec.MsgspecError,
+)
+
+ValueT = typing.TypeVar("ValueT")
 
 
 class PlatformClient(kernel.Service):
@@ -82,7 +92,7 @@
         status, body = answer.unwrap()
         if status == STATUS_NOT_FOUND:
             return result.Success(None)
-        return result.Success(_row(msgspec.json.decode(body)))
+        return _decoded(body, _row)
 
     async def scan(
         self, prefix: str, after: str, limit: int
@@ -94,8 +104,7 @@
         if isinstance(answer, result.Failure):
             return answer
         _, body = answer.unwrap()
-        rows = msgspec.json.decode(body)["rows"]
-        return result.Success([_row(row) for row in rows])
+        return _decoded(body, _rows)
 
     async def commit(
         self, transaction: platform.Transaction
@@ -149,7 +158,7 @@
         if isinstance(answer, result.Failure):
             return answer
         _, body = answer.unwrap()
-        return result.Success(msgspec.json.decode(body)["keys"])
+        return _decoded(body, _keys)
 
     async def delete(
         self, key: str
@@ -161,5 +170,29 @@
 
 
 def _row(document: dict[str, typing.Any]) -> platform.Row:
-    value = base64.b64decode(document["value"])
-    return platform.Row(document["key"], value, document["revision"])
+    value = base64.b64decode(document["value"], validate=True)
+    return platform.Row(str(document["key"]), value, int(document["revision"]))
+
+
+def _rows(document: typing.Any) -> list[platform.Row]:
+    return [_row(row) for row in document["rows"]]
+
+
+def _keys(document: typing.Any) -> list[str]:
+    return msgspec.convert(document["keys"], list[str])
+
+
+def _decoded(
+    body: bytes, read: abc.Callable[[typing.Any], ValueT]
+) -> result.Result[ValueT, platform.PlatformError]:
+    """Return what ``read`` finds in the JSON of an answer.
+
+    An answer that is none of the platform's, as from something between,
+    counts as no answer.
+    """
+    try:
+        return result.Success(read(msgspec.json.decode(body)))
+    except DECODE_ERRORS as error:
+        kind = platform.PlatformErrorKind.UNAVAILABLE
+        text = f"malformed answer: {error!r}"
+        return result.Failure(platform.PlatformError(kind, text))
--- a/packages/node/src/balsamramp_node/roster.py
+++ b/packages/node/src/balsamramp_node/roster.py
@@ -9,6 +9,7 @@
 import datetime
 import random
 
+from absl import logging
 import msgspec
 from returns import result
 
@@ -76,7 +77,11 @@
         data = read.unwrap()
         if data is None:
             return []
-        return msgspec.json.decode(data, type=list[settings.Address])
+        try:
+            return msgspec.json.decode(data, type=list[settings.Address])
+        except msgspec.MsgspecError as error:
+            logging.warning("%s is malformed: %s", key, error)
+            return []
 
     async def _run(self) -> None:
         while True:
