A node that is not ready does not say of a keyed call that it never ran

Cause: a keyed call that ran and lost its answer was repeated through a node that had just started; its refusal, not ready, said "not run" without having looked the key up. Change: such a refusal says "may have run" when the call has a key; the targets of the cases take 100 ms, so that calls are in flight when targets and nodes leave.

--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls.py
@@ -93,7 +93,8 @@
         resolved = self._router.resolve(request.service, request.path)
         match resolved.value_or(None):
             case None:
-                return _failed(call_id, resolved.failure())
+                failure = _doubtful(request, resolved.failure())
+                return _failed(call_id, failure)
             case found:
                 pass
         call = _Call(
@@ -285,6 +286,19 @@
     return picker.Sign.REFUSED
 
 
+def _doubtful(
+    request: CallerRequest, failure: verdict.Failure
+) -> verdict.Failure:
+    """Return the verdict of a node that cannot look up the call's key.
+
+    A keyed call may have run before, through another node.
+    """
+    ready = failure.reason is not verdict.Reason.NOT_READY
+    if ready or not request.idempotency_key:
+        return failure
+    return attrs.evolve(failure, verdict=verdict.Verdict.MAY_HAVE_RUN)
+
+
 def _no_target(call_id: str, service: str) -> messages.CallFailure:
     return _failed(
         call_id,
--- a/packages/testing/src/balsamramp_testing/prove/cases.py
+++ b/packages/testing/src/balsamramp_testing/prove/cases.py
@@ -28,11 +28,11 @@
 node b3 in zone-b
 node c1 in zone-c
 node c2 in zone-c
-target caja-1 of caja on a1 delay 20ms
-target caja-2 of caja on a2 delay 20ms
-target caja-3 of caja on b1 delay 20ms
-target caja-4 of caja on b2 delay 20ms
-target caja-5 of caja on c1 delay 20ms cold 4 for 3s
+target caja-1 of caja on a1 delay 100ms
+target caja-2 of caja on a2 delay 100ms
+target caja-3 of caja on b1 delay 100ms
+target caja-4 of caja on b2 delay 100ms
+target caja-5 of caja on c1 delay 100ms cold 4 for 3s
 target catalogo-1 of catalogo on a3
 target catalogo-2 of catalogo on b3
 target catalogo-3 of catalogo on c2 version v2
