--- a/packages/testing/src/balsamramp_testing/known_red.py
+++ b/packages/testing/src/balsamramp_testing/known_red.py
@@ -16,7 +16,7 @@
 import attrs
 import pytest
 
-__all__ = ["Entry", "main", "read"]
+__all__ = ["FILE", "Entry", "main", "read"]
 
 FILE = "KNOWN-RED.txt"
 SEPARATOR = " | "
--- a/packages/testing/src/balsamramp_testing/prove/__main__.py
+++ b/packages/testing/src/balsamramp_testing/prove/__main__.py
@@ -27,7 +27,7 @@
 
 def test_name(number: int, case: str) -> str:
     """Return the test by which a line and a case are known red."""
-    return f"{TESTS}::test_line_holds[{number:02d}-{case}]"
+    return f"{TESTS}::test_line_holds[{case}-{number:02d}]"
 
 
 def _run(chosen: list[cases.Case], show: bool) -> dict[int, _Tally]:
