--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 PYTHON ?= python3
 VENV ?= .venv
+WORKERS ?= 5
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
@@ -27,7 +28,7 @@
 	    packages/client/src packages/testing/src
 
 test: check
-	$(BIN)/pytest
+	$(BIN)/pytest -n $(WORKERS) --dist loadfile
 
 demo: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.demo
