A zone that starts anew reads the platform without a lease

Cause: after all nodes of a zone died and started again, the leases of the dead ones still held both reader slots, so nobody of the zone could vouch for a version for 2.5 s although the platform was up. Ruled out: shorter leases; they cost writes at all times. Change: while nobody of the zone vouches, a node reads once without a lease, spread over time by the zone's size (50 reads a second a zone).

--- a/packages/node/src/balsamramp_node/reader_lease.py
+++ b/packages/node/src/balsamramp_node/reader_lease.py
@@ -111,6 +111,10 @@
         """Tell whether this node does the zone's writes: it has slot 0."""
         return self.held and self._slot == 0
 
+    def zone_size(self) -> int:
+        """Return the number of nodes known alive in this node's zone."""
+        return len(self._members.alive_in(self._zone))
+
     async def wait_until_held(self) -> None:
         """Return once this node holds a slot."""
         while not self.held:
--- a/packages/node/src/balsamramp_node/source.py
+++ b/packages/node/src/balsamramp_node/source.py
@@ -22,6 +22,7 @@
 
 __all__ = ["ConfigurationSource", "SourceState"]
 
+FIRST_READS_PER_SECOND = 50
 READ_ATTEMPTS = 8
 REPAIR_AFTER_READS = 2
 MISPLACED = (
@@ -238,7 +239,25 @@
         self._reachable = reachable
         logging.info("platform reachable: %s", reachable)
 
+    async def _read_at_start(self) -> None:
+        """Read without a lease while nobody of the zone vouches.
+
+        When all nodes of a zone start anew, the leases of the earlier
+        ones still hold its slots. The reads are spread over time by the
+        size of the zone; the first node in service vouches for the rest.
+        """
+        await self._readiness.wait_until_peers_tried()
+        while not self._store.in_service:
+            spread = self._lease.zone_size() / FIRST_READS_PER_SECOND
+            wait = datetime.timedelta(seconds=spread * self._random.random())
+            await self._clock.sleep(wait)
+            if self._store.in_service or self._lease.held:
+                return
+            await self.read_now()
+            await self._clock.sleep(self._interval)
+
     async def _run(self) -> None:
+        await self._read_at_start()
         while True:
             await self._lease.wait_until_held()
             await self.read_now()
