--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls.py
@@ -6,6 +6,7 @@
 import uuid
 
 import attrs
+from returns import result
 
 from balsamramp_core import clock
 from balsamramp_core import kernel
@@ -91,12 +92,10 @@
         self, call_id: str, request: CallerRequest
     ) -> call_transport.Reply:
         resolved = self._router.resolve(request.service, request.path)
-        match resolved.value_or(None):
-            case None:
-                failure = _doubtful(request, resolved.failure())
-                return _failed(call_id, failure)
-            case found:
-                pass
+        if isinstance(resolved, result.Failure):
+            failure = _doubtful(request, resolved.failure())
+            return _failed(call_id, failure)
+        found = resolved.unwrap()
         call = _Call(
             call_id=call_id,
             request=request,
--- a/packages/node/tests/test_door_verdicts.py
+++ b/packages/node/tests/test_door_verdicts.py
@@ -303,7 +303,7 @@
 
 def _run(make_door: DoorMaker, settings: hypothesis.settings) -> None:
     class Machine(DoorMachine):
-        pass
+        """The machine with the door under test."""
 
     Machine.make_door = staticmethod(make_door)
     stateful.run_state_machine_as_test(Machine, settings=settings)
--- a/packages/testing/src/balsamramp_testing/scenario/statements/operators.py
+++ b/packages/testing/src/balsamramp_testing/scenario/statements/operators.py
@@ -1,5 +1,6 @@
 """Statements that do what operators do."""
 
+import abc
 import datetime
 import typing
 
@@ -19,9 +20,9 @@
     async def run(self, on: stage.Stage) -> None:
         await on.submit([self.document(on)], [], self.through)
 
+    @abc.abstractmethod
     def document(self, on: stage.Stage) -> dict[str, typing.Any]:
         """Return the resource as plain data."""
-        raise NotImplementedError
 
 
 @attrs.frozen
