--- a/packages/node/src/balsamramp_node/key_homes.py
+++ b/packages/node/src/balsamramp_node/key_homes.py
@@ -13,7 +13,6 @@
 __all__ = ["Home", "KeyHomes", "rank"]
 
 GONE_STATES = frozenset([messages.MemberState.DEAD, messages.MemberState.LEFT])
-NOWHERE = settings.Address("", 0)
 
 _Name = tuple[str, str]
 
@@ -33,14 +32,8 @@
     control: settings.Address
     since: datetime.timedelta
     seen_at: datetime.timedelta
-    unready_since: datetime.timedelta | None = None
     lost_at: datetime.timedelta | None = None
 
-    @property
-    def name(self) -> str:
-        """Return what tells this home from earlier and later ones."""
-        return f"{self.target}@{self.node}/{self.incarnation}"
-
 
 class KeyHomes:
     """What this node remembers of the homes of keys for ``retention``.
@@ -72,76 +65,25 @@
         homes = self._homes.get(service, {}).values()
         return [home for home in homes if home.lost_at is None]
 
-    def find(self, service: str, target: str) -> Home | None:
-        """Return the home of this name that is not lost."""
-        for home in self.known(service):
-            if home.target == target:
-                return home
-        return None
-
-    def lost(self, service: str) -> tuple[messages.LostHome, ...]:
-        """Return the lost homes of ``service``."""
-        return tuple(
-            messages.LostHome(
-                target=home.target,
-                node=home.node,
-                incarnation=home.incarnation,
-            )
-            for home in self._homes.get(service, {}).values()
-            if home.lost_at is not None
-        )
-
-    def learn_lost(
-        self,
-        service: str,
-        lost: abc.Iterable[messages.LostHome],
-        now: datetime.timedelta,
-    ) -> None:
-        """Take in the lost homes that another node knows."""
-        homes = self._homes.setdefault(service, {})
-        for item in lost:
-            name = (item.target, f"{item.node}/{item.incarnation}")
-            if name in homes:
-                continue
-            homes[name] = Home(
-                item.target,
-                item.node,
-                item.incarnation,
-                NOWHERE,
-                now,
-                now,
-                lost_at=now,
-            )
-
-    def outranked_by_lost(self, service: str, key: str, target: str) -> bool:
-        """Tell whether a lost home ranks above ``target`` for ``key``."""
-        own = rank(key, target)
-        for home in self._homes.get(service, {}).values():
-            if home.lost_at is not None and rank(key, home.target) >= own:
-                return True
-        return False
-
     def in_doubt(
-        self,
-        service: str,
-        key: str,
-        target: str,
-        cleared: abc.Container[str],
-        now: datetime.timedelta,
+        self, service: str, key: str, target: str, now: datetime.timedelta
     ) -> bool:
         """Tell whether a lost home may have run ``key`` before ``target``.
 
         That is so for a lost home that ranks above the target, or had
-        the key before the target came; but not for one in ``cleared``,
-        which told the target when it came that it had run no such key.
+        the key before the target came.
         """
-        if self.outranked_by_lost(service, key, target):
-            return True
-        found = self.find(service, target)
-        if found is not None and now - found.since >= self._retention:
-            return False
-        for home in self._homes.get(service, {}).values():
-            if home.lost_at is not None and home.name not in cleared:
+        homes = self._homes.get(service, {})
+        own = rank(key, target)
+        since = now
+        for home in homes.values():
+            if home.target == target and home.lost_at is None:
+                since = home.since
+        fresh = now - since < self._retention
+        for home in homes.values():
+            if home.lost_at is None:
+                continue
+            if fresh or rank(key, home.target) >= own:
                 return True
         return False
 
@@ -176,10 +118,6 @@
             )
             homes[name] = home
         home.control = member.control
-        if record.state is messages.TargetState.READY:
-            home.unready_since = None
-        elif home.unready_since is None:
-            home.unready_since = now
         home.seen_at = now
         home.lost_at = None
 
--- a/packages/node/src/balsamramp_node/key_ledger.py
+++ b/packages/node/src/balsamramp_node/key_ledger.py
@@ -16,7 +16,6 @@
 from balsamramp_node import call_transport
 from balsamramp_node import kept_answers
 from balsamramp_node import key_homes
-from balsamramp_node import key_joins
 from balsamramp_node import membership
 from balsamramp_node import picker
 from balsamramp_wire import control
@@ -29,7 +28,6 @@
 CLAIMS_MAX = 8
 RECORDS_MAX = 100_000
 
-KeyTest = abc.Callable[[str], bool]
 Runner = abc.Callable[[], abc.Awaitable[call_transport.Reply]]
 
 
@@ -82,9 +80,6 @@
         self._homes = key_homes.KeyHomes(retention)
         self._answers = kept_answers.KeptAnswers()
         self._records: dict[tuple[str, str], _Record] = {}
-        self._joins = key_joins.KeyJoins(
-            node, self._homes, peers, time, self._has_key
-        )
         self._task: asyncio.Task[None] | None = None
         peers.handle(messages.KeyClaimRequest, self._serve_claim)
 
@@ -111,7 +106,8 @@
             candidates,
             key=lambda item: key_homes.rank(key, item.record.target),
         )
-        if self._homes.outranked_by_lost(service, key, home.record.target):
+        now = self._clock.monotonic()
+        if self._homes.in_doubt(service, key, home.record.target, now):
             self._metrics.count("keys_in_doubt_total")
             return None
         return home
@@ -173,21 +169,15 @@
         self._refresh()
         key = request.idempotency_key
         now = self._clock.monotonic()
-        cleared = self._joins.cleared(request.service, request.target)
-        if self._homes.in_doubt(
-            request.service, key, request.target, cleared, now
-        ):
-            return False
-        if self._joins.outranks(request.service, key, request.target, now):
+        if self._homes.in_doubt(request.service, key, request.target, now):
             return False
         claim = messages.KeyClaimRequest(
             node=self._node,
             service=request.service,
             key=key,
             target=request.target,
-            cleared=tuple(cleared),
         )
-        asked = self._asked(request, cleared)
+        asked = self._asked(request.service, key)
         replies = await asyncio.gather(
             *(
                 self._peers.send(home.control, claim, CLAIM_TIMEOUT)
@@ -202,22 +192,11 @@
                 return False
         return True
 
-    def _asked(
-        self,
-        request: messages.CallRequest,
-        cleared: abc.Container[str],
-    ) -> list[key_homes.Home]:
-        """Return the homes that may have run the key of ``request``."""
-        key = request.idempotency_key
-        own = key_homes.rank(key, request.target)
+    def _asked(self, service: str, key: str) -> list[key_homes.Home]:
         homes = [
             home
-            for home in self._homes.known(request.service)
+            for home in self._homes.known(service)
             if home.node != self._node
-            and (
-                home.name not in cleared
-                or key_homes.rank(key, home.target) > own
-            )
         ]
         homes.sort(
             key=lambda home: key_homes.rank(key, home.target), reverse=True
@@ -235,34 +214,15 @@
         record = self._records.get((request.service, request.key))
         taken = record is not None and record.holds(now)
         doubt = self._homes.in_doubt(
-            request.service,
-            request.key,
-            request.target,
-            request.cleared,
-            now,
+            request.service, request.key, request.target, now
         )
         return messages.KeyClaimReply(taken=taken, in_doubt=doubt)
 
     async def _refresh_forever(self) -> None:
         while True:
             self._refresh()
-            await self._joins.ask(self._own_targets())
             await self._clock.sleep(REFRESH_INTERVAL)
 
-    def _own_targets(self) -> list[messages.TargetRecord]:
-        return [
-            record
-            for record in self._members.own.targets
-            if record.state is messages.TargetState.READY
-        ]
-
-    def _has_key(self, service: str, matches: KeyTest) -> bool:
-        now = self._clock.monotonic()
-        for (name, key), record in self._records.items():
-            if name == service and record.holds(now) and matches(key):
-                return True
-        return False
-
     def _refresh(self) -> None:
         now = self._clock.monotonic()
         self._homes.refresh(self._members.members(), now)
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -30,10 +30,7 @@
     "Hello",
     "KeyClaimReply",
     "KeyClaimRequest",
-    "KeyJoinReply",
-    "KeyJoinRequest",
     "Load",
-    "LostHome",
     "Member",
     "MemberState",
     "Ping",
@@ -357,11 +354,7 @@
 
 @attrs.frozen(kw_only=True)
 class KeyClaimRequest(ControlRequest):
-    """Asks whether an idempotency key may be run by ``target``.
-
-    ``cleared`` names the homes that had run no key of the target's when
-    it came.
-    """
+    """Asks whether an idempotency key may be run by ``target``."""
 
     method = "key-claim"
     reply = KeyClaimReply
@@ -370,39 +363,6 @@
     service: str
     key: str
     target: str
-    cleared: tuple[str, ...] = ()
-
-
-@attrs.frozen(kw_only=True)
-class LostHome:
-    """A target whose node died with the records of its keys."""
-
-    target: str
-    node: str
-    incarnation: int
-
-
-@attrs.frozen
-class KeyJoinReply:
-    """Whether the peer has run keys that the target takes over.
-
-    ``lost`` are the homes that the peer knows to have been lost.
-    """
-
-    used: bool
-    lost: tuple[LostHome, ...] = ()
-
-
-@attrs.frozen(kw_only=True)
-class KeyJoinRequest(ControlRequest):
-    """Tells a home of keys that ``target`` is one too, and asks."""
-
-    method = "key-join"
-    reply = KeyJoinReply
-
-    service: str
-    target: str
-    asked: str
 
 
 @attrs.frozen
