--- a/packages/node/src/balsamramp_node/calls.py
+++ b/packages/node/src/balsamramp_node/calls/calls.py
@@ -12,11 +12,11 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
-from balsamramp_node import door
-from balsamramp_node import key_ledger
-from balsamramp_node import picker
-from balsamramp_node import router
+from balsamramp_node.calls import call_transport
+from balsamramp_node.calls import picker
+from balsamramp_node.calls import router
+from balsamramp_node.door import door
+from balsamramp_node.door import key_ledger
 from balsamramp_wire import messages
 
 __all__ = ["CallerRequest", "Calls"]
--- a/packages/node/src/balsamramp_node/ingress.py
+++ b/packages/node/src/balsamramp_node/calls/ingress.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
-from balsamramp_node import calls
-from balsamramp_node import cancellation
+from balsamramp_node.calls import call_transport
+from balsamramp_node.calls import calls
+from balsamramp_node.calls import cancellation
 from balsamramp_wire import messages
 
 __all__ = ["IngressDefaults", "make_application"]
--- a/packages/node/src/balsamramp_node/peer_stream.py
+++ b/packages/node/src/balsamramp_node/calls/peer_stream.py
@@ -6,7 +6,7 @@
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
+from balsamramp_node.calls import call_transport
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
--- a/packages/node/src/balsamramp_node/pickers/__init__.py
+++ b/packages/node/src/balsamramp_node/calls/pickers/__init__.py
@@ -1,9 +1,9 @@
 """The target pickers, looked up by name."""
 
-from balsamramp_node import picker
-from balsamramp_node.pickers import least_of_two
-from balsamramp_node.pickers import round_robin
-from balsamramp_node.pickers import zone_first
+from balsamramp_node.calls import picker
+from balsamramp_node.calls.pickers import least_of_two
+from balsamramp_node.calls.pickers import round_robin
+from balsamramp_node.calls.pickers import zone_first
 
 __all__ = ["PICKERS", "PickerNotFoundError", "find_picker"]
 
--- a/packages/node/src/balsamramp_node/pickers/least_of_two.py
+++ b/packages/node/src/balsamramp_node/calls/pickers/least_of_two.py
@@ -3,7 +3,7 @@
 from collections import abc
 import datetime
 
-from balsamramp_node import picker
+from balsamramp_node.calls import picker
 
 __all__ = ["LeastOfTwo"]
 
--- a/packages/node/src/balsamramp_node/pickers/round_robin.py
+++ b/packages/node/src/balsamramp_node/calls/pickers/round_robin.py
@@ -4,7 +4,7 @@
 import datetime
 import random
 
-from balsamramp_node import picker
+from balsamramp_node.calls import picker
 
 __all__ = ["RoundRobin"]
 
--- a/packages/node/src/balsamramp_node/router.py
+++ b/packages/node/src/balsamramp_node/calls/router.py
@@ -17,11 +17,11 @@
 from balsamramp_core.resources import route
 from balsamramp_core.resources import service
 from balsamramp_core.resources import zone
-from balsamramp_node import membership
-from balsamramp_node import picker
-from balsamramp_node import rollouts
-from balsamramp_node import store
-from balsamramp_node import zone_states
+from balsamramp_node.calls import picker
+from balsamramp_node.configuration import store
+from balsamramp_node.membership import membership
+from balsamramp_node.outcomes import rollouts
+from balsamramp_node.outcomes import zone_states
 from balsamramp_wire import messages
 
 __all__ = ["Resolved", "Router"]
--- a/packages/node/src/balsamramp_node/stream_client.py
+++ b/packages/node/src/balsamramp_node/calls/stream_client.py
@@ -13,8 +13,8 @@
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
-from balsamramp_node import peer_stream
+from balsamramp_node.calls import call_transport
+from balsamramp_node.calls import peer_stream
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
--- /dev/null
+++ b/packages/node/src/balsamramp_node/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: accepted, distributed and in force."""
--- a/packages/node/src/balsamramp_node/acceptance.py
+++ b/packages/node/src/balsamramp_node/configuration/acceptance.py
@@ -15,10 +15,10 @@
 from balsamramp_core import metrics
 from balsamramp_core import platform
 from balsamramp_core import resource
-from balsamramp_node import accepted_log
-from balsamramp_node import distribution
-from balsamramp_node import source
-from balsamramp_node import store
+from balsamramp_node.configuration import accepted_log
+from balsamramp_node.configuration import distribution
+from balsamramp_node.configuration import source
+from balsamramp_node.configuration import store
 
 __all__ = ["Acceptor", "Rejection", "Submission"]
 
--- a/packages/node/src/balsamramp_node/distribution.py
+++ b/packages/node/src/balsamramp_node/configuration/distribution.py
@@ -16,13 +16,13 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
-from balsamramp_node import member_list
-from balsamramp_node import serve_budget
-from balsamramp_node import source
-from balsamramp_node import store
-from balsamramp_node import tree
-from balsamramp_wire import control
+from balsamramp_node.configuration import serve_budget
+from balsamramp_node.configuration import source
+from balsamramp_node.configuration import store
+from balsamramp_node.configuration import tree
+from balsamramp_node.membership import member_list
 from balsamramp_wire import messages
+from balsamramp_wire import peer_transport
 
 __all__ = ["Distribution"]
 
@@ -53,7 +53,7 @@
         self,
         own: messages.Member,
         members: member_list.MemberList,
-        transport: control.PeerTransport,
+        transport: peer_transport.PeerTransport,
         configurations: store.ConfigurationStore,
         reader: source.ConfigurationSource,
         budget: serve_budget.ServeBudget,
--- a/packages/node/src/balsamramp_node/reader_lease.py
+++ b/packages/node/src/balsamramp_node/configuration/reader_lease.py
@@ -24,8 +24,8 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import platform
-from balsamramp_node import member_list
-from balsamramp_node import readiness
+from balsamramp_node.configuration import readiness
+from balsamramp_node.membership import member_list
 
 __all__ = ["LeaseRow", "ReaderLease", "lease_key"]
 
--- a/packages/node/src/balsamramp_node/readiness.py
+++ b/packages/node/src/balsamramp_node/configuration/readiness.py
@@ -10,7 +10,7 @@
 import asyncio
 
 from balsamramp_core import kernel
-from balsamramp_node import store
+from balsamramp_node.configuration import store
 
 __all__ = ["Readiness"]
 
--- a/packages/node/src/balsamramp_node/snapshots.py
+++ b/packages/node/src/balsamramp_node/configuration/snapshots.py
@@ -10,10 +10,10 @@
 from balsamramp_core import clock
 from balsamramp_core import kernel
 from balsamramp_core import metrics
-from balsamramp_node import accepted_log
-from balsamramp_node import reader_lease
-from balsamramp_node import source
-from balsamramp_node import store
+from balsamramp_node.configuration import accepted_log
+from balsamramp_node.configuration import reader_lease
+from balsamramp_node.configuration import source
+from balsamramp_node.configuration import store
 
 __all__ = ["Snapshots"]
 
--- a/packages/node/src/balsamramp_node/source.py
+++ b/packages/node/src/balsamramp_node/configuration/source.py
@@ -15,10 +15,10 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import platform
-from balsamramp_node import accepted_log
-from balsamramp_node import reader_lease
-from balsamramp_node import readiness
-from balsamramp_node import store
+from balsamramp_node.configuration import accepted_log
+from balsamramp_node.configuration import reader_lease
+from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import store
 
 __all__ = ["ConfigurationSource", "SourceState"]
 
--- a/packages/node/src/balsamramp_node/version_status.py
+++ b/packages/node/src/balsamramp_node/configuration/version_status.py
@@ -6,9 +6,9 @@
 import attrs
 
 from balsamramp_core import configuration
-from balsamramp_node import reader_lease
-from balsamramp_node import source
-from balsamramp_node import store
+from balsamramp_node.configuration import reader_lease
+from balsamramp_node.configuration import source
+from balsamramp_node.configuration import store
 from balsamramp_wire import messages
 
 __all__ = [
--- a/packages/node/src/balsamramp_node/admissions/__init__.py
+++ b/packages/node/src/balsamramp_node/door/admissions/__init__.py
@@ -1,8 +1,8 @@
 """The admission limits, looked up by name."""
 
-from balsamramp_node import admission
-from balsamramp_node.admissions import adaptive
-from balsamramp_node.admissions import fixed
+from balsamramp_node.door import admission
+from balsamramp_node.door.admissions import adaptive
+from balsamramp_node.door.admissions import fixed
 
 __all__ = ["LIMITS", "LimitNotFoundError", "find_limit"]
 
--- a/packages/node/src/balsamramp_node/admissions/adaptive.py
+++ b/packages/node/src/balsamramp_node/door/admissions/adaptive.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from balsamramp_node import admission
+from balsamramp_node.door import admission
 
 __all__ = ["AdaptiveLimit"]
 
--- a/packages/node/src/balsamramp_node/admissions/fixed.py
+++ b/packages/node/src/balsamramp_node/door/admissions/fixed.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from balsamramp_node import admission
+from balsamramp_node.door import admission
 
 __all__ = ["FixedLimit"]
 
--- a/packages/node/src/balsamramp_node/call_watch.py
+++ b/packages/node/src/balsamramp_node/door/call_watch.py
@@ -3,9 +3,9 @@
 import datetime
 
 from balsamramp_core import verdict
-from balsamramp_node import admission
-from balsamramp_node import target_client
-from balsamramp_node import targets
+from balsamramp_node.door import admission
+from balsamramp_node.door import target_client
+from balsamramp_node.door import targets
 from balsamramp_wire import messages
 
 __all__ = ["CallWatch"]
--- a/packages/node/src/balsamramp_node/door.py
+++ b/packages/node/src/balsamramp_node/door/door.py
@@ -14,14 +14,14 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import verdict
-from balsamramp_node import admission
-from balsamramp_node import call_transport
-from balsamramp_node import call_watch
-from balsamramp_node import gate
-from balsamramp_node import journal
-from balsamramp_node import key_ledger
-from balsamramp_node import target_client
-from balsamramp_node import targets
+from balsamramp_node.calls import call_transport
+from balsamramp_node.door import admission
+from balsamramp_node.door import call_watch
+from balsamramp_node.door import gate
+from balsamramp_node.door import journal
+from balsamramp_node.door import key_ledger
+from balsamramp_node.door import target_client
+from balsamramp_node.door import targets
 from balsamramp_wire import messages
 
 __all__ = ["Door"]
--- a/packages/node/src/balsamramp_node/gate.py
+++ b/packages/node/src/balsamramp_node/door/gate.py
@@ -6,7 +6,7 @@
 import itertools
 
 from balsamramp_core import clock
-from balsamramp_node import admission
+from balsamramp_node.door import admission
 
 __all__ = ["Gate"]
 
--- a/packages/node/src/balsamramp_node/target_client.py
+++ b/packages/node/src/balsamramp_node/door/http_target_client.py
@@ -1,19 +1,18 @@
-"""Target client: sends an admitted call to a target of this VM."""
+"""HTTP target client: calls a target of this VM over HTTP."""
 
-import abc
 import datetime
 
 import aiohttp
-import attrs
 from returns import result
 import yarl
 
 from balsamramp_core import kernel
 from balsamramp_core import verdict
-from balsamramp_node import targets
+from balsamramp_node.door import target_client
+from balsamramp_node.door import targets
 from balsamramp_wire import messages
 
-__all__ = ["HttpTargetClient", "TargetAnswer", "TargetClient"]
+__all__ = ["HttpTargetClient"]
 
 CONNECTIONS_MAX = 100
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
@@ -28,37 +27,7 @@
 BODILESS_STATUSES = frozenset([204, 304])
 
 
-@attrs.frozen(kw_only=True)
-class TargetAnswer:
-    """The whole answer of a target."""
-
-    status: int
-    headers: messages.Headers
-    body: bytes
-
-
-Called = result.Result[TargetAnswer, verdict.Failure]
-
-
-class TargetClient(abc.ABC):
-    """Sends a call to a target and returns its whole answer."""
-
-    @abc.abstractmethod
-    async def call(
-        self,
-        target: targets.Announcement,
-        request: messages.CallRequest,
-        left: datetime.timedelta,
-    ) -> Called:
-        """Send ``request`` to ``target`` and wait at most ``left``.
-
-        A target that sheds the call says so with the header
-        ``balsamramp-not-run``, which makes it a failure of verdict
-        NOT_RUN; any other answer, whatever its status, is an answer.
-        """
-
-
-class HttpTargetClient(kernel.Service, TargetClient):
+class HttpTargetClient(kernel.Service, target_client.TargetClient):
     """Calls targets over HTTP."""
 
     name = "target-client"
@@ -93,7 +62,7 @@
         target: targets.Announcement,
         request: messages.CallRequest,
         left: datetime.timedelta,
-    ) -> Called:
+    ) -> target_client.Called:
         assert self._session is not None
         wait = left.total_seconds()
         timeout = aiohttp.ClientTimeout(
@@ -134,7 +103,9 @@
                 f"no whole answer: {error!r}",
             )
 
-    async def _read(self, response: aiohttp.ClientResponse) -> Called:
+    async def _read(
+        self, response: aiohttp.ClientResponse
+    ) -> target_client.Called:
         parts = []
         size = 0
         if not _has_length(response):
@@ -160,7 +131,7 @@
         headers = tuple(
             (str(name), value) for name, value in response.headers.items()
         )
-        answer = TargetAnswer(
+        answer = target_client.TargetAnswer(
             status=response.status, headers=headers, body=b"".join(parts)
         )
         return result.Success(answer)
@@ -186,7 +157,7 @@
     return coding.lower().endswith("chunked")
 
 
-def _truncated(message: str) -> Called:
+def _truncated(message: str) -> target_client.Called:
     return _failure(
         verdict.Verdict.MAY_HAVE_RUN, verdict.Reason.TRUNCATED, message
     )
@@ -194,5 +165,5 @@
 
 def _failure(
     ran: verdict.Verdict, reason: verdict.Reason, message: str
-) -> Called:
+) -> target_client.Called:
     return result.Failure(verdict.Failure(ran, reason, message))
--- a/packages/node/src/balsamramp_node/journal.py
+++ b/packages/node/src/balsamramp_node/door/journal.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from balsamramp_node import call_transport
-from balsamramp_node import kept_answers
+from balsamramp_node.calls import call_transport
+from balsamramp_node.door import kept_answers
 from balsamramp_wire import messages
 
 __all__ = ["Entry", "Journal", "JournalKey", "key_of"]
--- a/packages/node/src/balsamramp_node/kept_answers.py
+++ b/packages/node/src/balsamramp_node/door/kept_answers.py
@@ -3,7 +3,7 @@
 import attrs
 
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
+from balsamramp_node.calls import call_transport
 from balsamramp_wire import messages
 
 __all__ = ["Ended", "KeptAnswers"]
--- a/packages/node/src/balsamramp_node/key_ledger.py
+++ b/packages/node/src/balsamramp_node/door/key_ledger.py
@@ -13,13 +13,13 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
-from balsamramp_node import kept_answers
-from balsamramp_node import key_homes
-from balsamramp_node import membership
-from balsamramp_node import picker
-from balsamramp_wire import control
+from balsamramp_node.calls import call_transport
+from balsamramp_node.calls import picker
+from balsamramp_node.door import kept_answers
+from balsamramp_node.door import key_homes
+from balsamramp_node.membership import membership
 from balsamramp_wire import messages
+from balsamramp_wire import peer_transport
 
 __all__ = ["KeyLedger", "is_keyed"]
 
@@ -66,7 +66,7 @@
         self,
         node: str,
         members: membership.Membership,
-        peers: control.PeerTransport,
+        peers: peer_transport.PeerTransport,
         time: clock.Clock,
         counters: metrics.Metrics,
         retention: datetime.timedelta,
--- a/packages/node/src/balsamramp_node/stream_server.py
+++ b/packages/node/src/balsamramp_node/door/stream_server.py
@@ -10,7 +10,7 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
-from balsamramp_node import door
+from balsamramp_node.door import door
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
--- a/packages/node/src/balsamramp_node/target_api.py
+++ b/packages/node/src/balsamramp_node/door/target_api.py
@@ -8,8 +8,8 @@
 import msgspec
 from returns import result
 
-from balsamramp_node import bodies
-from balsamramp_node import targets
+from balsamramp_node.door import targets
+from balsamramp_node.process import bodies
 from balsamramp_wire import messages
 
 __all__ = ["PREFIXES", "add_routes"]
--- /dev/null
+++ b/packages/node/src/balsamramp_node/door/target_client.py
@@ -0,0 +1,43 @@
+"""Target client: sends an admitted call to a target of this VM."""
+
+import abc
+import datetime
+
+import attrs
+from returns import result
+
+from balsamramp_core import verdict
+from balsamramp_node.door import targets
+from balsamramp_wire import messages
+
+__all__ = ["Called", "TargetAnswer", "TargetClient"]
+
+
+@attrs.frozen(kw_only=True)
+class TargetAnswer:
+    """The whole answer of a target."""
+
+    status: int
+    headers: messages.Headers
+    body: bytes
+
+
+Called = result.Result[TargetAnswer, verdict.Failure]
+
+
+class TargetClient(abc.ABC):
+    """Sends a call to a target and returns its whole answer."""
+
+    @abc.abstractmethod
+    async def call(
+        self,
+        target: targets.Announcement,
+        request: messages.CallRequest,
+        left: datetime.timedelta,
+    ) -> Called:
+        """Send ``request`` to ``target`` and wait at most ``left``.
+
+        A target that sheds the call says so with the header
+        ``balsamramp-not-run``, which makes it a failure of verdict
+        NOT_RUN; any other answer, whatever its status, is an answer.
+        """
--- a/packages/node/src/balsamramp_node/targets.py
+++ b/packages/node/src/balsamramp_node/door/targets.py
@@ -13,7 +13,7 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import resource
-from balsamramp_node import membership
+from balsamramp_node.membership import membership
 from balsamramp_wire import messages
 
 __all__ = ["Announcement", "LocalTarget", "LocalTargets"]
--- /dev/null
+++ b/packages/node/src/balsamramp_node/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: the nodes and targets that exist."""
--- a/packages/node/src/balsamramp_node/failure_detector.py
+++ b/packages/node/src/balsamramp_node/membership/failure_detector.py
@@ -8,9 +8,9 @@
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import settings
-from balsamramp_node import member_list
-from balsamramp_wire import control
+from balsamramp_node.membership import member_list
 from balsamramp_wire import messages
+from balsamramp_wire import peer_transport
 
 __all__ = ["FailureDetector"]
 
@@ -36,7 +36,7 @@
         self,
         node: str,
         members: member_list.MemberList,
-        transport: control.PeerTransport,
+        transport: peer_transport.PeerTransport,
         time: clock.Clock,
         counters: metrics.Metrics,
         choice: random.Random,
--- a/packages/node/src/balsamramp_node/member_repair.py
+++ b/packages/node/src/balsamramp_node/membership/member_repair.py
@@ -8,11 +8,11 @@
 
 from balsamramp_core import clock
 from balsamramp_core import settings
-from balsamramp_node import member_codec
-from balsamramp_node import member_list
-from balsamramp_node import serve_budget
-from balsamramp_wire import control
+from balsamramp_node.configuration import serve_budget
+from balsamramp_node.membership import member_codec
+from balsamramp_node.membership import member_list
 from balsamramp_wire import messages
+from balsamramp_wire import peer_transport
 
 __all__ = ["MemberRepair"]
 
@@ -33,7 +33,7 @@
         zone: str,
         members: member_list.MemberList,
         learn: Learn,
-        transport: control.PeerTransport,
+        transport: peer_transport.PeerTransport,
         budget: serve_budget.ServeBudget,
         time: clock.Clock,
         interval: datetime.timedelta,
--- a/packages/node/src/balsamramp_node/member_view.py
+++ b/packages/node/src/balsamramp_node/membership/member_view.py
@@ -5,8 +5,8 @@
 import attrs
 
 from balsamramp_core import clock
-from balsamramp_node import member_list
-from balsamramp_node import zone_contacts
+from balsamramp_node.membership import member_list
+from balsamramp_node.membership import zone_contacts
 from balsamramp_wire import messages
 
 __all__ = ["MemberView"]
--- a/packages/node/src/balsamramp_node/membership.py
+++ b/packages/node/src/balsamramp_node/membership/membership.py
@@ -14,21 +14,21 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
-from balsamramp_node import distribution
-from balsamramp_node import failure_detector
-from balsamramp_node import member_list
-from balsamramp_node import member_repair
-from balsamramp_node import member_view
-from balsamramp_node import peer_choice
-from balsamramp_node import reader_lease
-from balsamramp_node import readiness
-from balsamramp_node import roster
-from balsamramp_node import serve_budget
-from balsamramp_node import store
-from balsamramp_node import zone_contacts
-from balsamramp_node import zone_reports
-from balsamramp_wire import control
+from balsamramp_node.configuration import distribution
+from balsamramp_node.configuration import reader_lease
+from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import serve_budget
+from balsamramp_node.configuration import store
+from balsamramp_node.membership import failure_detector
+from balsamramp_node.membership import member_list
+from balsamramp_node.membership import member_repair
+from balsamramp_node.membership import member_view
+from balsamramp_node.membership import peer_choice
+from balsamramp_node.membership import roster
+from balsamramp_node.membership import zone_contacts
+from balsamramp_node.membership import zone_reports
 from balsamramp_wire import messages
+from balsamramp_wire import peer_transport
 
 __all__ = ["Membership"]
 
@@ -58,7 +58,7 @@
         own: messages.Member,
         seeds: abc.Sequence[settings.Address],
         members: member_list.MemberList,
-        transport: control.PeerTransport,
+        transport: peer_transport.PeerTransport,
         configurations: store.ConfigurationStore,
         changes: distribution.Distribution,
         ready: readiness.Readiness,
--- a/packages/node/src/balsamramp_node/peer_choice.py
+++ b/packages/node/src/balsamramp_node/membership/peer_choice.py
@@ -4,7 +4,7 @@
 import random
 
 from balsamramp_core import settings
-from balsamramp_node import member_list
+from balsamramp_node.membership import member_list
 from balsamramp_wire import messages
 
 __all__ = ["PeerChoice"]
--- a/packages/node/src/balsamramp_node/roster.py
+++ b/packages/node/src/balsamramp_node/membership/roster.py
@@ -17,8 +17,8 @@
 from balsamramp_core import kernel
 from balsamramp_core import platform
 from balsamramp_core import settings
-from balsamramp_node import member_list
-from balsamramp_node import reader_lease
+from balsamramp_node.configuration import reader_lease
+from balsamramp_node.membership import member_list
 
 __all__ = ["Roster"]
 
--- a/packages/node/src/balsamramp_node/zone_contacts.py
+++ b/packages/node/src/balsamramp_node/membership/zone_contacts.py
@@ -4,7 +4,7 @@
 import datetime
 
 from balsamramp_core import clock
-from balsamramp_node import member_list
+from balsamramp_node.membership import member_list
 
 __all__ = ["ZoneContacts"]
 
--- a/packages/node/src/balsamramp_node/zone_reports.py
+++ b/packages/node/src/balsamramp_node/membership/zone_reports.py
@@ -18,11 +18,11 @@
 
 from balsamramp_core import clock
 from balsamramp_core import kernel
-from balsamramp_node import member_list
-from balsamramp_node import store
-from balsamramp_node import tree
-from balsamramp_wire import control
+from balsamramp_node.configuration import store
+from balsamramp_node.configuration import tree
+from balsamramp_node.membership import member_list
 from balsamramp_wire import messages
+from balsamramp_wire import peer_transport
 
 __all__ = ["ZoneReports"]
 
@@ -51,7 +51,7 @@
         self,
         own: messages.Member,
         members: member_list.MemberList,
-        transport: control.PeerTransport,
+        transport: peer_transport.PeerTransport,
         configurations: store.ConfigurationStore,
         time: clock.Clock,
         choice: random.Random,
--- /dev/null
+++ b/packages/node/src/balsamramp_node/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes: what becomes of rollouts and zones."""
--- a/packages/node/src/balsamramp_node/outcome_watch.py
+++ b/packages/node/src/balsamramp_node/outcomes/outcome_watch.py
@@ -7,13 +7,13 @@
 
 from balsamramp_core import clock
 from balsamramp_core import verdict
-from balsamramp_node import admission
-from balsamramp_node import call_watch
-from balsamramp_node import rollout_recorder
-from balsamramp_node import rollouts
-from balsamramp_node import router
-from balsamramp_node import target_client
-from balsamramp_node import targets
+from balsamramp_node.calls import router
+from balsamramp_node.door import admission
+from balsamramp_node.door import call_watch
+from balsamramp_node.door import target_client
+from balsamramp_node.door import targets
+from balsamramp_node.outcomes import rollout_recorder
+from balsamramp_node.outcomes import rollouts
 from balsamramp_wire import messages
 
 __all__ = ["OutcomeWatch"]
--- a/packages/node/src/balsamramp_node/policies/__init__.py
+++ b/packages/node/src/balsamramp_node/outcomes/policies/__init__.py
@@ -1,9 +1,9 @@
 """The rollout policies, looked up by name."""
 
-from balsamramp_node import rollout_policy
-from balsamramp_node.policies import by_time
-from balsamramp_node.policies import error_rate
-from balsamramp_node.policies import evidence
+from balsamramp_node.outcomes import rollout_policy
+from balsamramp_node.outcomes.policies import by_time
+from balsamramp_node.outcomes.policies import error_rate
+from balsamramp_node.outcomes.policies import evidence
 
 __all__ = ["POLICIES", "PolicyNotFoundError", "find_policy"]
 
--- a/packages/node/src/balsamramp_node/policies/error_rate.py
+++ b/packages/node/src/balsamramp_node/outcomes/policies/error_rate.py
@@ -3,10 +3,10 @@
 import datetime
 
 from balsamramp_core.resources import rollout
-from balsamramp_node import rollout_evidence
-from balsamramp_node import rollout_policy
-from balsamramp_node import rollout_state
-from balsamramp_node.policies import by_time
+from balsamramp_node.outcomes import rollout_evidence
+from balsamramp_node.outcomes import rollout_policy
+from balsamramp_node.outcomes import rollout_state
+from balsamramp_node.outcomes.policies import by_time
 from balsamramp_wire import rollout_messages
 
 __all__ = ["ErrorRate"]
--- a/packages/node/src/balsamramp_node/policies/evidence.py
+++ b/packages/node/src/balsamramp_node/outcomes/policies/evidence.py
@@ -7,10 +7,10 @@
 import attrs
 
 from balsamramp_core.resources import rollout
-from balsamramp_node import rollout_evidence
-from balsamramp_node import rollout_policy
-from balsamramp_node import rollout_state
-from balsamramp_node import sequential_test
+from balsamramp_node.outcomes import rollout_evidence
+from balsamramp_node.outcomes import rollout_policy
+from balsamramp_node.outcomes import rollout_state
+from balsamramp_node.outcomes import sequential_test
 from balsamramp_wire import rollout_messages
 
 __all__ = ["EvidencePolicy", "FALSE_ALARM", "SHARE_CAP"]
--- a/packages/node/src/balsamramp_node/rollout_deciders.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollout_deciders.py
@@ -6,7 +6,7 @@
 
 from balsamramp_core import clock
 from balsamramp_core import settings
-from balsamramp_node import membership
+from balsamramp_node.membership import membership
 from balsamramp_wire import messages
 
 __all__ = ["Deciders"]
--- a/packages/node/src/balsamramp_node/rollout_policy.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollout_policy.py
@@ -5,8 +5,8 @@
 import typing
 
 from balsamramp_core.resources import rollout
-from balsamramp_node import rollout_evidence
-from balsamramp_node import rollout_state
+from balsamramp_node.outcomes import rollout_evidence
+from balsamramp_node.outcomes import rollout_state
 from balsamramp_wire import rollout_messages
 
 __all__ = ["RolloutPolicy", "end_by_operator"]
--- a/packages/node/src/balsamramp_node/rollout_record.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollout_record.py
@@ -11,9 +11,9 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import platform
-from balsamramp_node import rollout_spread
-from balsamramp_node import rollout_state
-from balsamramp_node import rollouts
+from balsamramp_node.outcomes import rollout_spread
+from balsamramp_node.outcomes import rollout_state
+from balsamramp_node.outcomes import rollouts
 from balsamramp_wire import rollout_messages
 
 __all__ = ["KEY_PREFIX", "RolloutRecord"]
--- a/packages/node/src/balsamramp_node/rollout_recorder.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollout_recorder.py
@@ -6,7 +6,7 @@
 import attrs
 
 from balsamramp_core.resources import rollout
-from balsamramp_node import rollout_evidence
+from balsamramp_node.outcomes import rollout_evidence
 from balsamramp_wire import rollout_messages
 
 __all__ = ["CallRecord", "Recorder"]
--- a/packages/node/src/balsamramp_node/rollout_split.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollout_split.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from balsamramp_core.resources import rollout
-from balsamramp_node import rollout_state
+from balsamramp_node.outcomes import rollout_state
 from balsamramp_wire import rollout_messages
 
 __all__ = ["Split", "excluded"]
--- a/packages/node/src/balsamramp_node/rollout_spread.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollout_spread.py
@@ -12,12 +12,12 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
-from balsamramp_node import membership
-from balsamramp_node import rollout_deciders
-from balsamramp_node import rollout_recorder
-from balsamramp_node import rollouts
-from balsamramp_wire import control
+from balsamramp_node.membership import membership
+from balsamramp_node.outcomes import rollout_deciders
+from balsamramp_node.outcomes import rollout_recorder
+from balsamramp_node.outcomes import rollouts
 from balsamramp_wire import messages
+from balsamramp_wire import peer_transport
 from balsamramp_wire import rollout_messages
 
 __all__ = ["RolloutSpread"]
@@ -52,7 +52,7 @@
         held: rollouts.Rollouts,
         recorder: rollout_recorder.Recorder,
         members: membership.Membership,
-        transport: control.PeerTransport,
+        transport: peer_transport.PeerTransport,
         time: clock.Clock,
         counters: metrics.Metrics,
         choice: random.Random,
--- a/packages/node/src/balsamramp_node/rollouts.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollouts.py
@@ -14,13 +14,13 @@
 from balsamramp_core import metrics
 from balsamramp_core import resource
 from balsamramp_core.resources import rollout
-from balsamramp_node import rollout_evidence
-from balsamramp_node import rollout_policy
-from balsamramp_node import rollout_recorder
-from balsamramp_node import rollout_report
-from balsamramp_node import rollout_split
-from balsamramp_node import rollout_state
-from balsamramp_node import store
+from balsamramp_node.configuration import store
+from balsamramp_node.outcomes import rollout_evidence
+from balsamramp_node.outcomes import rollout_policy
+from balsamramp_node.outcomes import rollout_recorder
+from balsamramp_node.outcomes import rollout_report
+from balsamramp_node.outcomes import rollout_split
+from balsamramp_node.outcomes import rollout_state
 from balsamramp_wire import rollout_messages
 
 __all__ = ["Rollouts"]
--- /dev/null
+++ b/packages/node/src/balsamramp_node/process/__init__.py
@@ -0,0 +1,1 @@
+"""Process: settings, servers and composition of a node."""
--- a/packages/node/src/balsamramp_node/app.py
+++ b/packages/node/src/balsamramp_node/process/app.py
@@ -11,16 +11,16 @@
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import settings
-from balsamramp_node import core
-from balsamramp_node import http_server
-from balsamramp_node import ingress
-from balsamramp_node import operator_api
-from balsamramp_node import options
-from balsamramp_node import parts
-from balsamramp_node import stream_server
-from balsamramp_node import target_api
-from balsamramp_node import tls
-from balsamramp_node import tokens
+from balsamramp_node.calls import ingress
+from balsamramp_node.door import stream_server
+from balsamramp_node.door import target_api
+from balsamramp_node.process import core
+from balsamramp_node.process import http_server
+from balsamramp_node.process import network_parts
+from balsamramp_node.process import operator_api
+from balsamramp_node.process import options
+from balsamramp_node.process import tls
+from balsamramp_node.process import tokens
 from balsamramp_wire import messages
 
 __all__ = ["Node"]
@@ -81,7 +81,7 @@
         )
         hello = messages.Hello(identity.node, identity.incarnation)
         self._tls = tls.NodeTls(checked)
-        outside, self._transport = parts.network_parts(
+        outside, self._transport = network_parts.network_parts(
             checked, hello, now, self._metrics, self._tls
         )
         choice = random.Random(f"{identity.node} {identity.incarnation}")
--- a/packages/node/src/balsamramp_node/cmdline.py
+++ b/packages/node/src/balsamramp_node/process/cmdline.py
@@ -18,8 +18,8 @@
 from balsamramp_core import clock
 from balsamramp_core import kernel
 from balsamramp_core import settings
-from balsamramp_node import app
-from balsamramp_node import options
+from balsamramp_node.process import app
+from balsamramp_node.process import options
 
 __all__ = ["main"]
 
--- a/packages/node/src/balsamramp_node/http_server.py
+++ b/packages/node/src/balsamramp_node/process/http_server.py
@@ -12,7 +12,7 @@
 
 from balsamramp_core import kernel
 from balsamramp_core import settings
-from balsamramp_node import tls
+from balsamramp_node.process import tls
 
 __all__ = ["HttpServer"]
 
--- a/packages/node/src/balsamramp_node/operations.py
+++ b/packages/node/src/balsamramp_node/process/operations.py
@@ -8,15 +8,15 @@
 from balsamramp_core import configuration
 from balsamramp_core import kernel
 from balsamramp_core import resources
-from balsamramp_node import acceptance
-from balsamramp_node import membership
-from balsamramp_node import reader_lease
-from balsamramp_node import rollouts
-from balsamramp_node import router
-from balsamramp_node import source
-from balsamramp_node import store
-from balsamramp_node import version_status
-from balsamramp_node import zone_reports
+from balsamramp_node.calls import router
+from balsamramp_node.configuration import acceptance
+from balsamramp_node.configuration import reader_lease
+from balsamramp_node.configuration import source
+from balsamramp_node.configuration import store
+from balsamramp_node.configuration import version_status
+from balsamramp_node.membership import membership
+from balsamramp_node.membership import zone_reports
+from balsamramp_node.outcomes import rollouts
 
 __all__ = ["Operations"]
 
--- a/packages/node/src/balsamramp_node/operator_api.py
+++ b/packages/node/src/balsamramp_node/process/operator_api.py
@@ -13,9 +13,9 @@
 from balsamramp_core import configuration
 from balsamramp_core import resource
 from balsamramp_core import resources
-from balsamramp_node import acceptance
-from balsamramp_node import bodies
-from balsamramp_node import operations
+from balsamramp_node.configuration import acceptance
+from balsamramp_node.process import bodies
+from balsamramp_node.process import operations
 
 __all__ = ["PREFIXES", "add_routes"]
 
--- a/packages/node/src/balsamramp_node/options.py
+++ b/packages/node/src/balsamramp_node/process/options.py
@@ -5,9 +5,9 @@
 from returns import result
 
 from balsamramp_core import settings
-from balsamramp_node import admissions
-from balsamramp_node import pickers
-from balsamramp_node import policies
+from balsamramp_node.calls import pickers
+from balsamramp_node.door import admissions
+from balsamramp_node.outcomes import policies
 
 __all__ = ["OPTIONS", "check", "is_loopback", "read", "token"]
 
--- a/packages/node/tests/test_adaptive_limit.py
+++ b/packages/node/tests/test_adaptive_limit.py
@@ -6,8 +6,8 @@
 import attrs
 import pytest
 
-from balsamramp_node import admission
-from balsamramp_node.admissions import adaptive
+from balsamramp_node.door import admission
+from balsamramp_node.door.admissions import adaptive
 
 INITIAL = 4
 ROUND = datetime.timedelta(milliseconds=50)
--- a/packages/node/tests/test_admin_api.py
+++ b/packages/node/tests/test_admin_api.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from balsamramp_client import api
-from balsamramp_node import app
+from balsamramp_node.process import app
 from balsamramp_testing import deployment as deployment_module
 
 SERVICE = {"kind": "service", "name": "caja"}
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -13,11 +13,11 @@
 from balsamramp_core import verdict
 from balsamramp_core.resources import route
 from balsamramp_core.resources import service
-from balsamramp_node import call_transport
-from balsamramp_node import calls
-from balsamramp_node import picker
-from balsamramp_node import router
-from balsamramp_node.pickers import round_robin
+from balsamramp_node.calls import call_transport
+from balsamramp_node.calls import calls
+from balsamramp_node.calls import picker
+from balsamramp_node.calls import router
+from balsamramp_node.calls.pickers import round_robin
 from balsamramp_testing import virtual_time
 from balsamramp_wire import messages
 
--- a/packages/node/tests/test_configuration_machine.py
+++ b/packages/node/tests/test_configuration_machine.py
@@ -20,7 +20,7 @@
 from balsamramp_core import resource
 from balsamramp_core.resources import alias
 from balsamramp_core.resources import service
-from balsamramp_node import store
+from balsamramp_node.configuration import store
 
 NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 NAMES = ("caja", "catalogo", "reservas")
--- a/packages/node/tests/test_configuration_world.py
+++ b/packages/node/tests/test_configuration_world.py
@@ -11,15 +11,15 @@
 
 from balsamramp_core import resources
 from balsamramp_core import verdict
-from balsamramp_node import acceptance
-from balsamramp_node import accepted_log
-from balsamramp_node import distribution
-from balsamramp_node import reader_lease
-from balsamramp_node import readiness
-from balsamramp_node import snapshots
-from balsamramp_node import source
-from balsamramp_node import store
-from balsamramp_node import zone_reports
+from balsamramp_node.configuration import acceptance
+from balsamramp_node.configuration import accepted_log
+from balsamramp_node.configuration import distribution
+from balsamramp_node.configuration import reader_lease
+from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import snapshots
+from balsamramp_node.configuration import source
+from balsamramp_node.configuration import store
+from balsamramp_node.membership import zone_reports
 from balsamramp_testing import memory_network
 from balsamramp_testing import memory_platform
 from balsamramp_testing import virtual_time
--- a/packages/node/tests/test_door_verdicts.py
+++ b/packages/node/tests/test_door_verdicts.py
@@ -19,12 +19,12 @@
 
 from balsamramp_core import metrics
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
-from balsamramp_node import door as door_module
-from balsamramp_node import journal as journal_module
-from balsamramp_node import target_client
-from balsamramp_node import targets
-from balsamramp_node.admissions import fixed
+from balsamramp_node.calls import call_transport
+from balsamramp_node.door import door as door_module
+from balsamramp_node.door import journal as journal_module
+from balsamramp_node.door import target_client
+from balsamramp_node.door import targets
+from balsamramp_node.door.admissions import fixed
 from balsamramp_testing import virtual_time
 from balsamramp_wire import messages
 
--- a/packages/node/tests/test_ingress.py
+++ b/packages/node/tests/test_ingress.py
@@ -9,9 +9,9 @@
 
 from balsamramp_core import settings
 from balsamramp_core import verdict
-from balsamramp_node import calls
-from balsamramp_node import http_server
-from balsamramp_node import ingress
+from balsamramp_node.calls import calls
+from balsamramp_node.calls import ingress
+from balsamramp_node.process import http_server
 from balsamramp_wire import messages
 
 DEFAULTS = ingress.IngressDefaults(datetime.timedelta(seconds=20), 2, 10)
--- a/packages/node/tests/test_key_ledger.py
+++ b/packages/node/tests/test_key_ledger.py
@@ -8,8 +8,8 @@
 import pytest
 
 from balsamramp_core import verdict
-from balsamramp_node import key_homes
-from balsamramp_node import key_ledger
+from balsamramp_node.door import key_homes
+from balsamramp_node.door import key_ledger
 from balsamramp_testing import memory_target
 from balsamramp_testing import virtual_time
 from balsamramp_testing import world as world_module
--- a/packages/node/tests/test_membership_world.py
+++ b/packages/node/tests/test_membership_world.py
@@ -6,9 +6,9 @@
 import attrs
 import pytest
 
-from balsamramp_node import failure_detector
-from balsamramp_node import member_list
-from balsamramp_node import membership
+from balsamramp_node.membership import failure_detector
+from balsamramp_node.membership import member_list
+from balsamramp_node.membership import membership
 from balsamramp_testing import virtual_time
 from balsamramp_testing import world as world_module
 from balsamramp_wire import messages
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from balsamramp_node import cmdline
+from balsamramp_node.process import cmdline
 from balsamramp_testing import fleet as fleet_module
 
 SLOW = {"delay": "PT1S"}
--- a/packages/node/tests/test_rollout_machine.py
+++ b/packages/node/tests/test_rollout_machine.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies
 import pytest
 
-from balsamramp_node import rollout_evidence
-from balsamramp_node import rollout_state
-from balsamramp_node.policies import evidence
+from balsamramp_node.outcomes import rollout_evidence
+from balsamramp_node.outcomes import rollout_state
+from balsamramp_node.outcomes.policies import evidence
 from balsamramp_testing import rollout_node
 from balsamramp_wire import rollout_messages
 
--- a/packages/node/tests/test_rollout_parts.py
+++ b/packages/node/tests/test_rollout_parts.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies
 import pytest
 
-from balsamramp_node import rollout_evidence
-from balsamramp_node import rollout_state
-from balsamramp_node import sequential_test
-from balsamramp_node.policies import evidence
+from balsamramp_node.outcomes import rollout_evidence
+from balsamramp_node.outcomes import rollout_state
+from balsamramp_node.outcomes import sequential_test
+from balsamramp_node.outcomes.policies import evidence
 from balsamramp_testing import rollout_node
 from balsamramp_wire import rollout_messages
 
--- a/packages/node/tests/test_settings.py
+++ b/packages/node/tests/test_settings.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from balsamramp_node import cmdline
-from balsamramp_node import options
+from balsamramp_node.process import cmdline
+from balsamramp_node.process import options
 
 GOOD = """\
 [node]
--- a/packages/node/tests/test_streams.py
+++ b/packages/node/tests/test_streams.py
@@ -13,13 +13,13 @@
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
-from balsamramp_node import door
-from balsamramp_node import stream_client
-from balsamramp_node import stream_server
-from balsamramp_node import target_client
-from balsamramp_node import targets
-from balsamramp_node.admissions import fixed
+from balsamramp_node.calls import call_transport
+from balsamramp_node.calls import stream_client
+from balsamramp_node.door import door
+from balsamramp_node.door import stream_server
+from balsamramp_node.door import target_client
+from balsamramp_node.door import targets
+from balsamramp_node.door.admissions import fixed
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
--- a/packages/node/tests/test_target_client.py
+++ b/packages/node/tests/test_target_client.py
@@ -8,8 +8,9 @@
 from returns import result
 
 from balsamramp_core import verdict
-from balsamramp_node import target_client
-from balsamramp_node import targets
+from balsamramp_node.door import http_target_client
+from balsamramp_node.door import target_client
+from balsamramp_node.door import targets
 from balsamramp_wire import messages
 
 BODY_MAX_BYTES = 10
@@ -103,7 +104,7 @@
     port = server.sockets[0].getsockname()[1]
     url = f"http://127.0.0.1:{port}"
     announced = targets.Announcement(target="t", service="s", url=url)
-    client = target_client.HttpTargetClient(BODY_MAX_BYTES)
+    client = http_target_client.HttpTargetClient(BODY_MAX_BYTES)
     await client.start()
     found = []
     for _ in range(calls):
@@ -168,7 +169,7 @@
     port = server.sockets[0].getsockname()[1]
     url = f"http://127.0.0.1:{port}"
     announced = targets.Announcement(target="t", service="s", url=url)
-    client = target_client.HttpTargetClient(BODY_MAX_BYTES)
+    client = http_target_client.HttpTargetClient(BODY_MAX_BYTES)
     await client.start()
     called = await client.call(announced, _request(), SHORT)
     waiting.set()
@@ -181,7 +182,7 @@
     announced = targets.Announcement(
         target="t", service="s", url="http://127.0.0.1:1"
     )
-    client = target_client.HttpTargetClient(BODY_MAX_BYTES)
+    client = http_target_client.HttpTargetClient(BODY_MAX_BYTES)
     await client.start()
     called = await client.call(announced, _request(), LEFT)
     await client.stop()
--- a/packages/node/tests/test_tls.py
+++ b/packages/node/tests/test_tls.py
@@ -12,8 +12,8 @@
 from balsamramp_core import clock
 from balsamramp_core import kernel
 from balsamramp_core import settings
-from balsamramp_node import app
-from balsamramp_node import options
+from balsamramp_node.process import app
+from balsamramp_node.process import options
 from balsamramp_testing import deployment as deployment_module
 
 # An address kept for documentation, which no machine has.
--- a/packages/testing/src/balsamramp_testing/benches/call_faults.py
+++ b/packages/testing/src/balsamramp_testing/benches/call_faults.py
@@ -17,8 +17,8 @@
 import attrs
 
 from balsamramp_core import verdict
-from balsamramp_node import call_transport
-from balsamramp_node import peer_stream
+from balsamramp_node.calls import call_transport
+from balsamramp_node.calls import peer_stream
 from balsamramp_testing import memory_target
 from balsamramp_testing import virtual_time
 from balsamramp_testing import world as world_module
--- a/packages/testing/src/balsamramp_testing/benches/config_costs.py
+++ b/packages/testing/src/balsamramp_testing/benches/config_costs.py
@@ -24,10 +24,10 @@
 from balsamramp_core.resources import labels
 from balsamramp_core.resources import route
 from balsamramp_core.resources import service
-from balsamramp_node import member_codec
-from balsamramp_node import member_list
-from balsamramp_node import platform_client
-from balsamramp_node import tree
+from balsamramp_node.configuration import tree
+from balsamramp_node.membership import member_codec
+from balsamramp_node.membership import member_list
+from balsamramp_node.process import platform_client
 from balsamramp_testing import fleet as fleet_module
 from balsamramp_testing.benches import byte_relay
 from balsamramp_wire import control
--- a/packages/testing/src/balsamramp_testing/benches/config_fleets.py
+++ b/packages/testing/src/balsamramp_testing/benches/config_fleets.py
@@ -18,8 +18,8 @@
 from balsamramp_core import metrics
 from balsamramp_core import resources
 from balsamramp_core import settings
-from balsamramp_node import accepted_log
-from balsamramp_node import store
+from balsamramp_node.configuration import accepted_log
+from balsamramp_node.configuration import store
 from balsamramp_testing import memory_network
 from balsamramp_testing import world as world_module
 from balsamramp_wire import messages
--- a/packages/testing/src/balsamramp_testing/benches/outcome_costs.py
+++ b/packages/testing/src/balsamramp_testing/benches/outcome_costs.py
@@ -7,10 +7,10 @@
 import attrs
 import msgspec
 
-from balsamramp_node import rollout_evidence
-from balsamramp_node import rollout_recorder
-from balsamramp_node import rollout_state
-from balsamramp_node.policies import evidence
+from balsamramp_node.outcomes import rollout_evidence
+from balsamramp_node.outcomes import rollout_recorder
+from balsamramp_node.outcomes import rollout_state
+from balsamramp_node.outcomes.policies import evidence
 from balsamramp_testing import rollout_node
 from balsamramp_wire import rollout_messages
 
--- a/packages/testing/src/balsamramp_testing/deployment.py
+++ b/packages/testing/src/balsamramp_testing/deployment.py
@@ -5,9 +5,9 @@
 
 from balsamramp_core import clock
 from balsamramp_core import settings
-from balsamramp_node import app
-from balsamramp_node import http_server
-from balsamramp_node import options
+from balsamramp_node.process import app
+from balsamramp_node.process import http_server
+from balsamramp_node.process import options
 from balsamramp_testing import platform_server
 
 __all__ = ["Deployment"]
--- a/packages/testing/src/balsamramp_testing/fleet.py
+++ b/packages/testing/src/balsamramp_testing/fleet.py
@@ -138,7 +138,7 @@
         )
         path.write_text(text, encoding="utf-8")
         started = await self._start(
-            name, "balsamramp_node.cmdline", [str(path)]
+            name, "balsamramp_node.process.cmdline", [str(path)]
         )
         node = NodeProcess(name, started.popen, started.addresses, zone)
         self.nodes[name] = node
--- a/packages/testing/src/balsamramp_testing/memory_network.py
+++ b/packages/testing/src/balsamramp_testing/memory_network.py
@@ -17,8 +17,8 @@
 from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_testing import virtual_time
-from balsamramp_wire import control
 from balsamramp_wire import messages
+from balsamramp_wire import peer_transport
 
 __all__ = ["PLATFORM", "MemoryControl", "MemoryNetwork"]
 
@@ -125,18 +125,18 @@
         return self._controls.get(address)
 
 
-class MemoryControl(control.PeerTransport):
+class MemoryControl(peer_transport.PeerTransport):
     """Control requests of one node over a memory network."""
 
     def __init__(self, node: str, network: MemoryNetwork) -> None:
         self._node = node
         self._network = network
-        self.handlers: dict[type, control.Handler] = {}
+        self.handlers: dict[type, peer_transport.Handler] = {}
 
     def handle(
         self,
         request_type: type[messages.ControlRequest],
-        handler: control.Handler,
+        handler: peer_transport.Handler,
     ) -> None:
         self.handlers[request_type] = handler
 
--- a/packages/testing/src/balsamramp_testing/memory_target.py
+++ b/packages/testing/src/balsamramp_testing/memory_target.py
@@ -8,8 +8,8 @@
 
 from balsamramp_core import clock
 from balsamramp_core import verdict
-from balsamramp_node import target_client
-from balsamramp_node import targets
+from balsamramp_node.door import target_client
+from balsamramp_node.door import targets
 from balsamramp_wire import messages
 
 __all__ = ["MemoryTarget", "MemoryTargetClient"]
--- a/packages/testing/src/balsamramp_testing/rollout_node.py
+++ b/packages/testing/src/balsamramp_testing/rollout_node.py
@@ -7,10 +7,10 @@
 from balsamramp_core import metrics
 from balsamramp_core.resources import rollout
 from balsamramp_core.resources import service
-from balsamramp_node import rollout_recorder
-from balsamramp_node import rollouts
-from balsamramp_node import store
-from balsamramp_node.policies import evidence
+from balsamramp_node.configuration import store
+from balsamramp_node.outcomes import rollout_recorder
+from balsamramp_node.outcomes import rollouts
+from balsamramp_node.outcomes.policies import evidence
 
 __all__ = ["INTENT", "START", "ManualClock", "make"]
 
--- a/packages/testing/src/balsamramp_testing/rollout_trial.py
+++ b/packages/testing/src/balsamramp_testing/rollout_trial.py
@@ -9,10 +9,10 @@
 import attrs
 
 from balsamramp_core import clock
-from balsamramp_node import policies
-from balsamramp_node import rollout_report
-from balsamramp_node import rollout_state
-from balsamramp_node import target_client
+from balsamramp_node.door import target_client
+from balsamramp_node.outcomes import policies
+from balsamramp_node.outcomes import rollout_report
+from balsamramp_node.outcomes import rollout_state
 from balsamramp_testing import memory_target
 from balsamramp_testing import virtual_time
 from balsamramp_testing import world as world_module
--- a/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/memory.py
@@ -8,9 +8,9 @@
 
 from balsamramp_core import resource
 from balsamramp_core import resources
-from balsamramp_node import acceptance
-from balsamramp_node import calls
-from balsamramp_node import targets
+from balsamramp_node.calls import calls
+from balsamramp_node.configuration import acceptance
+from balsamramp_node.door import targets
 from balsamramp_testing import memory_platform
 from balsamramp_testing import virtual_time
 from balsamramp_testing.scenario import record
--- a/packages/testing/src/balsamramp_testing/scenario/stages/session.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/session.py
@@ -21,9 +21,9 @@
 import msgspec
 
 from balsamramp_client import cmdline
-from balsamramp_node import ingress
-from balsamramp_node import operator_api
-from balsamramp_node import target_api
+from balsamramp_node.calls import ingress
+from balsamramp_node.door import target_api
+from balsamramp_node.process import operator_api
 from balsamramp_testing import memory_http
 from balsamramp_testing import memory_streams
 from balsamramp_testing.scenario import record
--- a/packages/testing/src/balsamramp_testing/scenario/stages/target.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/target.py
@@ -6,7 +6,7 @@
 import attrs
 
 from balsamramp_core import clock
-from balsamramp_node import target_client
+from balsamramp_node.door import target_client
 from balsamramp_testing import memory_target
 from balsamramp_testing import virtual_time
 from balsamramp_testing.scenario import record
--- a/packages/testing/src/balsamramp_testing/scenario/stages/world.py
+++ b/packages/testing/src/balsamramp_testing/scenario/stages/world.py
@@ -7,8 +7,8 @@
 from balsamramp_core import configuration_codec
 from balsamramp_core import platform
 from balsamramp_core import resources
-from balsamramp_node import accepted_log
-from balsamramp_node import core
+from balsamramp_node.configuration import accepted_log
+from balsamramp_node.process import core
 from balsamramp_testing import memory_platform
 from balsamramp_testing import world
 from balsamramp_testing.scenario import record
--- a/packages/testing/src/balsamramp_testing/serving.py
+++ b/packages/testing/src/balsamramp_testing/serving.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from balsamramp_core import settings
-from balsamramp_node import http_server
+from balsamramp_node.process import http_server
 
 __all__ = ["CutConnectionError", "parser", "run"]
 
--- a/packages/testing/src/balsamramp_testing/settings_page.py
+++ b/packages/testing/src/balsamramp_testing/settings_page.py
@@ -4,7 +4,7 @@
 import sys
 
 from balsamramp_core import settings
-from balsamramp_node import options
+from balsamramp_node.process import options
 
 __all__ = ["main", "render"]
 
--- a/packages/testing/tests/test_fuzz.py
+++ b/packages/testing/tests/test_fuzz.py
@@ -15,8 +15,8 @@
 from balsamramp_core import resource
 from balsamramp_core import resources
 from balsamramp_core import settings
-from balsamramp_node import options
-from balsamramp_node import targets
+from balsamramp_node.door import targets
+from balsamramp_node.process import options
 from balsamramp_wire import frames
 
 FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
--- a/packages/testing/tests/test_fuzz_platform.py
+++ b/packages/testing/tests/test_fuzz_platform.py
@@ -14,9 +14,9 @@
 from returns import result
 
 from balsamramp_core import platform
-from balsamramp_node import accepted_log
-from balsamramp_node import bodies
-from balsamramp_node import platform_client
+from balsamramp_node.configuration import accepted_log
+from balsamramp_node.process import bodies
+from balsamramp_node.process import platform_client
 from balsamramp_testing import memory_platform
 from balsamramp_testing import virtual_time
 
--- a/packages/testing/tests/test_rollout_scenarios.py
+++ b/packages/testing/tests/test_rollout_scenarios.py
@@ -4,12 +4,12 @@
 import pytest
 
 from balsamramp_core import verdict
-from balsamramp_node import rollout_evidence
-from balsamramp_node import rollout_record
-from balsamramp_node import rollout_spread
-from balsamramp_node import rollouts
-from balsamramp_node import sequential_test
-from balsamramp_node.policies import evidence
+from balsamramp_node.outcomes import rollout_evidence
+from balsamramp_node.outcomes import rollout_record
+from balsamramp_node.outcomes import rollout_spread
+from balsamramp_node.outcomes import rollouts
+from balsamramp_node.outcomes import sequential_test
+from balsamramp_node.outcomes.policies import evidence
 from balsamramp_testing import rollout_trial
 from balsamramp_wire import messages
 
--- a/packages/testing/tests/test_zone_scenarios.py
+++ b/packages/testing/tests/test_zone_scenarios.py
@@ -5,7 +5,7 @@
 import pytest
 
 from balsamramp_core import verdict
-from balsamramp_node import zone_states
+from balsamramp_node.outcomes import zone_states
 from balsamramp_testing import memory_network
 from balsamramp_testing import zone_trial
 
--- a/packages/wire/src/balsamramp_wire/control.py
+++ b/packages/wire/src/balsamramp_wire/control.py
@@ -4,9 +4,7 @@
 gRPC service ``balsamramp.Control``; messages are MessagePack.
 """
 
-import abc
 import collections
-from collections import abc as collections_abc
 import datetime
 import typing
 
@@ -19,37 +17,15 @@
 from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_wire import messages
+from balsamramp_wire import peer_transport
 
-__all__ = ["Credentials", "GrpcTransport", "Handler", "PeerTransport"]
+__all__ = ["Credentials", "GrpcTransport"]
 
 SERVICE = "balsamramp.Control"
 CHANNELS_MAX = 48
 MESSAGE_MAX_BYTES = 64 * 1024 * 1024
 STOP_GRACE = datetime.timedelta(milliseconds=200)
 
-Handler = collections_abc.Callable[
-    [typing.Any], collections_abc.Awaitable[typing.Any]
-]
-
-
-class PeerTransport(abc.ABC):
-    """Carries control requests to other nodes and serves theirs."""
-
-    @abc.abstractmethod
-    def handle(
-        self, request_type: type[messages.ControlRequest], handler: Handler
-    ) -> None:
-        """Serve requests of ``request_type`` with ``handler``."""
-
-    @abc.abstractmethod
-    async def send(
-        self,
-        peer: settings.Address,
-        request: messages.ControlRequest,
-        timeout: datetime.timedelta,
-    ) -> result.Result[typing.Any, verdict.Failure]:
-        """Send ``request`` and return its reply."""
-
 
 @attrs.define(eq=False)
 class _Channel:
@@ -65,7 +41,7 @@
     channel: grpc.ChannelCredentials
 
 
-class GrpcTransport(PeerTransport):
+class GrpcTransport(peer_transport.PeerTransport):
     """Control requests over gRPC, one channel a peer.
 
     A node talks to many others in the course of time; it keeps at most
@@ -92,7 +68,9 @@
         return self._address
 
     def handle(
-        self, request_type: type[messages.ControlRequest], handler: Handler
+        self,
+        request_type: type[messages.ControlRequest],
+        handler: peer_transport.Handler,
     ) -> None:
         async def serve(
             request: typing.Any, context: grpc.aio.ServicerContext
--- /dev/null
+++ b/packages/wire/src/balsamramp_wire/peer_transport.py
@@ -0,0 +1,37 @@
+"""Peer transport: base class of what carries control requests."""
+
+import abc
+from collections import abc as collections_abc
+import datetime
+import typing
+
+from returns import result
+
+from balsamramp_core import settings
+from balsamramp_core import verdict
+from balsamramp_wire import messages
+
+__all__ = ["Handler", "PeerTransport"]
+
+Handler = collections_abc.Callable[
+    [typing.Any], collections_abc.Awaitable[typing.Any]
+]
+
+
+class PeerTransport(abc.ABC):
+    """Carries control requests to other nodes and serves theirs."""
+
+    @abc.abstractmethod
+    def handle(
+        self, request_type: type[messages.ControlRequest], handler: Handler
+    ) -> None:
+        """Serve requests of ``request_type`` with ``handler``."""
+
+    @abc.abstractmethod
+    async def send(
+        self,
+        peer: settings.Address,
+        request: messages.ControlRequest,
+        timeout: datetime.timedelta,
+    ) -> result.Result[typing.Any, verdict.Failure]:
+        """Send ``request`` and return its reply."""
