--- a/packages/core/src/balsamramp_core/clock.py
+++ b/packages/core/src/balsamramp_core/clock.py
@@ -35,7 +35,10 @@
         return datetime.datetime.now(datetime.UTC)
 
     def monotonic(self) -> datetime.timedelta:
-        return datetime.timedelta(seconds=time.monotonic())
+        # Unlike the monotonic clock it counts time in which the machine is
+        # suspended, during which deadlines and leases pass.
+        now = time.clock_gettime(time.CLOCK_BOOTTIME)
+        return datetime.timedelta(seconds=now)
 
     async def sleep(self, duration: datetime.timedelta) -> None:
         await asyncio.sleep(duration.total_seconds())
--- /dev/null
+++ b/packages/core/src/balsamramp_core/dialect.py
@@ -0,0 +1,56 @@
+"""Dialect: the names of the headers that nodes read and write."""
+
+import attrs
+
+__all__ = ["Dialect", "HOP_HEADERS", "PRODUCT"]
+
+# Headers that concern one connection (RFC 9110, section 7.6.1). The body is
+# sent on whole, so its length and coding are written anew.
+HOP_HEADERS = frozenset(
+    [
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ]
+)
+
+
+@attrs.frozen(kw_only=True)
+class Dialect:
+    """Header names in lower case; an empty name is not used.
+
+    ``request_id`` identifies one attempt of a caller and is echoed by the
+    target. ``timeout_ms`` is how long the caller still waits.
+    ``caller_service`` names the service from whose VM the request came,
+    and ``target`` the one target that may run it. A target answers with
+    ``not_run`` if it did not run the request, with ``proof`` if it made
+    the answer, with ``answered_by`` naming itself, and with ``cold_ms``
+    if it is cold.
+    """
+
+    request_id: str
+    timeout_ms: str
+    caller_service: str
+    target: str
+    not_run: str
+    proof: str
+    answered_by: str
+    cold_ms: str
+
+
+PRODUCT = Dialect(
+    request_id="balsamramp-request-id",
+    timeout_ms="balsamramp-deadline-ms",
+    caller_service="balsamramp-caller",
+    target="balsamramp-target",
+    not_run="balsamramp-not-run",
+    proof="",
+    answered_by="balsamramp-answered-by",
+    cold_ms="balsamramp-cold-ms",
+)
--- a/packages/core/src/balsamramp_core/metrics.py
+++ b/packages/core/src/balsamramp_core/metrics.py
@@ -1,5 +1,6 @@
-"""Metrics: the counters and gauges of one process, by name."""
+"""Metrics: what one process counts and measures, by name."""
 
+import math
 import typing
 
 from aioprometheus import collectors
@@ -8,10 +9,12 @@
 __all__ = ["Metrics"]
 
 PREFIX = "balsamramp_"
+# From the time that a node adds to the longest wait of a caller.
+BUCKETS_SECONDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
 
 
 class Metrics:
-    """Counters and gauges, made at first use and exported together.
+    """Counters, gauges and histograms, made at first use.
 
     Example::
 
@@ -23,6 +26,7 @@
         self._registry = collectors.Registry()
         self._counters: dict[str, collectors.Counter] = {}
         self._gauges: dict[str, collectors.Gauge] = {}
+        self._histograms: dict[str, collectors.Histogram] = {}
 
     def count(self, name: str, by: int = 1, **labels: str) -> None:
         """Add ``by`` to the counter ``name`` with these labels."""
@@ -44,6 +48,19 @@
             self._gauges[name] = gauge
         gauge.set(labels, value)
 
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Count ``value``, in seconds, in the histogram ``name``."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = collectors.Histogram(
+                PREFIX + name,
+                name.replace("_", " "),
+                registry=self._registry,
+                buckets=(*BUCKETS_SECONDS, math.inf),
+            )
+            self._histograms[name] = histogram
+        histogram.add(labels, value)
+
     def value(self, name: str, **labels: str) -> float:
         """Return the current value, or 0 if it was never touched."""
         item = self._counters.get(name) or self._gauges.get(name)
--- a/packages/core/src/balsamramp_core/resources/__init__.py
+++ b/packages/core/src/balsamramp_core/resources/__init__.py
@@ -8,8 +8,11 @@
 
 from balsamramp_core import resource
 from balsamramp_core.resources import alias
+from balsamramp_core.resources import caller_limits
+from balsamramp_core.resources import entry
 from balsamramp_core.resources import labels
 from balsamramp_core.resources import rollout
+from balsamramp_core.resources import rollout_order
 from balsamramp_core.resources import route
 from balsamramp_core.resources import service
 from balsamramp_core.resources import zone
@@ -26,8 +29,11 @@
     item.kind: item
     for item in (
         alias.Alias,
+        caller_limits.CallerLimits,
+        entry.Entry,
         labels.Labels,
         rollout.Rollout,
+        rollout_order.RolloutOrder,
         route.Route,
         service.Service,
         zone.Zone,
--- a/packages/core/src/balsamramp_core/resources/rollout.py
+++ b/packages/core/src/balsamramp_core/resources/rollout.py
@@ -7,8 +7,9 @@
 
 from balsamramp_core import resource
 
-__all__ = ["Late", "Rollout"]
+__all__ = ["ANY_OTHER", "Late", "Rollout"]
 
+ANY_OTHER = "*"
 KEEP_OLD_SECONDS = 600
 
 
@@ -23,9 +24,11 @@
 class Rollout(resource.Resource):
     """Version ``new`` of ``service`` takes over from ``old``.
 
-    Versions are values of the target label ``version``. Traffic starts
+    Versions are values of the target label ``version``; ``old`` may be
+    ``*``, every version but ``new``. Traffic starts
     to move at ``start`` and has moved completely at ``deadline``.
     ``aborted_by`` names the operator who ended it, or is empty.
+    ``revision`` is that of the order which the rollout came from, or 0.
 
     Options: ``keep_old_seconds`` (default 600), how long after the last
     step the old version must stay ready to take everything back;
@@ -45,6 +48,17 @@
     aborted_by: str = ""
     keep_old_seconds: int = KEEP_OLD_SECONDS
     late: Late = Late.TAKE_BACK
+    revision: int = 0
+
+    def is_old(self, version: str) -> bool:
+        """Tell whether ``version`` is what ``new`` takes over from."""
+        if self.old == ANY_OTHER:
+            return version != self.new
+        return version == self.old
+
+    def names(self, version: str) -> bool:
+        """Tell whether the rollout is about ``version``."""
+        return version == self.new or self.is_old(version)
 
     @property
     def keep_old(self) -> datetime.timedelta:
@@ -56,7 +70,8 @@
 
     def problems(self) -> list[str]:
         found = super().problems()
-        found += resource.check_name("old", self.old)
+        if self.old != ANY_OTHER:
+            found += resource.check_name("old", self.old)
         found += resource.check_name("new", self.new)
         if self.old == self.new:
             found.append(f"old and new are both {self.old!r}")
--- a/packages/core/src/balsamramp_core/resources/service.py
+++ b/packages/core/src/balsamramp_core/resources/service.py
@@ -12,10 +12,25 @@
     """A service known to the mesh.
 
     ``idempotent_methods`` lists the HTTP methods whose calls may be
-    repeated without harm.
+    repeated without harm. A target that has just started is cold for
+    ``warm_up_seconds`` and then bears only ``warm_up_rate`` calls a
+    second; a rate of 0 sets no bound. ``connections_max`` is how many
+    connections a target takes from its node.
     """
 
     kind = "service"
     aliases = ("services", "svc")
 
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    warm_up_seconds: float = 0.0
+    warm_up_rate: float = 0.0
+    connections_max: int = 100
+
+    def problems(self) -> list[str]:
+        found = super().problems()
+        for field in ("warm_up_seconds", "warm_up_rate"):
+            if getattr(self, field) < 0:
+                found.append(f"{field} is {getattr(self, field)}")
+        if self.connections_max < 1:
+            found.append(f"connections_max is {self.connections_max}")
+        return found
--- a/packages/core/src/balsamramp_core/settings.py
+++ b/packages/core/src/balsamramp_core/settings.py
@@ -29,6 +29,7 @@
 Value = str | int | float | bool | datetime.timedelta | tuple[str, ...]
 
 KINDS = {
+    "address": "address host:port",
     "addresses": "addresses host:port, separated by commas",
     "bool": "true or false",
     "duration": "number",
@@ -283,6 +284,11 @@
     return Address(_host(host), int(port))
 
 
+def _address(given: str) -> str:
+    parse_address(given)
+    return given
+
+
 def _addresses(given: str) -> tuple[str, ...]:
     parts = _list(given)
     for part in parts:
@@ -345,6 +351,7 @@
 
 
 CHECKS: abc.Mapping[str, abc.Callable[[str], Value]] = {
+    "address": _address,
     "addresses": _addresses,
     "bool": _convert_bool,
     "file": _file,
--- a/packages/core/src/balsamramp_core/verdict.py
+++ b/packages/core/src/balsamramp_core/verdict.py
@@ -42,10 +42,12 @@
     """A request without an answer, and whether it may have run.
 
     ``retry_after`` is the shortest wait before another attempt makes
-    sense, or None when the sender has no advice.
+    sense, or None when the sender has no advice. ``offered`` tells that
+    bytes of the request were sent to a target, which may have refused it.
     """
 
     verdict: Verdict
     reason: Reason
     message: str
     retry_after: datetime.timedelta | None = None
+    offered: bool = False
--- a/packages/node/src/balsamramp_node/calls/calls.py
+++ b/packages/node/src/balsamramp_node/calls/calls.py
@@ -15,6 +15,7 @@
 from balsamramp_node.calls import call_transport
 from balsamramp_node.calls import picker
 from balsamramp_node.calls import router
+from balsamramp_node.calls import submission
 from balsamramp_node.door import door
 from balsamramp_node.door import key_ledger
 from balsamramp_wire import messages
@@ -70,13 +71,11 @@
         counters: metrics.Metrics,
         call_prefix: str = "",
     ) -> None:
-        self._node = node
+        self._submission = submission.Submission(node, local_door, streams)
         self._call_prefix = call_prefix or f"{uuid.uuid4().hex}-"
         self._call_numbers = itertools.count()
         self._router = routes
         self._picker = targets
-        self._door = local_door
-        self._streams = streams
         self._keys = keys
         self._clock = time
         self._metrics = counters
@@ -176,10 +175,7 @@
         stats = chosen.stats
         stats.start(started)
         try:
-            if chosen.member.node == self._node:
-                reply = await self._submit_locally(message)
-            else:
-                reply = await self._streams.call(chosen.member.stream, message)
+            reply = await self._submission.submit(message, chosen)
         except asyncio.CancelledError:
             stats.give_up()
             raise
@@ -187,15 +183,6 @@
         stats.finish(now, now - started, _sign_of(reply), reply.load)
         return reply
 
-    async def _submit_locally(
-        self, message: messages.CallRequest
-    ) -> call_transport.Reply:
-        try:
-            return await self._door.submit(message)
-        except asyncio.CancelledError:
-            self._door.cancel(message.call_id, message.target)
-            raise
-
 
 @attrs.define(kw_only=True)
 class _Call:
--- a/packages/node/src/balsamramp_node/calls/peer_stream.py
+++ b/packages/node/src/balsamramp_node/calls/peer_stream.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import datetime
+import itertools
+
+import attrs
 
 from balsamramp_core import clock
 from balsamramp_core import metrics
@@ -10,38 +13,51 @@
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
-__all__ = ["PeerStream"]
+__all__ = ["QUICK", "PeerStream", "Silence"]
 
-CHECK_INTERVAL = datetime.timedelta(milliseconds=25)
-PING_AFTER = datetime.timedelta(milliseconds=50)
-SUSPECT_AFTER = datetime.timedelta(milliseconds=100)
-SILENT_AFTER = datetime.timedelta(milliseconds=200)
 REPLY_GRACE = datetime.timedelta(milliseconds=10)
 
 _Waiting = asyncio.Future[call_transport.Reply | None]
 
 
-class PeerStream:
-    """Sends calls to one node and watches that the connection lives.
+@attrs.frozen(kw_only=True)
+class Silence:
+    """When a connection counts as silent.
 
-    While calls wait and no byte has come for ``PING_AFTER``, a ping is
-    sent. A connection that stays without a byte for ``SUSPECT_AFTER``
-    from then on takes no further calls, and after ``SILENT_AFTER`` it
-    is closed.
+    While calls wait and no byte has come for ``ping_after``, a ping is
+    sent. A connection that stays without a byte for ``suspect_after``
+    from then on takes no further calls, and after ``silent_after`` it
+    is closed. This is looked at once in ``check_interval``.
     """
 
+    check_interval: datetime.timedelta = datetime.timedelta(milliseconds=25)
+    ping_after: datetime.timedelta = datetime.timedelta(milliseconds=50)
+    suspect_after: datetime.timedelta = datetime.timedelta(milliseconds=100)
+    silent_after: datetime.timedelta = datetime.timedelta(milliseconds=200)
+
+
+QUICK = Silence()
+
+
+class PeerStream:
+    """Sends calls to one node and watches that the connection lives."""
+
     def __init__(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         time: clock.Clock,
         counters: metrics.Metrics,
+        silence: Silence = QUICK,
     ) -> None:
+        self._silence = silence
         self._reader = reader
         self._writer = writer
         self._clock = time
         self._metrics = counters
         self._waiting: dict[str, _Waiting] = {}
+        self._asked: dict[int, asyncio.Future[messages.ControlAnswer]] = {}
+        self._numbers = itertools.count(1)
         self._closed = False
         self._heard_at = time.monotonic()
         self._pings = 0
@@ -59,7 +75,10 @@
         """Tell whether the connection may have gone silent."""
         if self._pinged_at is None:
             return False
-        return self._clock.monotonic() - self._pinged_at >= SUSPECT_AFTER
+        return (
+            self._clock.monotonic() - self._pinged_at
+            >= self._silence.suspect_after
+        )
 
     @property
     def usable(self) -> bool:
@@ -92,6 +111,31 @@
         finally:
             self._waiting.pop(request.call_id, None)
 
+    async def ask(
+        self, method: str, body: bytes, timeout: datetime.timedelta
+    ) -> messages.ControlAnswer | None:
+        """Send a control request and wait for its answer.
+
+        Returns None when the connection was lost before the answer, and
+        raises TimeoutError when there was none within ``timeout``.
+        """
+        number = next(self._numbers)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[messages.ControlAnswer] = loop.create_future()
+        self._asked[number] = future
+        call = messages.ControlCall(number, method, body)
+        self._writer.write(frames.encode(call))
+        self._watch()
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await future
+        except asyncio.CancelledError:
+            if self._closed and future.cancelled():
+                return None
+            raise
+        finally:
+            self._asked.pop(number, None)
+
     async def close(self) -> None:
         """Close the connection; calls on it end without an answer."""
         self._reading.cancel()
@@ -107,13 +151,7 @@
         try:
             while True:
                 message = await frames.read(self._reader, self._hear)
-                if not isinstance(
-                    message, messages.CallAnswer | messages.CallFailure
-                ):
-                    continue
-                future = self._waiting.get(message.call_id)
-                if future is not None and not future.done():
-                    future.set_result(message)
+                self._take(message)
         except (
             asyncio.IncompleteReadError,
             ConnectionError,
@@ -123,6 +161,17 @@
         finally:
             self._end()
 
+    def _take(self, message: object) -> None:
+        if isinstance(message, messages.CallAnswer | messages.CallFailure):
+            future = self._waiting.get(message.call_id)
+            if future is not None and not future.done():
+                future.set_result(message)
+            return
+        if isinstance(message, messages.ControlAnswer):
+            asked = self._asked.get(message.number)
+            if asked is not None and not asked.done():
+                asked.set_result(message)
+
     def _hear(self) -> None:
         self._heard_at = self._clock.monotonic()
         self._pinged_at = None
@@ -133,6 +182,8 @@
         for future in self._waiting.values():
             if not future.done():
                 future.set_result(None)
+        for asked in self._asked.values():
+            asked.cancel()
 
     def _watch(self) -> None:
         if self._watching is None or self._watching.done():
@@ -140,14 +191,14 @@
             self._watching = asyncio.create_task(self._check())
 
     async def _check(self) -> None:
-        while self._waiting and not self._closed:
-            await self._clock.sleep(CHECK_INTERVAL)
+        while (self._waiting or self._asked) and not self._closed:
+            await self._clock.sleep(self._silence.check_interval)
             now = self._clock.monotonic()
             if self._pinged_at is None:
-                if now - self._heard_at >= PING_AFTER:
+                if now - self._heard_at >= self._silence.ping_after:
                     self._ping(now)
                 continue
-            if now - self._pinged_at >= SILENT_AFTER:
+            if now - self._pinged_at >= self._silence.silent_after:
                 self._metrics.count("silent_connections_total")
                 self._reading.cancel()
                 return
--- a/packages/node/src/balsamramp_node/calls/picker.py
+++ b/packages/node/src/balsamramp_node/calls/picker.py
@@ -11,7 +11,14 @@
 
 from balsamramp_wire import messages
 
-__all__ = ["Candidate", "Sign", "TargetPicker", "TargetStats"]
+__all__ = [
+    "ANY_TERMS",
+    "Candidate",
+    "Sign",
+    "TargetPicker",
+    "TargetStats",
+    "Terms",
+]
 
 FAILURES_TO_EJECT = 5
 EJECTION_MIN = datetime.timedelta(seconds=1)
@@ -27,6 +34,7 @@
     ANSWERED = "answered"
     REFUSED = "refused"
     FAILED = "failed"
+    UNREACHABLE = "unreachable"
 
 
 @attrs.define
@@ -34,7 +42,8 @@
     """What this node knows of a target from its own calls to it.
 
     ``in_flight`` counts the calls of this node; ``load`` is the last
-    load that the target's node sent along with an answer. ``latency``
+    load that the target's node sent along with an answer, at ``load_at``
+    and with ``in_flight_then`` calls of this node. ``latency``
     is a mean that rises at once with a slow answer and falls slowly.
     ``ejected_until`` is set while the target's calls fail in a row;
     after that time one call at a time tries it.
@@ -42,6 +51,8 @@
 
     in_flight: int = 0
     load: messages.Load | None = None
+    load_at: datetime.timedelta = datetime.timedelta()
+    in_flight_then: int = 0
     failures_in_row: int = 0
     latency: datetime.timedelta = datetime.timedelta()
     latency_at: datetime.timedelta = datetime.timedelta()
@@ -67,9 +78,14 @@
         self.in_flight -= 1
         if load.limit:
             self.load = load
+            self.load_at = now
+            self.in_flight_then = self.in_flight
         if sign is Sign.REFUSED:
             self.refused_at = now
             return
+        if sign is Sign.UNREACHABLE:
+            self.ejected_until = now + EJECTION_MIN
+            return
         self._note_latency(now, latency)
         if sign is Sign.ANSWERED:
             self.failures_in_row = 0
@@ -112,6 +128,19 @@
     stats: TargetStats
 
 
+@attrs.frozen(kw_only=True)
+class Terms:
+    """What a call asks of the target that is picked.
+
+    ``large`` tells that its answer is big, so that the way matters.
+    """
+
+    large: bool = False
+
+
+ANY_TERMS = Terms()
+
+
 class TargetPicker(abc.ABC):
     """Picks one of the targets that match a call.
 
@@ -131,5 +160,6 @@
         self,
         candidates: collections_abc.Sequence[Candidate],
         now: datetime.timedelta,
+        terms: Terms = ANY_TERMS,
     ) -> Candidate:
         """Return one of ``candidates``, of which there is at least one."""
--- a/packages/node/src/balsamramp_node/calls/pickers/__init__.py
+++ b/packages/node/src/balsamramp_node/calls/pickers/__init__.py
@@ -1,6 +1,7 @@
 """The target pickers, looked up by name."""
 
 from balsamramp_node.calls import picker
+from balsamramp_node.calls.pickers import expected_finish
 from balsamramp_node.calls.pickers import least_of_two
 from balsamramp_node.calls.pickers import round_robin
 from balsamramp_node.calls.pickers import zone_first
@@ -10,6 +11,7 @@
 PICKERS: dict[str, type[picker.TargetPicker]] = {
     item.name: item
     for item in (
+        expected_finish.ExpectedFinish,
         least_of_two.LeastOfTwo,
         round_robin.RoundRobin,
         zone_first.ZoneFirst,
--- a/packages/node/src/balsamramp_node/calls/pickers/least_of_two.py
+++ b/packages/node/src/balsamramp_node/calls/pickers/least_of_two.py
@@ -18,6 +18,7 @@
         self,
         candidates: abc.Sequence[picker.Candidate],
         now: datetime.timedelta,
+        terms: picker.Terms = picker.ANY_TERMS,
     ) -> picker.Candidate:
         if len(candidates) == 1:
             return candidates[0]
--- a/packages/node/src/balsamramp_node/calls/pickers/round_robin.py
+++ b/packages/node/src/balsamramp_node/calls/pickers/round_robin.py
@@ -23,6 +23,7 @@
         self,
         candidates: abc.Sequence[picker.Candidate],
         now: datetime.timedelta,
+        terms: picker.Terms = picker.ANY_TERMS,
     ) -> picker.Candidate:
         self._next += 1
         return candidates[self._next % len(candidates)]
--- a/packages/node/src/balsamramp_node/calls/pickers/zone_first.py
+++ b/packages/node/src/balsamramp_node/calls/pickers/zone_first.py
@@ -31,6 +31,7 @@
         self,
         candidates: abc.Sequence[picker.Candidate],
         now: datetime.timedelta,
+        terms: picker.Terms = picker.ANY_TERMS,
     ) -> picker.Candidate:
         if len(candidates) == 1:
             return candidates[0]
--- a/packages/node/src/balsamramp_node/calls/router.py
+++ b/packages/node/src/balsamramp_node/calls/router.py
@@ -13,6 +13,7 @@
 from balsamramp_core import resource
 from balsamramp_core import verdict
 from balsamramp_core.resources import alias
+from balsamramp_core.resources import entry
 from balsamramp_core.resources import labels
 from balsamramp_core.resources import route
 from balsamramp_core.resources import service
@@ -61,6 +62,8 @@
         self._routes: dict[str, list[route.Route]] = {}
         self._route_services: dict[str, str] = {}
         self._labels: dict[str, dict[str, str]] = {}
+        self._entries: dict[str, dict[str, entry.Entry]] = {}
+        self._entry_places: dict[str, tuple[str, str]] = {}
         self._unknown: dict[str, int] = {}
         self._stats: dict[str, picker.TargetStats] = {}
         self._generation = -1
@@ -82,13 +85,7 @@
     ) -> result.Result[Resolved, verdict.Failure]:
         """Return the service called ``name`` and its route for ``path``."""
         if not self._configurations.in_service:
-            return result.Failure(
-                verdict.Failure(
-                    verdict.Verdict.NOT_RUN,
-                    verdict.Reason.NOT_READY,
-                    "this node has no configuration vouched for yet",
-                )
-            )
+            return result.Failure(_not_ready())
         found = self._services.get(self._aliases.get(name, name))
         if found is None:
             return result.Failure(self._unknown_name(name))
@@ -103,6 +100,34 @@
             )
         )
 
+    def resolve_entry(
+        self, host: str, path: str
+    ) -> result.Result[entry.Entry, verdict.Failure]:
+        """Return the entry of ``host`` with the longest matching prefix.
+
+        A port behind the host's name plays no part.
+        """
+        if not self._configurations.in_service:
+            return result.Failure(_not_ready())
+        prefixes = self._entries.get(host.partition(":")[0].lower(), {})
+        end = len(path)
+        while end > 0:
+            end = path.rfind("/", 0, end)
+            found = prefixes.get(path[: end + 1])
+            if found is not None:
+                return result.Success(found)
+        return result.Failure(
+            verdict.Failure(
+                verdict.Verdict.NOT_RUN,
+                verdict.Reason.UNKNOWN_SERVICE,
+                f"no entry of host {host!r} for this path",
+            )
+        )
+
+    def service(self, name: str) -> service.Service | None:
+        """Return the service called ``name``, if it is configured."""
+        return self._services.get(name)
+
     def route_name(self, name: str, path: str) -> str:
         """Return the name of the route of service ``name`` for ``path``."""
         for item in self._routes.get(name, ()):
@@ -120,9 +145,21 @@
         return take only their part of the calls unless no other has a
         target.
         """
-        matching = self._candidates(resolved, call_id, retried)
+        return self.targets_of(
+            resolved.service.name, resolved.route.selector, call_id, retried
+        )
+
+    def targets_of(
+        self,
+        name: str,
+        selector: abc.Mapping[str, str],
+        call_id: str,
+        retried: bool = False,
+    ) -> list[picker.Candidate]:
+        """Return the targets of a service as ``candidates`` does."""
+        matching = self._candidates(name, selector, call_id, retried)
         if not matching:
-            matching = self._candidates(resolved, call_id, not retried)
+            matching = self._candidates(name, selector, call_id, not retried)
         admitted = [
             candidate
             for candidate in matching
@@ -131,21 +168,23 @@
         return admitted or matching
 
     def _candidates(
-        self, resolved: Resolved, call_id: str, retried: bool
+        self,
+        name: str,
+        selector: abc.Mapping[str, str],
+        call_id: str,
+        retried: bool,
     ) -> list[picker.Candidate]:
         if self._generation != self._members.generation:
             self._index()
         matching = []
-        for candidate in self._by_service.get(resolved.service.name, ()):
+        for candidate in self._by_service.get(name, ()):
             if candidate.member.zone in self._zones.out:
                 continue
             seen = self.effective_labels(candidate.record)
-            if not _matches(resolved.route.selector, seen):
+            if not _matches(selector, seen):
                 continue
             version = seen.get("version", "")
-            if not self._rollouts.allowed(
-                resolved.service.name, version, call_id, retried
-            ):
+            if not self._rollouts.allowed(name, version, call_id, retried):
                 continue
             matching.append(candidate)
         return matching
@@ -185,9 +224,26 @@
                 _put(self._labels, key.name, given)
             elif key.kind == zone.Zone.kind:
                 self._zones.put(key.name, typing.cast(zone.Zone, item))
+            elif key.kind == entry.Entry.kind:
+                self._put_entry(key.name, typing.cast(entry.Entry, item))
             elif key.kind == route.Route.kind:
                 self._put_route(key.name, typing.cast(route.Route, item))
 
+    def _put_entry(self, name: str, item: entry.Entry | None) -> None:
+        previous = self._entry_places.pop(name, None)
+        if previous is not None:
+            host, prefix = previous
+            known = self._entries[host].get(prefix)
+            if known is not None and known.name == name:
+                del self._entries[host][prefix]
+            if not self._entries[host]:
+                del self._entries[host]
+        if item is None:
+            return
+        host = item.host.lower()
+        self._entry_places[name] = (host, item.path_prefix)
+        self._entries.setdefault(host, {})[item.path_prefix] = item
+
     def _put_route(self, name: str, item: route.Route | None) -> None:
         previous = self._route_services.pop(name, None)
         if previous is not None:
@@ -231,6 +287,14 @@
         )
 
 
+def _not_ready() -> verdict.Failure:
+    return verdict.Failure(
+        verdict.Verdict.NOT_RUN,
+        verdict.Reason.NOT_READY,
+        "this node has no configuration vouched for yet",
+    )
+
+
 def _put(items: dict[str, typing.Any], name: str, item: typing.Any) -> None:
     if item is None:
         items.pop(name, None)
--- a/packages/node/src/balsamramp_node/calls/stream_client.py
+++ b/packages/node/src/balsamramp_node/calls/stream_client.py
@@ -52,7 +52,9 @@
         time: clock.Clock,
         counters: metrics.Metrics,
         connect: Connect = connect_tcp,
+        silence: peer_stream.Silence = peer_stream.QUICK,
     ) -> None:
+        self._silence = silence
         self._connect = connect
         self._hello = hello
         self._clock = time
@@ -81,6 +83,21 @@
         finally:
             self._repeating -= 1
 
+    async def ask(
+        self,
+        peer: settings.Address,
+        method: str,
+        body: bytes,
+        timeout: datetime.timedelta,
+    ) -> messages.ControlAnswer | None:
+        """Send a control request; None when the connection was lost.
+
+        Raises OSError or TimeoutError when the peer is not reached or
+        does not answer in time.
+        """
+        stream = await self._stream(peer, timeout)
+        return await stream.ask(method, body, timeout)
+
     def dump(self) -> abc.Mapping[str, typing.Any]:
         return {
             str(peer): {"closed": stream.closed, "silent": stream.suspect}
@@ -140,7 +157,7 @@
         writer.write(frames.encode(hello))
         self._metrics.count("stream_connects_total")
         stream = peer_stream.PeerStream(
-            reader, writer, self._clock, self._metrics
+            reader, writer, self._clock, self._metrics, self._silence
         )
         self._streams[peer] = stream
         return stream
--- /dev/null
+++ b/packages/node/src/balsamramp_node/calls/submission.py
@@ -0,0 +1,39 @@
+"""Submission: hands a call to the node of the target that was picked."""
+
+import asyncio
+
+from balsamramp_node.calls import call_transport
+from balsamramp_node.calls import picker
+from balsamramp_node.door import door
+from balsamramp_wire import messages
+
+__all__ = ["Submission"]
+
+
+class Submission:
+    """Reaches the own door directly and others over a stream."""
+
+    def __init__(
+        self,
+        node: str,
+        local: door.Door,
+        streams: call_transport.CallTransport,
+    ) -> None:
+        self._node = node
+        self._door = local
+        self._streams = streams
+
+    async def submit(
+        self, message: messages.CallRequest, chosen: picker.Candidate
+    ) -> call_transport.Reply:
+        """Return the reply of the door in front of ``chosen``.
+
+        When cancelled, the call is cancelled at the door too.
+        """
+        if chosen.member.node != self._node:
+            return await self._streams.call(chosen.member.stream, message)
+        try:
+            return await self._door.submit(message)
+        except asyncio.CancelledError:
+            self._door.cancel(message.call_id, message.target)
+            raise
--- a/packages/node/src/balsamramp_node/configuration/distribution.py
+++ b/packages/node/src/balsamramp_node/configuration/distribution.py
@@ -16,8 +16,8 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
+from balsamramp_node.configuration import intent_reader
 from balsamramp_node.configuration import serve_budget
-from balsamramp_node.configuration import source
 from balsamramp_node.configuration import store
 from balsamramp_node.configuration import tree
 from balsamramp_node.membership import member_list
@@ -55,7 +55,7 @@
         members: member_list.MemberList,
         transport: peer_transport.PeerTransport,
         configurations: store.ConfigurationStore,
-        reader: source.ConfigurationSource,
+        reader: intent_reader.IntentReader,
         budget: serve_budget.ServeBudget,
         time: clock.Clock,
         counters: metrics.Metrics,
--- a/packages/node/src/balsamramp_node/configuration/reader_lease.py
+++ b/packages/node/src/balsamramp_node/configuration/reader_lease.py
@@ -24,6 +24,7 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import platform
+from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
 from balsamramp_node.membership import member_list
 
@@ -57,7 +58,7 @@
     return f"readers/{zone}/{slot}"
 
 
-class ReaderLease(kernel.Service):
+class ReaderLease(kernel.Service, read_age.ReadAge):
     """Takes, renews and gives up one slot of this node's zone.
 
     Only the first few live members of the zone, in an order of hashes,
@@ -86,7 +87,7 @@
         self._members = members
         self._readiness = ready
         self._table = table
-        self._clock = time
+        read_age.ReadAge.__init__(self, time)
         self._metrics = counters
         self._random = choice
         self._slot: int | None = None
@@ -96,7 +97,6 @@
         self._watched: dict[int, _Watched] = {}
         self._taken = asyncio.Event()
         self._started_at = datetime.timedelta()
-        self._heard_at: datetime.timedelta | None = None
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -121,19 +121,6 @@
             self._taken.clear()
             await self._taken.wait()
 
-    @property
-    def read_age(self) -> datetime.timedelta | None:
-        """Return how long ago a reader read the platform, if known."""
-        if self._heard_at is None:
-            return None
-        return self._clock.monotonic() - self._heard_at
-
-    def note_heard(self, age: datetime.timedelta) -> None:
-        """Note that some reader read the platform ``age`` ago."""
-        at = self._clock.monotonic() - age
-        if self._heard_at is None or at > self._heard_at:
-            self._heard_at = at
-
     async def start(self) -> None:
         self._started_at = self._clock.monotonic()
         self._task = asyncio.create_task(self._run())
--- a/packages/node/src/balsamramp_node/configuration/readiness.py
+++ b/packages/node/src/balsamramp_node/configuration/readiness.py
@@ -21,7 +21,12 @@
     name = "readiness"
     requires = ("configuration",)
 
-    def __init__(self, configurations: store.ConfigurationStore) -> None:
+    def __init__(
+        self,
+        configurations: store.ConfigurationStore,
+        any_zone_vouches: bool = False,
+    ) -> None:
+        self._any_zone_vouches = any_zone_vouches
         self._store = configurations
         self._peers_tried = asyncio.Event()
         self._platform_vouches = False
@@ -49,6 +54,15 @@
         self._needed_version = max(self._needed_version, version)
         self._check()
 
+    def note_far_peer(self, version: int) -> None:
+        """Note the same of a node of another zone.
+
+        It counts only where versions have one order that no zone can
+        depart from while it is cut off.
+        """
+        if self._any_zone_vouches:
+            self.note_zone_peer(version)
+
     def _check(self) -> None:
         if self._store.in_service:
             return
--- a/packages/node/src/balsamramp_node/configuration/source.py
+++ b/packages/node/src/balsamramp_node/configuration/source.py
@@ -12,10 +12,10 @@
 
 from balsamramp_core import clock
 from balsamramp_core import configuration
-from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import platform
 from balsamramp_node.configuration import accepted_log
+from balsamramp_node.configuration import intent_reader
 from balsamramp_node.configuration import reader_lease
 from balsamramp_node.configuration import readiness
 from balsamramp_node.configuration import store
@@ -47,7 +47,7 @@
     REFUSED = "refused"
 
 
-class ConfigurationSource(kernel.Service):
+class ConfigurationSource(intent_reader.IntentReader):
     """Polls the head of the log and offers what is new to the store.
 
     Only nodes that hold a reader lease of their zone poll. A log found
@@ -57,7 +57,6 @@
     versions in force.
     """
 
-    name = "source"
     requires = ("configuration", "reader-lease", "readiness")
 
     def __init__(
--- a/packages/node/src/balsamramp_node/door/admission.py
+++ b/packages/node/src/balsamramp_node/door/admission.py
@@ -11,12 +11,14 @@
 class Outcome(enum.Enum):
     """How a call ended, as far as the limit is concerned.
 
+    ERROR is a call that the target answered with a failure of its own.
     FAILED is a call for which the target took no connection, CUT one
     that it began and did not finish, and CANCELLED one that was ended
     from outside, by its caller or its deadline.
     """
 
     ANSWERED = "answered"
+    ERROR = "error"
     SHED = "shed"
     FAILED = "failed"
     CUT = "cut"
--- a/packages/node/src/balsamramp_node/door/door.py
+++ b/packages/node/src/balsamramp_node/door/door.py
@@ -30,9 +30,10 @@
 DRAIN_CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
 DRAIN_TIMEOUT = datetime.timedelta(seconds=10)
 SHED_STATUSES = frozenset([429, 503])
+STATUS_ERROR_MIN = 500
 NO_AGE = datetime.timedelta()
 
-LimitMaker = abc.Callable[[], admission.AdmissionLimit]
+GateMaker = abc.Callable[[targets.Announcement], gate.Gate]
 
 
 class Door(kernel.Service):
@@ -50,7 +51,7 @@
         self,
         incarnation: int,
         local: targets.LocalTargets,
-        make_limit: LimitMaker,
+        make_gate: GateMaker,
         time: clock.Clock,
         counters: metrics.Metrics,
         client: target_client.TargetClient,
@@ -60,7 +61,7 @@
     ) -> None:
         self._incarnation = incarnation
         self._targets = local
-        self._make_limit = make_limit
+        self._make_gate = make_gate
         self._clock = time
         self._metrics = counters
         self._client = client
@@ -140,13 +141,17 @@
         if known.task is not None:
             known.task.cancel()
 
+    def assume_cold(self, target: str = "") -> None:
+        """Treat ``target``, or all targets, as cold until they say so."""
+        for name, found in self._gates.items():
+            if target in ("", name):
+                found.assume_cold()
+
     def dump(self) -> abc.Mapping[str, typing.Any]:
         shown: dict[str, typing.Any] = {"remembered_calls": len(self._journal)}
         for target, found in sorted(self._gates.items()):
-            shown[target] = {
-                "in_flight": found.in_flight,
-                "limit": found.limit.limit,
-            }
+            load = found.load()
+            shown[target] = {"in_flight": load.in_flight, "limit": load.limit}
         return shown
 
     async def wait_until_idle(self) -> None:
@@ -181,14 +186,10 @@
         condemned = self._watch.refusal(target)
         if condemned is not None:
             return condemned
-        found = self._gate(target)
-        if found.refuses(left):
+        full = self._gate(target).refusal(request, left)
+        if full is not None:
             self._watch.refused(request, target)
-            return _not_run(
-                verdict.Reason.OVERLOADED,
-                f"target {request.target} has no free slot",
-                found.wait,
-            )
+            return full
         if self._journal.full:
             return _not_run(
                 verdict.Reason.OVERLOADED, "too many calls to remember"
@@ -219,19 +220,16 @@
         announcement = target.announcement
         found = self._gates.get(announcement.target)
         if found is None:
-            found = gate.Gate(
-                self._make_limit(), announcement.instance, self._clock
-            )
+            found = self._make_gate(announcement)
             self._gates[announcement.target] = found
-        if found.instance != announcement.instance:
-            found.replace_target(announcement.instance)
+        found.announce(announcement)
         return found
 
     def _load(self, target: str) -> messages.Load:
         found = self._gates.get(target)
         if found is None:
             return messages.Load(0, 0)
-        return messages.Load(found.in_flight, found.limit.limit)
+        return found.load()
 
     async def _run(
         self, request: messages.CallRequest, left: datetime.timedelta
@@ -266,13 +264,9 @@
             return self._refuse_unrecorded(request, failure)
         assert target is not None
         entered = self._gate(target)
-        if not await entered.enter(deadline):
+        failure = await entered.enter(request, deadline)
+        if failure is not None:
             self._watch.refused(request, target)
-            failure = _not_run(
-                verdict.Reason.OVERLOADED,
-                f"no slot of target {request.target} came free",
-                entered.wait,
-            )
             return self._refuse_unrecorded(request, failure)
         target = self._targets.find(request.target)
         failure = _unready(request.target, target)
@@ -302,7 +296,7 @@
             outcome = _outcome(called)
         finally:
             latency = self._clock.monotonic() - started
-            entered.finish(latency, outcome)
+            entered.finish(request, latency, outcome)
             self._watch.finished(request, target, called, outcome, latency)
             self._metrics.count("target_calls_total", outcome=outcome.value)
         if isinstance(called, result.Failure):
@@ -366,8 +360,11 @@
 ) -> admission.Outcome:
     if isinstance(called, result.Failure):
         return _failed_outcome(called.failure())
-    if called.unwrap().status in SHED_STATUSES:
+    status = called.unwrap().status
+    if status in SHED_STATUSES:
         return admission.Outcome.SHED
+    if status >= STATUS_ERROR_MIN:
+        return admission.Outcome.ERROR
     return admission.Outcome.ANSWERED
 
 
--- /dev/null
+++ b/packages/node/src/balsamramp_node/door/orders/worth.py
@@ -0,0 +1,47 @@
+"""Worth: calls whose answers are worth most go first."""
+
+import datetime
+
+from balsamramp_node.door import queue_order
+
+__all__ = ["WorthOrder"]
+
+# Part of the time left for which a call that will be late waits. Beyond it
+# the caller does better to come back than to wait for a slot that may not
+# come free.
+LATE_PATIENCE = 0.3
+
+
+class WorthOrder(queue_order.QueueOrder):
+    """Answers a load above capacity, in which not every call is served.
+
+    Calls that targets make go first: the call that made them holds a slot
+    elsewhere, and its work is lost if they fail. Then by priority, then
+    those that can still meet their objective before those that can't, so
+    that a burst makes some calls late instead of all. Among equals the
+    nearest objective goes first.
+
+    A call waits while its objective can be met. One that will be late
+    waits for a part of its time and then is told to come back.
+    """
+
+    name = "worth"
+    doc = "calls by targets, priority, on time before late, objective"
+
+    def rank(
+        self, waiter: queue_order.Waiter, now: datetime.timedelta
+    ) -> queue_order.Rank:
+        return (
+            not waiter.from_target,
+            waiter.priority,
+            not waiter.is_on_time(now),
+            waiter.objective_at.total_seconds(),
+            waiter.number,
+        )
+
+    def patience(
+        self, waiter: queue_order.Waiter, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        latest = waiter.objective_at - waiter.service
+        left = waiter.deadline - waiter.service - now
+        return max(latest - now, left * LATE_PATIENCE)
--- a/packages/node/src/balsamramp_node/door/stream_server.py
+++ b/packages/node/src/balsamramp_node/door/stream_server.py
@@ -10,6 +10,7 @@
 from balsamramp_core import kernel
 from balsamramp_core import metrics
 from balsamramp_core import settings
+from balsamramp_node.door import control_server
 from balsamramp_node.door import door
 from balsamramp_wire import frames
 from balsamramp_wire import messages
@@ -62,8 +63,10 @@
         time: clock.Clock,
         counters: metrics.Metrics,
         security: ssl.SSLContext | None = None,
+        control: control_server.ControlServer | None = None,
     ) -> None:
         self._hello = hello
+        self._control = control
         self._security = security
         self._listen = listen
         self._door = calls
@@ -144,10 +147,34 @@
         if isinstance(message, messages.CallCancel):
             self._door.cancel(message.call_id, message.target)
             return
+        if isinstance(message, messages.ControlCall):
+            self._serve_control(message, connection)
+            return
         if isinstance(message, messages.Ping):
             pong = messages.Pong(message.number)
             connection.writer.write(frames.encode(pong))
 
+    def _serve_control(
+        self, call: messages.ControlCall, connection: _Connection
+    ) -> None:
+        if self._control is None:
+            return
+        task = asyncio.create_task(
+            self._answer_control(self._control, call, connection)
+        )
+        connection.calls.add(task)
+        task.add_done_callback(connection.calls.discard)
+
+    async def _answer_control(
+        self,
+        control: control_server.ControlServer,
+        call: messages.ControlCall,
+        connection: _Connection,
+    ) -> None:
+        answer = await control.serve(call)
+        if not connection.writer.is_closing():
+            connection.writer.write(frames.encode(answer))
+
     async def _answer(
         self, request: messages.CallRequest, connection: _Connection
     ) -> None:
--- a/packages/node/src/balsamramp_node/door/targets.py
+++ b/packages/node/src/balsamramp_node/door/targets.py
@@ -1,6 +1,7 @@
 """Targets: what the targets of this VM announced to the node."""
 
 import asyncio
+import collections
 from collections import abc
 import datetime
 import typing
@@ -18,6 +19,8 @@
 
 __all__ = ["Announcement", "LocalTarget", "LocalTargets"]
 
+# Targets that left, whose late announcements are told apart.
+LEFT_MAX_TARGETS = 64
 EXPIRY_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
@@ -27,6 +30,10 @@
 
     ``instance`` differs for each start of the target, so that a restart
     is seen even when the target comes back within its lease.
+    ``started_ms`` is when that was, in Unix milliseconds, or 0 if not
+    told, and ``sequence`` rises with each announcement of one start, so
+    that late ones are told apart. ``slots`` is how many calls the target
+    runs at once, 0 if not told, and ``cold_for`` how long it stays cold.
     """
 
     target: str
@@ -34,6 +41,10 @@
     url: str
     instance: str = ""
     labels: dict[str, str] = attrs.field(factory=dict)
+    started_ms: int = 0
+    sequence: int = 0
+    slots: int = 0
+    cold_for: datetime.timedelta = datetime.timedelta()
 
     def problems(self) -> list[str]:
         """Return what is wrong with the announcement."""
@@ -44,8 +55,19 @@
         for key, value in sorted(self.labels.items()):
             found += resource.check_name("label key", key)
             found += resource.check_name(f"label {key}", value)
+        for field in ("started_ms", "sequence", "slots"):
+            if getattr(self, field) < 0:
+                found.append(f"{field} is {getattr(self, field)}")
         return found
 
+    def is_later_than(self, other: "Announcement") -> bool:
+        """Tell whether this says something newer of the same target."""
+        if self.started_ms != other.started_ms:
+            return self.started_ms > other.started_ms
+        if self.instance != other.instance:
+            return True
+        return self.sequence >= other.sequence
+
 
 @attrs.define
 class LocalTarget:
@@ -62,6 +84,12 @@
             service=self.announcement.service,
             labels=self.announcement.labels,
             state=self.state,
+            instance=(
+                self.announcement.instance
+                if self.announcement.started_ms
+                else ""
+            ),
+            slots=self.announcement.slots,
         )
 
 
@@ -83,6 +111,8 @@
         self._metrics = counters
         self._lease = lease
         self._targets: dict[str, LocalTarget] = {}
+        self._left: collections.OrderedDict[str, str]
+        self._left = collections.OrderedDict()
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -105,6 +135,11 @@
         found = announcement.problems()
         if found:
             return result.Failure("; ".join(found))
+        stale = self._stale(announcement)
+        if stale:
+            self._metrics.count("announcements_stale_total")
+            return result.Failure(stale)
+        self._replace_earlier(announcement)
         expires_at = self._clock.monotonic() + self._lease
         known = self._targets.get(announcement.target)
         if known is None or known.announcement.instance != (
@@ -115,11 +150,40 @@
             )
             self._targets[announcement.target] = known
             logging.info("target %s announced", announcement.target)
+        if known.state is messages.TargetState.STARTING:
+            known.state = messages.TargetState.READY
         known.announcement = announcement
         known.expires_at = expires_at
         self._publish()
         return result.Success(known)
 
+    def _stale(self, announcement: Announcement) -> str:
+        """Return why an announcement is late, or nothing."""
+        if self._left.get(announcement.target) == announcement.instance:
+            return f"target {announcement.target} has left"
+        for known in self._targets.values():
+            earlier = known.announcement
+            if earlier.target == announcement.target:
+                if announcement.is_later_than(earlier):
+                    continue
+                return f"target {earlier.target} announced something later"
+            if earlier.url != announcement.url or not earlier.started_ms:
+                continue
+            if announcement.started_ms < earlier.started_ms:
+                return f"target {earlier.target} started there later"
+        return ""
+
+    def _replace_earlier(self, announcement: Announcement) -> None:
+        """Withdraw targets whose address ``announcement`` has now."""
+        if not announcement.started_ms:
+            return
+        for target, known in list(self._targets.items()):
+            earlier = known.announcement
+            if target == announcement.target or not earlier.started_ms:
+                continue
+            if earlier.url == announcement.url:
+                self.withdraw(target)
+
     def drain(self, target: str) -> bool:
         """Take no new work for ``target``; False if it is unknown."""
         known = self._targets.get(target)
@@ -132,6 +196,15 @@
         self._publish()
         return True
 
+    def suspend(self, target: str) -> None:
+        """Take no work for ``target`` until its next announcement."""
+        known = self._targets.get(target)
+        if known is None or known.state is not messages.TargetState.READY:
+            return
+        known.state = messages.TargetState.STARTING
+        logging.info("target %s is suspended", target)
+        self._publish()
+
     def drain_all(self) -> None:
         """Take no new work for any target of this VM."""
         for target in list(self._targets):
@@ -142,6 +215,10 @@
         known = self._targets.pop(target, None)
         if known is None:
             return False
+        if known.announcement.started_ms:
+            self._left[target] = known.announcement.instance
+        while len(self._left) > LEFT_MAX_TARGETS:
+            self._left.popitem(last=False)
         logging.info("target %s withdrew", target)
         self._publish()
         return True
--- /dev/null
+++ b/packages/node/src/balsamramp_node/membership/directory.py
@@ -0,0 +1,121 @@
+"""Directory: the addresses of nodes, one row of the table each.
+
+A node writes its row when it starts and takes it away when it stops; what
+changes in between travels from node to node. So the table sees one write
+and one read for each start.
+"""
+
+import asyncio
+import datetime
+import random
+
+from absl import logging
+import attrs
+import msgspec
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import platform
+from balsamramp_core import settings
+from balsamramp_node.membership import address_book
+from balsamramp_node.membership import member_list
+from balsamramp_wire import messages
+
+__all__ = ["Directory"]
+
+PREFIX = "members/"
+READ_MAX_ROWS = 500
+# First and longest wait between tries to write the row.
+RETRY_MIN = datetime.timedelta(milliseconds=200)
+RETRY_MAX = datetime.timedelta(seconds=5)
+# Time between looks for rows of nodes that are gone; they do little harm.
+PRUNE_INTERVAL = datetime.timedelta(seconds=60)
+STOP_TIMEOUT = datetime.timedelta(milliseconds=500)
+
+
+@attrs.frozen(kw_only=True)
+class _Row:
+    address: settings.Address
+    incarnation: int
+
+
+class Directory(kernel.Service, address_book.AddressBook):
+    """Makes this node known, and finds the others at a start."""
+
+    name = "roster"
+    requires = ()
+
+    def __init__(
+        self,
+        own: messages.Member,
+        table: platform.Table,
+        members: member_list.MemberList,
+        time: clock.Clock,
+        choice: random.Random,
+    ) -> None:
+        self._own = own
+        self._table = table
+        self._members = members
+        self._clock = time
+        self._random = choice
+        self._key = f"{PREFIX}{own.zone}/{own.node}"
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT.total_seconds()):
+                await self._commit(self._key, None)
+        except TimeoutError:
+            logging.warning("row %s stays in the directory", self._key)
+
+    async def read(self) -> list[settings.Address]:
+        """Return the control addresses of the other nodes listed."""
+        scanned = await self._table.scan(PREFIX, "", READ_MAX_ROWS)
+        if isinstance(scanned, result.Failure):
+            return []
+        found = []
+        for row in scanned.unwrap():
+            if row.key == self._key:
+                continue
+            try:
+                entry = msgspec.json.decode(row.value, type=_Row)
+            except msgspec.MsgspecError as error:
+                logging.warning("row %s is malformed: %s", row.key, error)
+                continue
+            found.append(entry.address)
+        return found
+
+    async def _run(self) -> None:
+        wait = RETRY_MIN
+        row = _Row(
+            address=self._own.control, incarnation=self._own.incarnation
+        )
+        while not await self._commit(self._key, msgspec.json.encode(row)):
+            await self._clock.sleep(wait * (0.5 + self._random.random()))
+            wait = min(2 * wait, RETRY_MAX)
+        while True:
+            jitter = 0.5 + self._random.random()
+            await self._clock.sleep(PRUNE_INTERVAL * jitter)
+            await self._prune()
+
+    async def _prune(self) -> None:
+        """Drop the rows of gone nodes, if this node is the zone's first."""
+        alive = self._members.alive_in(self._own.zone)
+        if not alive or alive[0].node != self._own.node:
+            return
+        for member in self._members.gone_in(self._own.zone):
+            await self._commit(f"{PREFIX}{member.zone}/{member.node}", None)
+
+    async def _commit(self, key: str, value: bytes | None) -> bool:
+        transaction = platform.Transaction(
+            conditions=(), writes=(platform.Write(key, value),)
+        )
+        committed = await self._table.commit(transaction)
+        return isinstance(committed, result.Success)
--- a/packages/node/src/balsamramp_node/membership/member_list.py
+++ b/packages/node/src/balsamramp_node/membership/member_list.py
@@ -110,6 +110,17 @@
             )
         return found.alive
 
+    def gone_in(self, zone: str) -> list[messages.Member]:
+        """Return the nodes of a zone known to be gone, by name."""
+        found = self._zones.get(zone)
+        if found is None:
+            return []
+        return [
+            found.members[name]
+            for name in sorted(found.members)
+            if found.members[name].state in GONE
+        ]
+
     def alive(self) -> tuple[messages.Member, ...]:
         """Return all nodes not known to be gone, by zone and name."""
         if self._all is None:
--- a/packages/node/src/balsamramp_node/membership/membership.py
+++ b/packages/node/src/balsamramp_node/membership/membership.py
@@ -15,16 +15,16 @@
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_node.configuration import distribution
-from balsamramp_node.configuration import reader_lease
+from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
 from balsamramp_node.configuration import serve_budget
 from balsamramp_node.configuration import store
+from balsamramp_node.membership import address_book
 from balsamramp_node.membership import failure_detector
 from balsamramp_node.membership import member_list
 from balsamramp_node.membership import member_repair
 from balsamramp_node.membership import member_view
 from balsamramp_node.membership import peer_choice
-from balsamramp_node.membership import roster
 from balsamramp_node.membership import zone_contacts
 from balsamramp_node.membership import zone_reports
 from balsamramp_wire import messages
@@ -39,6 +39,9 @@
 CROSS_EXCHANGES = 4
 RETRY_GONE_SHARE = 1 / 8
 ROUNDS_UNTIL_TRIED = 2
+# Rounds after the start in which a node also meets one of those listed, so
+# that nodes which start together become one fleet.
+JOIN_ROUNDS = 8
 
 
 class Membership(kernel.Service):
@@ -62,8 +65,8 @@
         configurations: store.ConfigurationStore,
         changes: distribution.Distribution,
         ready: readiness.Readiness,
-        lease: reader_lease.ReaderLease,
-        addresses: roster.Roster,
+        age: read_age.ReadAge,
+        addresses: address_book.AddressBook,
         reports: zone_reports.ZoneReports,
         contacts: zone_contacts.ZoneContacts,
         budget: serve_budget.ServeBudget,
@@ -78,7 +81,7 @@
         self._store = configurations
         self._distribution = changes
         self._readiness = ready
-        self._lease = lease
+        self._age = age
         self._roster = addresses
         self._reports = reports
         self._contacts = contacts
@@ -106,6 +109,7 @@
         self._versions: dict[str, int] = {}
         self._gone_at: dict[str, datetime.timedelta] = {}
         self._roster_at = datetime.timedelta()
+        self._listed: list[settings.Address] = []
         self._view = member_view.MemberView(members, contacts, time)
         self._task: asyncio.Task[None] | None = None
         self._put(own)
@@ -247,11 +251,14 @@
         zone_size = len(self._members.alive_in(self._own.zone))
         if self._random.random() < CROSS_EXCHANGES / zone_size:
             reached = await self._exchange_across() or reached
-        if reached and self._random.random() * zone_size > 1:
+        joining = self._rounds < JOIN_ROUNDS
+        if joining and not self._listed:
+            await self._read_addresses()
+        if reached and not joining and self._random.random() * zone_size > 1:
             return True
         if self._random.random() < RETRY_GONE_SHARE:
             await self._exchange_with_gone()
-        seed = self._choice.seed()
+        seed = self._choice.seed(self._listed)
         if seed is not None:
             reached = await self._exchange(seed) or reached
         if not reached:
@@ -275,15 +282,16 @@
             await self._exchange(member.control)
 
     async def _exchange_by_roster(self) -> bool:
-        now = self._clock.monotonic()
-        if now < self._roster_at:
+        if self._clock.monotonic() >= self._roster_at:
+            await self._read_addresses()
+        if not self._listed:
             return False
-        self._roster_at = now + ROSTER_INTERVAL
+        return await self._exchange(self._random.choice(self._listed))
+
+    async def _read_addresses(self) -> None:
+        self._roster_at = self._clock.monotonic() + ROSTER_INTERVAL
         found = await self._roster.read()
-        others = [item for item in found if item != self._own.control]
-        if not others:
-            return False
-        return await self._exchange(self._random.choice(others))
+        self._listed = [item for item in found if item != self._own.control]
 
     def _state(self) -> messages.ConfigurationState:
         current = self._store.current
@@ -291,7 +299,7 @@
             version=current.version,
             digest=distribution.digest_bytes(current.digest),
             in_service=self._store.in_service,
-            read_age=self._lease.read_age,
+            read_age=self._age.read_age,
         )
 
     async def _exchange(self, peer: settings.Address) -> bool:
@@ -330,13 +338,16 @@
         self._versions[said.node] = said.state.version
         self._reports.take_in(said.summaries)
         if said.state.read_age is not None:
-            self._lease.note_heard(said.state.read_age)
+            self._age.note_heard(said.state.read_age)
         if said.zone == self._own.zone:
             self._contacts.take_in(said.contact_ages)
             if said.state.in_service:
                 self._readiness.note_zone_peer(said.state.version)
-        elif self._contacts.note_contact(said.zone):
-            self._view.note_change()
+        else:
+            if self._contacts.note_contact(said.zone):
+                self._view.note_change()
+            if said.state.in_service:
+                self._readiness.note_far_peer(said.state.version)
         sender = self._members.get(said.node)
         address = peer or (sender.control if sender else None)
         if address is not None:
--- a/packages/node/src/balsamramp_node/membership/peer_choice.py
+++ b/packages/node/src/balsamramp_node/membership/peer_choice.py
@@ -65,10 +65,14 @@
         zone = self._random.choice(zones)
         return self._random.choice(self._members.alive_in(zone))
 
-    def seed(self) -> settings.Address | None:
-        """Return the address of a seed other than this node."""
+    def seed(
+        self, listed: abc.Sequence[settings.Address] = ()
+    ) -> settings.Address | None:
+        """Return the address of a seed, or of a node that is listed."""
         own = self._members.get(self._node)
         addresses = [
-            item for item in self._seeds if not own or item != own.control
+            item
+            for item in (*self._seeds, *listed)
+            if not own or item != own.control
         ]
         return self._random.choice(addresses) if addresses else None
--- a/packages/node/src/balsamramp_node/membership/roster.py
+++ b/packages/node/src/balsamramp_node/membership/roster.py
@@ -18,6 +18,7 @@
 from balsamramp_core import platform
 from balsamramp_core import settings
 from balsamramp_node.configuration import reader_lease
+from balsamramp_node.membership import address_book
 from balsamramp_node.membership import member_list
 
 __all__ = ["Roster"]
@@ -27,7 +28,7 @@
 WRITE_INTERVAL = datetime.timedelta(seconds=20)
 
 
-class Roster(kernel.Service):
+class Roster(kernel.Service, address_book.AddressBook):
     """Writes the zone's roster while leading it; reads all of them."""
 
     name = "roster"
--- a/packages/node/src/balsamramp_node/outcomes/outcome_watch.py
+++ b/packages/node/src/balsamramp_node/outcomes/outcome_watch.py
@@ -25,8 +25,9 @@
 class OutcomeWatch(call_watch.CallWatch):
     """Refuses calls to condemned versions and counts calls as evidence.
 
-    A target is timed only from ten seconds after its first call on, so
-    that a cold start does not count as slowness.
+    A target that tells when it is cold is not timed while it is; any
+    other is timed only from ten seconds after its first call on, so that
+    a cold start does not count as slowness.
     """
 
     def __init__(
@@ -91,7 +92,9 @@
         if not self._rollouts.is_watched(service):
             return
         record = rollout_recorder.CallRecord(
-            route=self._router.route_name(service, request.path),
+            route=(
+                request.route or self._router.route_name(service, request.path)
+            ),
             version=self._version(target),
             failed=failed,
             refused=refused,
@@ -104,6 +107,8 @@
         return seen.get("version", "")
 
     def _is_warming_up(self, target: targets.LocalTarget) -> bool:
+        if target.announcement.started_ms:
+            return target.announcement.cold_for > datetime.timedelta()
         now = self._clock.monotonic()
         name = target.announcement.target
         instance = target.announcement.instance
--- a/packages/node/src/balsamramp_node/outcomes/policies/__init__.py
+++ b/packages/node/src/balsamramp_node/outcomes/policies/__init__.py
@@ -1,6 +1,7 @@
 """The rollout policies, looked up by name."""
 
 from balsamramp_node.outcomes import rollout_policy
+from balsamramp_node.outcomes.policies import bounded_exposure
 from balsamramp_node.outcomes.policies import by_time
 from balsamramp_node.outcomes.policies import error_rate
 from balsamramp_node.outcomes.policies import evidence
@@ -10,6 +11,7 @@
 POLICIES: dict[str, type[rollout_policy.RolloutPolicy]] = {
     item.name: item
     for item in (
+        bounded_exposure.BoundedExposure,
         by_time.ByTime,
         error_rate.ErrorRate,
         evidence.EvidencePolicy,
--- a/packages/node/src/balsamramp_node/outcomes/policies/evidence.py
+++ b/packages/node/src/balsamramp_node/outcomes/policies/evidence.py
@@ -3,6 +3,7 @@
 from collections import abc
 import datetime
 import math
+import typing
 
 import attrs
 
@@ -75,7 +76,16 @@
 
     name = "evidence"
     doc = "on schedule while a side-by-side test finds new no worse than old"
-    shares = (0.0, SHARE_CAP, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0)
+    shares: typing.ClassVar[tuple[float, ...]] = (
+        0.0,
+        SHARE_CAP,
+        0.1,
+        0.2,
+        0.35,
+        0.5,
+        0.75,
+        1.0,
+    )
 
     def decide(
         self,
@@ -116,6 +126,10 @@
             intent, state, evidence, now, _worst(evidence, 0).ratio
         )
 
+    def dwell(self, intent: rollout.Rollout) -> datetime.timedelta:
+        """Return the shortest time between two steps."""
+        return max(DWELL_MIN, DWELL_PART * (intent.deadline - intent.start))
+
     def due(self, intent: rollout.Rollout, step: int) -> datetime.datetime:
         """Return when ``step`` is planned."""
         part = MOVING_PART * (step - 1) / (self.last_step - 1)
@@ -145,7 +159,7 @@
         while 0 < step < self.last_step:
             missing = max(0, _calls_needed(step) - seen)
             wait = missing / self.shares[step] * gap
-            dwelt = at + _dwell(intent)
+            dwelt = at + self.dwell(intent)
             at = max(self.due(intent, step + 1), dwelt, now + wait)
             now = at
             step = self._following(intent, step, now)
@@ -194,7 +208,7 @@
         stepped = rollout_state.stepped_at(state) or intent.start
         if now < self.due(intent, step + 1):
             return "the next step is not due"
-        if now < stepped + _dwell(intent):
+        if now < stepped + self.dwell(intent):
             return "the last step is too recent"
         if ratio >= SUSPICION_RATIO:
             return f"the new version is {ratio:.0f} times likelier worse"
@@ -306,10 +320,6 @@
     return worst
 
 
-def _dwell(intent: rollout.Rollout) -> datetime.timedelta:
-    return max(DWELL_MIN, DWELL_PART * (intent.deadline - intent.start))
-
-
 def _calls_needed(step: int) -> int:
     return CALLS_NEEDED if step <= 1 else STEP_CALLS_NEEDED
 
--- a/packages/node/src/balsamramp_node/outcomes/rollout_split.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollout_split.py
@@ -39,7 +39,7 @@
         if version in self.excluded:
             return False
         intent = self.intent
-        if intent is None or version not in (intent.old, intent.new):
+        if intent is None or not intent.names(version):
             return True
         position = xxhash.xxh64_intdigest(call_id.encode()) / HASH_SPACE
         to_new = position < self.share
--- a/packages/node/src/balsamramp_node/outcomes/rollout_spread.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollout_spread.py
@@ -41,7 +41,8 @@
     what was new to them; exchanges of digests repair what was lost.
     Evidence goes straight from the door that saw it to the deciders of
     its service once a second, or at the next tick of 250 ms if a call of
-    a new version failed; they decide at the same times.
+    a new version failed or a rollout is planned to take less than a
+    minute; they decide at the same times.
     """
 
     name = "rollout-spread"
@@ -130,6 +131,7 @@
         while True:
             tick += 1
             full = tick % TICKS_BETWEEN_REPORTS == 0
+            full = full or self._rollouts.has_short_plans()
             self._spread_evidence(full)
             if full or self._is_urgent:
                 self._is_urgent = False
--- a/packages/node/src/balsamramp_node/outcomes/rollout_state.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollout_state.py
@@ -20,9 +20,11 @@
     "fresh",
     "hash_of",
     "intent_id",
+    "is_reported",
     "is_vouched",
     "join",
     "note_late",
+    "note_reported",
     "phase",
     "raise_step",
     "step",
@@ -32,6 +34,7 @@
 
 BUCKETS = 64
 LATE_MARK = "late"
+REPORTED_PREFIX = "reported-"
 STEP_PREFIX = "step-"
 VOUCHED_MARK = "vouched"
 
@@ -75,8 +78,12 @@
     """Return the identity of ``intent``.
 
     A change of deadline or an abort keeps it; other versions or another
-    start make it a new intent.
+    start make it a new intent. An order is identified by its revision,
+    since each node counts its time from when it learnt of it.
     """
+    if intent.revision:
+        key = f"{intent.service} {intent.new} {intent.revision}"
+        return f"{intent.name}.{xxhash.xxh64_hexdigest(key.encode())}"
     key = (
         f"{intent.service} {intent.old} {intent.new} "
         f"{intent.start.astimezone(datetime.UTC).isoformat()}"
@@ -99,14 +106,15 @@
 def join(left: State, right: State) -> State:
     """Return the state that knows what both know of the same intent.
 
-    It is the union of the marks, of two marks of one name the smaller:
-    commutative, associative and idempotent.
+    It is the union of the marks, of two marks of one name the smaller,
+    and the earlier start: commutative, associative and idempotent.
     """
     marks = dict(left.marks)
     for name, mark in right.marks.items():
         known = marks.get(name)
         marks[name] = mark if known is None else min(known, mark)
-    return attrs.evolve(left, marks=marks)
+    start = min(left.start, right.start)
+    return attrs.evolve(left, start=start, marks=marks)
 
 
 def phase(state: State) -> RolloutPhase:
@@ -160,6 +168,16 @@
     return _marked(state, LATE_MARK, at, Cause.LATE.value, text)
 
 
+def note_reported(state: State, word: str, at: datetime.datetime) -> State:
+    """Return ``state`` marked as reported to operators with ``word``."""
+    return _marked(state, REPORTED_PREFIX + word, at)
+
+
+def is_reported(state: State, word: str) -> bool:
+    """Tell whether operators were told ``word``."""
+    return REPORTED_PREFIX + word in state.marks
+
+
 def vouch(state: State, at: datetime.datetime) -> State:
     """Return ``state`` marked as known since its declaration."""
     return _marked(state, VOUCHED_MARK, at)
@@ -177,7 +195,7 @@
 
 def hash_of(state: State) -> int:
     """Return a hash that adds up to a digest of many states."""
-    parts = [state.intent]
+    parts = [state.intent, state.start.isoformat()]
     for name in sorted(state.marks):
         mark = state.marks[name]
         parts.append(f"{name} {mark.at.isoformat()} {mark.cause} {mark.text}")
--- a/packages/node/src/balsamramp_node/outcomes/rollouts.py
+++ b/packages/node/src/balsamramp_node/outcomes/rollouts.py
@@ -3,10 +3,12 @@
 from collections import abc
 import datetime
 import functools
+import math
 import operator
 import typing
 
 from absl import logging
+import attrs
 
 from balsamramp_core import clock
 from balsamramp_core import configuration
@@ -14,6 +16,7 @@
 from balsamramp_core import metrics
 from balsamramp_core import resource
 from balsamramp_core.resources import rollout
+from balsamramp_core.resources import rollout_order
 from balsamramp_node.configuration import store
 from balsamramp_node.outcomes import rollout_evidence
 from balsamramp_node.outcomes import rollout_policy
@@ -28,6 +31,10 @@
 PHASE = rollout_state.RolloutPhase
 BACK = rollout_state.BACK
 FINAL = (*BACK, PHASE.FINISHED)
+KINDS = (rollout.Rollout.kind, rollout_order.RolloutOrder.kind)
+# Part of an order's time for which the old version stays after the last step.
+KEEP_OLD_PART = 0.1
+SHORT_PLAN = datetime.timedelta(minutes=1)
 
 State = rollout_messages.RolloutState
 Listener = abc.Callable[[State], None]
@@ -65,6 +72,7 @@
         self._hashes: dict[str, int] = {}
         self._buckets = [0] * rollout_state.BUCKETS
         self._listeners: list[Listener] = []
+        self._has_read = False
         configurations.listen_changes(self._read_intents)
 
     @property
@@ -134,7 +142,7 @@
         if split is None or split.intent is None:
             return
         intent = split.intent
-        if call.version not in (intent.old, intent.new):
+        if not intent.names(call.version):
             return
         now = self._clock.now()
         self._recorder.record(intent, split.intent_id, split.epoch, call, now)
@@ -215,6 +223,23 @@
             if later != state:
                 self._put(later)
 
+    def note_reported(self, intent_id: str, word: str) -> None:
+        """Note that operators were told ``word`` of a rollout."""
+        state = self._states.get(intent_id)
+        if state is None:
+            return
+        now = self._clock.now()
+        self._put(rollout_state.note_reported(state, word, now))
+
+    def has_short_plans(self) -> bool:
+        """Tell whether a rollout under way is planned for under a minute."""
+        for intent_id, intent in self._intents.items():
+            if rollout_state.phase(self._states[intent_id]) in FINAL:
+                continue
+            if intent.deadline - intent.start < SHORT_PLAN:
+                return True
+        return False
+
     def report(self) -> list[rollout_report.RolloutReport]:
         """Return where each rollout stands, for operators."""
         now = self._clock.now()
@@ -235,8 +260,9 @@
         Earlier rollouts of the same name are listed by their identity.
         """
         shown = {}
+        current = set(self._ids.values())
         for report in self.report():
-            is_current = self._ids.get(report.rollout) == report.intent
+            is_current = report.intent in current
             name = report.rollout if is_current else report.intent
             shown[name] = rollout_report.plain(report)
         return shown
@@ -266,6 +292,9 @@
 
     def _put(self, state: State) -> None:
         known = self._states.get(state.intent)
+        intent = self._intents.get(state.intent)
+        if intent is not None and intent.revision:
+            self._intents[state.intent] = _started(intent, state.start)
         self._hash(state.intent, rollout_state.hash_of(state))
         self._states[state.intent] = state
         self._by_service.setdefault(state.service, set()).add(state.intent)
@@ -289,30 +318,47 @@
         current: configuration.Configuration,
         changed: abc.Iterable[resource.ResourceKey],
     ) -> None:
-        names = [
-            key.name for key in changed if key.kind == rollout.Rollout.kind
-        ]
-        if not names:
-            return
-        for name in names:
-            known = self._ids.pop(name, None)
+        keys = [key for key in changed if key.kind in KINDS]
+        for key in keys:
+            known = self._ids.pop(str(key), None)
             self._intents.pop(known or "", None)
-            key = resource.ResourceKey(rollout.Rollout.kind, name)
             item = current.resources.get(key)
-            if item is not None:
-                self._take_in(typing.cast(rollout.Rollout, item))
+            if isinstance(item, rollout.Rollout):
+                self._take_in(item, item.start >= self._born)
+            elif isinstance(item, rollout_order.RolloutOrder):
+                self._take_in(self._resolve(item), self._has_read)
+        self._has_read = True
+        if not keys:
+            return
         self._drop_deleted()
         for service in list(self._by_service):
             self._split(service)
 
-    def _take_in(self, intent: rollout.Rollout) -> None:
+    def _resolve(self, order: rollout_order.RolloutOrder) -> rollout.Rollout:
+        """Return the rollout of ``order``, which starts when first known."""
+        now = self._clock.now()
+        found = rollout.Rollout(
+            name=order.name,
+            service=order.service,
+            old=rollout.ANY_OTHER,
+            new=order.new,
+            start=now,
+            deadline=now + order.duration,
+            keep_old_seconds=math.ceil(KEEP_OLD_PART * order.duration_seconds),
+            revision=order.revision,
+        )
+        known = self._states.get(rollout_state.intent_id(found))
+        return found if known is None else _started(found, known.start)
+
+    def _take_in(self, intent: rollout.Rollout, vouched: bool) -> None:
         intent_id = rollout_state.intent_id(intent)
-        self._ids[intent.name] = intent_id
+        kind = KINDS[1] if intent.revision else KINDS[0]
+        self._ids[str(resource.ResourceKey(kind, intent.name))] = intent_id
         self._intents[intent_id] = intent
         state = self._states.get(intent_id)
         if state is None:
             state = rollout_state.fresh(intent)
-            if intent.start >= self._born:
+            if vouched:
                 state = rollout_state.vouch(state, intent.start)
         now = self._clock.now()
         ended = rollout_policy.end_by_operator(intent, state, now)
@@ -403,3 +449,11 @@
                 record = range(end - kept, end + 1)
             evidence.forget(first, record)
         self._recorder.forget(oldest)
+
+
+def _started(
+    intent: rollout.Rollout, start: datetime.datetime
+) -> rollout.Rollout:
+    """Return ``intent`` with its planned time counted from ``start``."""
+    planned = intent.deadline - intent.start
+    return attrs.evolve(intent, start=start, deadline=start + planned)
--- /dev/null
+++ b/packages/node/src/balsamramp_node/process/base_core.py
@@ -0,0 +1,289 @@
+"""Base core: the services that every node has."""
+
+import abc
+import datetime
+import random
+
+import attrs
+
+from balsamramp_core import clock
+from balsamramp_core import kernel
+from balsamramp_core import metrics
+from balsamramp_core import settings
+from balsamramp_node.calls import picker
+from balsamramp_node.calls import pickers
+from balsamramp_node.calls import router
+from balsamramp_node.configuration import distribution
+from balsamramp_node.configuration import intent_reader
+from balsamramp_node.configuration import read_age
+from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import serve_budget
+from balsamramp_node.configuration import store
+from balsamramp_node.door import door
+from balsamramp_node.door import gate
+from balsamramp_node.door import key_ledger
+from balsamramp_node.door import targets
+from balsamramp_node.membership import address_book
+from balsamramp_node.membership import member_list
+from balsamramp_node.membership import membership
+from balsamramp_node.membership import zone_contacts
+from balsamramp_node.membership import zone_reports
+from balsamramp_node.outcomes import outcome_watch
+from balsamramp_node.outcomes import policies
+from balsamramp_node.outcomes import rollout_record
+from balsamramp_node.outcomes import rollout_recorder
+from balsamramp_node.outcomes import rollout_spread
+from balsamramp_node.outcomes import rollouts
+from balsamramp_node.outcomes import zone_states
+from balsamramp_node.process import decision_log
+from balsamramp_node.process import parts
+from balsamramp_wire import messages
+
+__all__ = ["BaseCore", "Identity"]
+
+
+@attrs.frozen
+class Identity:
+    """Which node this is, and which of its starts."""
+
+    node: str
+    zone: str
+    region: str
+    incarnation: int
+
+
+class BaseCore(abc.ABC):
+    """Makes the services from settings and parts and registers them.
+
+    The services are attributes, so that the ports of the process, or a
+    test, can use them directly. A subclass says where the operators'
+    intents come from, how nodes find each other at a start, and how calls
+    come in.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        checked: settings.Settings,
+        outside: parts.CommonParts,
+        now: clock.Clock,
+        counters: metrics.Metrics,
+        choice: random.Random,
+        decisions: decision_log.DecisionLog | None = None,
+    ) -> None:
+        self.identity = identity
+        self.decisions = decisions or decision_log.DecisionLog(
+            decision_log.NullSink(), now
+        )
+        self.kernel = kernel.Kernel()
+        self._settings = checked
+        self._outside = outside
+        self._clock = now
+        self._metrics = counters
+        self._random = choice
+        self._own = self._own_record()
+        for service in outside.services:
+            self.kernel.add(service)
+        self._add_configuration()
+        self._add_membership()
+        self._add_rollouts()
+        self._add_routing()
+        self._add_calls()
+
+    @abc.abstractmethod
+    def _make_readiness(self) -> readiness.Readiness:
+        """Return what decides when the node may take calls."""
+
+    @abc.abstractmethod
+    def _make_source(
+        self,
+    ) -> tuple[intent_reader.IntentReader, read_age.ReadAge]:
+        """Return the reader of intents, and the age of what it read."""
+
+    @abc.abstractmethod
+    def _make_address_book(self) -> address_book.AddressBook:
+        """Return where other nodes are found at a start."""
+
+    @abc.abstractmethod
+    def _make_gate(self, announcement: targets.Announcement) -> gate.Gate:
+        """Return what admits calls to a target that is new here."""
+
+    def _add_configuration(self) -> None:
+        outside = self._outside
+        self.store = store.ConfigurationStore(self._metrics)
+        self.readiness = self._make_readiness()
+        self.member_list = member_list.MemberList()
+        self.source, self._read_age = self._make_source()
+        self._budget = serve_budget.ServeBudget(self._clock)
+        self.distribution = distribution.Distribution(
+            self._own,
+            self.member_list,
+            outside.control,
+            self.store,
+            self.source,
+            self._budget,
+            self._clock,
+            self._metrics,
+            self._random,
+        )
+        for service in (
+            self.store,
+            self.readiness,
+            self.source,
+            self.distribution,
+        ):
+            self.kernel.add(service)
+
+    def _add_membership(self) -> None:
+        own = self._own
+        outside = self._outside
+        seeds = self._settings.items("membership", "seeds")
+        interval = self._settings.duration("membership", "interval")
+        self.address_book = self._make_address_book()
+        self.zone_reports = zone_reports.ZoneReports(
+            own,
+            self.member_list,
+            outside.control,
+            self.store,
+            self._clock,
+            self._random,
+        )
+        self.zone_contacts = zone_contacts.ZoneContacts(
+            own.zone, self.member_list, self._clock, interval
+        )
+        self.membership = membership.Membership(
+            own,
+            [settings.parse_address(item) for item in seeds],
+            self.member_list,
+            outside.control,
+            self.store,
+            self.distribution,
+            self.readiness,
+            self._read_age,
+            self.address_book,
+            self.zone_reports,
+            self.zone_contacts,
+            self._budget,
+            self._clock,
+            self._metrics,
+            interval,
+            self._random,
+        )
+        self.kernel.add(self.zone_reports)
+        self.kernel.add(self.membership)
+
+    def _own_record(self) -> messages.Member:
+        return messages.Member(
+            node=self.identity.node,
+            zone=self.identity.zone,
+            region=self.identity.region,
+            stream=self._listen("stream_port"),
+            control=self._listen("control_port"),
+            admin=self._listen("admin_port"),
+            incarnation=self.identity.incarnation,
+            sequence=0,
+            state=messages.MemberState.ALIVE,
+        )
+
+    def _listen(self, option: str) -> settings.Address:
+        host = self._settings.text("listen", "host")
+        return settings.Address(host, self._settings.integer("listen", option))
+
+    def _add_rollouts(self) -> None:
+        recorder = rollout_recorder.Recorder(
+            self.identity.node, self.identity.incarnation, self.identity.zone
+        )
+        policy_type = policies.find_policy(
+            self._settings.text("rollouts", "policy")
+        )
+        self.rollouts = rollouts.Rollouts(
+            self.store, policy_type(), self._clock, self._metrics, recorder
+        )
+        self.rollout_spread = rollout_spread.RolloutSpread(
+            self.rollouts,
+            recorder,
+            self.membership,
+            self._outside.control,
+            self._clock,
+            self._metrics,
+            self._random,
+            self._has_peers(),
+        )
+        self.rollout_record = rollout_record.RolloutRecord(
+            self._outside.table,
+            self.rollouts,
+            self.rollout_spread,
+            self._clock,
+            self._metrics,
+            self._random,
+        )
+        self.kernel.add(self.rollouts)
+        self.kernel.add(self.rollout_spread)
+        self.kernel.add(self.rollout_record)
+
+    def _add_routing(self) -> None:
+        self.router = router.Router(
+            self.store,
+            self.membership,
+            self.rollouts,
+            zone_states.ZoneStates(self._clock),
+            self._metrics,
+        )
+        self.targets = targets.LocalTargets(
+            self.membership,
+            self._clock,
+            self._metrics,
+            self._target_lease(),
+        )
+        self.kernel.add(self.router)
+        self.kernel.add(self.targets)
+
+    def _add_calls(self) -> None:
+        self.keys = key_ledger.KeyLedger(
+            self.identity.node,
+            self.membership,
+            self._outside.control,
+            self._clock,
+            self._metrics,
+            self._settings.duration("calls", "key_retention"),
+        )
+        self.door = door.Door(
+            self.identity.incarnation,
+            self.targets,
+            self._make_gate,
+            self._clock,
+            self._metrics,
+            self._outside.targets,
+            self._is_zone_out,
+            self.keys,
+            outcome_watch.OutcomeWatch(
+                self.router,
+                self.rollouts,
+                self.rollout_spread.is_ready,
+                self._clock,
+            ),
+        )
+        self.kernel.add(self.keys)
+        self.kernel.add(self.door)
+        self._add_callers()
+
+    def _is_zone_out(self) -> bool:
+        return self.identity.zone in self.router.zones_out
+
+    @abc.abstractmethod
+    def _target_lease(self) -> datetime.timedelta:
+        """Return how long an announcement of a target holds."""
+
+    def _has_peers(self) -> bool:
+        """Tell whether other nodes are expected at the start."""
+        return bool(self._settings.items("membership", "seeds"))
+
+    @abc.abstractmethod
+    def _add_callers(self) -> None:
+        """Make the services that take calls in."""
+
+    def _picker(self) -> picker.TargetPicker:
+        picker_type = pickers.find_picker(
+            self._settings.text("calls", "picker")
+        )
+        return picker_type(self.identity.zone, self._random)
--- /dev/null
+++ b/packages/node/src/balsamramp_node/process/host.py
@@ -0,0 +1,50 @@
+"""Host: base class of the platform on whose VMs a node runs."""
+
+import abc
+from collections import abc as collections_abc
+import typing
+
+from balsamramp_core import dialect
+from balsamramp_core import intents
+from balsamramp_core import kernel
+from balsamramp_core import platform
+from balsamramp_node.door import targets
+
+__all__ = ["Application", "Host"]
+
+Application = collections_abc.Callable[
+    ..., collections_abc.Awaitable[typing.Any]
+]
+
+
+class Host(abc.ABC):
+    """Speaks the host's protocols in the words of the product."""
+
+    @property
+    @abc.abstractmethod
+    def dialect(self) -> dialect.Dialect:
+        """Return the names of the headers in use there."""
+
+    @property
+    @abc.abstractmethod
+    def table(self) -> platform.Table:
+        """Return the table in which nodes keep rows of their own."""
+
+    @property
+    @abc.abstractmethod
+    def intent_source(self) -> intents.IntentSource:
+        """Return where operators' intents come from."""
+
+    @property
+    @abc.abstractmethod
+    def board(self) -> intents.OutcomeBoard:
+        """Return where operators read outcomes."""
+
+    @property
+    @abc.abstractmethod
+    def services(self) -> tuple[kernel.Service, ...]:
+        """Return what has to be started and stopped for all of these."""
+
+    @abc.abstractmethod
+    def announcements(self, local: targets.LocalTargets) -> Application:
+        """Return the ASGI application for announcements of targets."""
--- /dev/null
+++ b/packages/node/src/balsamramp_node/process/hosted_core.py
@@ -0,0 +1,165 @@
+"""Hosted core: a node whose host orders and keeps operators' intents."""
+
+import datetime
+import random
+
+from balsamramp_core import clock
+from balsamramp_core import configuration
+from balsamramp_core import metrics
+from balsamramp_core import resource
+from balsamramp_core import settings
+from balsamramp_core.resources import caller_limits
+from balsamramp_node.calls import entry_calls
+from balsamramp_node.calls import retry_budget
+from balsamramp_node.calls import submission
+from balsamramp_node.configuration import intent_reader
+from balsamramp_node.configuration import read_age
+from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import watched_source
+from balsamramp_node.door import gate
+from balsamramp_node.door import orders
+from balsamramp_node.door import targets
+from balsamramp_node.door.gates import by_slots
+from balsamramp_node.membership import address_book
+from balsamramp_node.membership import directory
+from balsamramp_node.outcomes import outcome_reporter
+from balsamramp_node.process import base_core
+from balsamramp_node.process import decision_log
+from balsamramp_node.process import parts
+from balsamramp_wire import messages
+
+__all__ = ["HostedCore"]
+
+# Announcements that may fail before a target counts as gone. They come late
+# by seconds at times; a target that ends is noticed by its calls.
+LEASE_BEATS = 4
+LIMITS_KEY = resource.ResourceKey(
+    caller_limits.CallerLimits.kind, caller_limits.NAME
+)
+
+
+class HostedCore(base_core.BaseCore):
+    """Follows the host's intents; callers reach entries by host and path.
+
+    Targets say how many calls they run, and their doors queue the rest.
+    """
+
+    def __init__(
+        self,
+        identity: base_core.Identity,
+        checked: settings.Settings,
+        outside: parts.HostedParts,
+        now: clock.Clock,
+        counters: metrics.Metrics,
+        choice: random.Random,
+        decisions: decision_log.DecisionLog,
+    ) -> None:
+        self._hosted = outside
+        super().__init__(
+            identity, checked, outside, now, counters, choice, decisions
+        )
+        self.reporter = outcome_reporter.OutcomeReporter(
+            outside.board,
+            self.rollouts,
+            self.rollout_spread,
+            now,
+            decisions,
+            choice,
+        )
+        self.kernel.add(self.reporter)
+        self._was_out = False
+        self.store.listen(self._watch_zone)
+
+    def caller_limits(self) -> caller_limits.CallerLimits:
+        """Return the limits on callers that are in force."""
+        found = self.store.current.resources.get(LIMITS_KEY)
+        if isinstance(found, caller_limits.CallerLimits):
+            return found
+        return caller_limits.CallerLimits(name=caller_limits.NAME)
+
+    def _make_readiness(self) -> readiness.Readiness:
+        return readiness.Readiness(self.store, any_zone_vouches=True)
+
+    def _make_source(
+        self,
+    ) -> tuple[intent_reader.IntentReader, read_age.ReadAge]:
+        age = read_age.ReadAge(self._clock)
+        made = watched_source.WatchedSource(
+            self._hosted.intents,
+            self.store,
+            self.readiness,
+            age,
+            self._clock,
+            self._metrics,
+            self.decisions,
+            self._random,
+        )
+        return made, age
+
+    def _make_address_book(self) -> address_book.AddressBook:
+        made = directory.Directory(
+            self._own,
+            self._hosted.table,
+            self.member_list,
+            self._clock,
+            self._random,
+        )
+        self.kernel.add(made)
+        return made
+
+    def _make_gate(self, announcement: targets.Announcement) -> gate.Gate:
+        order_type = orders.find_order(self._settings.text("targets", "order"))
+        return by_slots.SlotGate(
+            announcement, order_type(), self._warm_up_rate, self._clock
+        )
+
+    def _target_lease(self) -> datetime.timedelta:
+        return self._settings.duration("targets", "beat") * LEASE_BEATS
+
+    def _own_record(self) -> messages.Member:
+        address = self._listen("stream_port")
+        return messages.Member(
+            node=self.identity.node,
+            zone=self.identity.zone,
+            region=self.identity.region,
+            stream=address,
+            control=address,
+            admin=address,
+            incarnation=self.identity.incarnation,
+            sequence=0,
+            state=messages.MemberState.ALIVE,
+        )
+
+    def _watch_zone(self, current: configuration.Configuration) -> None:
+        """Treat targets as cold when their zone comes back."""
+        was_out, self._was_out = self._was_out, self._is_zone_out()
+        if was_out and not self._was_out:
+            self.door.assume_cold()
+
+    def _warm_up_rate(self, service: str) -> float:
+        found = self.router.service(service)
+        return found.warm_up_rate if found is not None else 0.0
+
+    def _has_peers(self) -> bool:
+        return True
+
+    def _add_callers(self) -> None:
+        budget = retry_budget.RetryBudget(
+            self._settings.number("calls", "retry_ratio"),
+            self._settings.duration("calls", "retry_window"),
+            self._settings.number("calls", "retry_slack"),
+        )
+        self.calls = entry_calls.EntryCalls(
+            self.router,
+            self._picker(),
+            submission.Submission(
+                self.identity.node, self.door, self._outside.calls
+            ),
+            budget,
+            lambda: len(self.membership.members()),
+            self._clock,
+            self._metrics,
+            self.decisions,
+            self._random,
+        )
+        self.kernel.add(self.calls)
--- a/packages/node/src/balsamramp_node/process/http_server.py
+++ b/packages/node/src/balsamramp_node/process/http_server.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import datetime
+import math
 import socket
 import typing
 
@@ -12,19 +13,20 @@
 
 from balsamramp_core import kernel
 from balsamramp_core import settings
-from balsamramp_node.process import tls
+from balsamramp_node.process import caller_files
 
-__all__ = ["HttpServer"]
+__all__ = ["BoundedProtocol", "HttpServer"]
 
 BACKLOG_CONNECTIONS = 1024
 HEAD_MAX_BYTES = 64 * 1024
 START_CHECK_INTERVAL = datetime.timedelta(milliseconds=5)
-SHUTDOWN_TIMEOUT_SECONDS = 10
+SHUTDOWN_TIMEOUT = datetime.timedelta(seconds=10)
 
 AsgiApplication = abc.Callable[..., typing.Any]
+ProtocolFactory = abc.Callable[..., asyncio.Protocol]
 
 
-class _BoundedProtocol(httptools_impl.HttpToolsProtocol):
+class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """Refuses a request whose line and headers do not end in time."""
 
     _head_bytes = 0
@@ -69,8 +71,14 @@
         application: AsgiApplication,
         listen: settings.Address,
         requires: tuple[str, ...] = (),
-        security: tls.CallerFiles | None = None,
+        security: caller_files.CallerFiles | None = None,
+        protocol: ProtocolFactory | None = None,
+        shutdown: datetime.timedelta = SHUTDOWN_TIMEOUT,
+        also_listen: tuple[settings.Address, ...] = (),
     ) -> None:
+        self._also_listen = also_listen
+        self._protocol = protocol or BoundedProtocol
+        self._shutdown = shutdown
         self.name = name  # type: ignore[misc]
         self.requires = requires  # type: ignore[misc]
         self._application = application
@@ -86,23 +94,17 @@
         return self._address
 
     async def start(self) -> None:
-        bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            bound.bind((self._listen.host, self._listen.port))
-        except OSError as error:
-            bound.close()
-            text = f"cannot listen on {self._listen}: {error.strerror}"
-            raise OSError(text) from error
-        bound.listen(BACKLOG_CONNECTIONS)
-        port = bound.getsockname()[1]
+        bound = [_bind(self._listen)]
+        for further in self._also_listen:
+            bound.append(_bind(further))
+        port = bound[0].getsockname()[1]
         self._address = settings.Address(self._listen.host, port)
         config = uvicorn.Config(
             self._application,
             log_config=None,
             access_log=False,
             lifespan="off",
-            http=_BoundedProtocol,
+            http=typing.cast(typing.Any, self._protocol),
             ws="none",
             server_header=False,
             date_header=False,
@@ -110,10 +112,12 @@
             ssl_certfile=(
                 self._security.certificate if self._security else None
             ),
-            timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_SECONDS,
+            timeout_graceful_shutdown=math.ceil(
+                self._shutdown.total_seconds()
+            ),
         )
         self._server = _Server(config)
-        self._task = asyncio.create_task(self._server.serve([bound]))
+        self._task = asyncio.create_task(self._server.serve(bound))
         while not self._server.started:
             if self._task.done():
                 await self._task
@@ -124,3 +128,16 @@
             return
         self._server.should_exit = True
         await self._task
+
+
+def _bind(address: settings.Address) -> socket.socket:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        bound.bind((address.host, address.port))
+    except OSError as error:
+        bound.close()
+        text = f"cannot listen on {address}: {error.strerror}"
+        raise OSError(text) from error
+    bound.listen(BACKLOG_CONNECTIONS)
+    return bound
--- /dev/null
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -0,0 +1,247 @@
+"""Sidecar: a node on the VM of one target, on a platform of its own."""
+
+from collections import abc
+import datetime
+import functools
+import gc
+import random
+import time
+import typing
+
+import msgspec
+
+from balsamramp_core import clock
+from balsamramp_core import metrics
+from balsamramp_core import settings
+from balsamramp_node.calls import entry_ingress
+from balsamramp_node.calls import peer_stream
+from balsamramp_node.calls import return_time
+from balsamramp_node.calls import stream_client
+from balsamramp_node.calls import stream_transport
+from balsamramp_node.door import control_server
+from balsamramp_node.door import pooled_target_client
+from balsamramp_node.door import stream_server
+from balsamramp_node.process import base_core
+from balsamramp_node.process import caller_protocol
+from balsamramp_node.process import decision_log
+from balsamramp_node.process import host
+from balsamramp_node.process import hosted_core
+from balsamramp_node.process import http_server
+from balsamramp_node.process import parts
+from balsamramp_node.process import port_switch
+from balsamramp_wire import messages
+
+__all__ = ["Sidecar"]
+
+COLLECTOR_THRESHOLDS = (20_000, 20, 50)
+# Requests still come until the platform has asked twice, a second apart,
+# and got no 200; half a second more for what is on its way.
+LINGER = datetime.timedelta(seconds=2.5)
+# Kept of the grace for closing what is left.
+CLOSING = datetime.timedelta(seconds=0.7)
+# A connection between nodes is idle for tenths of a second, and a VM that
+# is short of processor time answers as late.
+SILENCE = peer_stream.Silence(
+    check_interval=datetime.timedelta(milliseconds=50),
+    ping_after=datetime.timedelta(milliseconds=150),
+    suspect_after=datetime.timedelta(milliseconds=250),
+    silent_after=datetime.timedelta(milliseconds=500),
+)
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+
+Send = abc.Callable[[abc.Mapping[str, typing.Any]], abc.Awaitable[None]]
+
+
+class Sidecar:
+    """One node, made from its settings and the host's protocols.
+
+    Example::
+
+        node = Sidecar(checked, host, clock.SystemClock(), decisions)
+        await node.start()
+        ...
+        await node.stop()
+    """
+
+    def __init__(
+        self,
+        checked: settings.Settings,
+        platform: host.Host,
+        now: clock.Clock,
+        decisions: decision_log.DecisionLog,
+    ) -> None:
+        self._settings = checked
+        self._clock = now
+        self._decisions = decisions
+        self._service = checked.text("node", "service")
+        self._stopping = False
+        self._metrics = metrics.Metrics()
+        identity = base_core.Identity(
+            checked.text("node", "id"),
+            checked.text("node", "zone"),
+            checked.text("node", "region"),
+            time.time_ns(),
+        )
+        hello = messages.Hello(identity.node, identity.incarnation)
+        streams = stream_client.StreamClient(
+            hello, now, self._metrics, silence=SILENCE
+        )
+        control = control_server.ControlServer()
+        targets = pooled_target_client.PooledTargetClient(
+            platform.dialect,
+            checked.integer("calls", "body_max_bytes"),
+            now,
+            self._metrics,
+        )
+        outside = parts.HostedParts(
+            table=platform.table,
+            control=stream_transport.StreamTransport(streams, control),
+            calls=streams,
+            targets=targets,
+            intents=platform.intent_source,
+            board=platform.board,
+            services=(*platform.services, streams, targets),
+        )
+        self._core = hosted_core.HostedCore(
+            identity,
+            checked,
+            outside,
+            now,
+            self._metrics,
+            random.Random(f"{identity.node} {identity.incarnation}"),
+            decisions,
+        )
+        targets.on_refused = self._on_refused
+        targets.on_misdirected = self._core.targets.suspend
+        self._core.kernel.add(
+            stream_server.StreamServer(
+                hello,
+                self._listen("stream_port"),
+                self._core.door,
+                now,
+                self._metrics,
+                control=control,
+            )
+        )
+        self._core.kernel.add(self._caller_server(platform))
+        self._core.kernel.add(self._side_server(platform))
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers may send requests here."""
+        return self._core.store.in_service and not self._stopping
+
+    async def start(self) -> None:
+        """Start all services; raises kernel.StartError."""
+        self._decisions.write(
+            "start", incarnation=self._core.identity.incarnation
+        )
+        await self._core.kernel.start()
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+    async def stop(self) -> None:
+        """Leave the fleet, answer what comes meanwhile, and stop."""
+        self._stopping = True
+        self._decisions.write("stop", phase="leaving")
+        self._core.targets.drain_all()
+        await self._clock.sleep(min(LINGER, self._grace() / 2))
+        await self._core.kernel.stop()
+        self._decisions.write("stop", phase="stopped")
+
+    def reload(self, checked: settings.Settings) -> None:
+        """Take over what may change while the node runs."""
+        before, self._service = self._service, checked.text("node", "service")
+        self._decisions.write(
+            "reload", service=self._service, service_before=before
+        )
+
+    def _grace(self) -> datetime.timedelta:
+        return self._settings.duration("shutdown", "grace")
+
+    def _listen(self, option: str) -> settings.Address:
+        host_ip = self._settings.text("listen", "host")
+        return settings.Address(
+            host_ip, self._settings.integer("listen", option)
+        )
+
+    def _address(self, option: str) -> settings.Address:
+        return settings.parse_address(self._settings.text("listen", option))
+
+    def _on_refused(self, target: str) -> None:
+        """Expect a target that takes no connection to come back cold."""
+        self._decisions.write("target_refuses", target=target)
+        self._core.targets.suspend(target)
+        self._core.door.assume_cold(target)
+
+    def _caller_server(self, platform: host.Host) -> http_server.HttpServer:
+        ingress = entry_ingress.EntryIngress(
+            self._core.calls,
+            platform.dialect,
+            lambda: self._service,
+            self._core.caller_limits,
+            lambda: self._stopping,
+            return_time.ReturnTime(random.Random()),
+        )
+        return http_server.HttpServer(
+            "ingress",
+            entry_ingress.make_application(ingress),
+            self._address("callers"),
+            ("entry-calls", "stream-server"),
+            protocol=functools.partial(
+                caller_protocol.CallerProtocol,
+                limits=self._core.caller_limits,
+            ),
+            shutdown=self._grace() - LINGER - CLOSING,
+        )
+
+    def _side_server(self, platform: host.Host) -> http_server.HttpServer:
+        """Serve readiness, announcements, metrics and the dump."""
+        ready = self._address("ready")
+        announcements = self._address("announcements")
+        exposed = self._listen("metrics_port")
+        switch = port_switch.PortSwitch(
+            {
+                ready.port: self._serve_ready,
+                announcements.port: platform.announcements(self._core.targets),
+                exposed.port: self._serve_state,
+            }
+        )
+        return http_server.HttpServer(
+            "side",
+            switch,
+            ready,
+            ("source", "targets"),
+            also_listen=(announcements, exposed),
+            shutdown=CLOSING,
+        )
+
+    async def _serve_ready(
+        self, scope: typing.Any, receive: typing.Any, send: Send
+    ) -> None:
+        status = STATUS_OK if self.ready else STATUS_UNAVAILABLE
+        await _answer(send, status, b"")
+
+    async def _serve_state(
+        self, scope: typing.Any, receive: typing.Any, send: Send
+    ) -> None:
+        if scope["path"] == "/metrics":
+            content, _ = self._metrics.render()
+            await _answer(send, STATUS_OK, content)
+            return
+        if scope["path"] == "/dump":
+            dump = msgspec.json.encode(self._core.kernel.dump())
+            await _answer(send, STATUS_OK, dump)
+            return
+        await _answer(send, STATUS_NOT_FOUND, b"")
+
+
+async def _answer(send: Send, status: int, body: bytes) -> None:
+    headers = [(b"content-length", str(len(body)).encode())]
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body})
--- a/packages/node/src/balsamramp_node/process/tls.py
+++ b/packages/node/src/balsamramp_node/process/tls.py
@@ -3,21 +3,13 @@
 import pathlib
 import ssl
 
-import attrs
 import grpc
 
 from balsamramp_core import settings
+from balsamramp_node.process import caller_files
 from balsamramp_wire import control
 
-__all__ = ["CallerFiles", "NodeTls"]
-
-
-@attrs.frozen
-class CallerFiles:
-    """Private key and certificate towards callers, as PEM files."""
-
-    key: str
-    certificate: str
+__all__ = ["NodeTls"]
 
 
 class NodeTls:
@@ -44,11 +36,13 @@
         return bool(self._key)
 
     @property
-    def caller_files(self) -> CallerFiles | None:
+    def caller_files(self) -> caller_files.CallerFiles | None:
         """Return the files towards callers, None when TLS is off."""
         if not self._caller_key:
             return None
-        return CallerFiles(self._caller_key, self._caller_certificate)
+        return caller_files.CallerFiles(
+            self._caller_key, self._caller_certificate
+        )
 
     def server_context(self) -> ssl.SSLContext | None:
         """Return the context for calls that come from other nodes."""
--- a/packages/node/tests/test_streams.py
+++ b/packages/node/tests/test_streams.py
@@ -20,6 +20,7 @@
 from balsamramp_node.door import target_client
 from balsamramp_node.door import targets
 from balsamramp_node.door.admissions import fixed
+from balsamramp_node.door.gates import by_limit
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
@@ -159,7 +160,9 @@
     calls = door.Door(
         incarnation,
         local,
-        lambda: fixed.FixedLimit(4),
+        lambda announced: by_limit.LimitGate(
+            announced, fixed.FixedLimit(4), time
+        ),
         time,
         counters,
         target,
--- a/packages/wire/src/balsamramp_wire/frames.py
+++ b/packages/wire/src/balsamramp_wire/frames.py
@@ -26,6 +26,8 @@
     5: messages.CallAnswer,
     6: messages.CallFailure,
     7: messages.CallCancel,
+    8: messages.ControlCall,
+    9: messages.ControlAnswer,
 }
 NUMBERS = {kind: number for number, kind in KINDS.items()}
 DECODERS: dict[int, msgspec.msgpack.Decoder[typing.Any]] = {
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -24,6 +24,8 @@
     "ChangesReply",
     "ChangesRequest",
     "ConfigurationState",
+    "ControlAnswer",
+    "ControlCall",
     "ControlRequest",
     "ExchangeReply",
     "ExchangeRequest",
@@ -82,10 +84,38 @@
 
 @attrs.frozen
 class Load:
-    """State of a target's admission, sent along with each answer."""
+    """State of a target's admission, sent along with each answer.
+
+    ``queued`` calls wait for one of ``limit`` places, ``service`` is the
+    mean time that a call takes at the target, and ``failing`` the part of
+    its recent calls that failed. ``cold`` tells that the target
+    takes calls at a bounded rate only.
+    """
 
     in_flight: int
     limit: int
+    queued: int = 0
+    service: datetime.timedelta = datetime.timedelta()
+    failing: float = 0.0
+    cold: bool = False
+
+
+@attrs.frozen
+class ControlCall:
+    """A control request on the stream; ``body`` is in MessagePack."""
+
+    number: int
+    method: str
+    body: bytes
+
+
+@attrs.frozen
+class ControlAnswer:
+    """Answers the ControlCall of the same number, if it was ``served``."""
+
+    number: int
+    served: bool
+    body: bytes = b""
 
 
 @attrs.frozen(kw_only=True)
@@ -100,6 +130,13 @@
     until the caller's deadline, counted from ``sent_at`` on the sender's
     monotonic clock, and ``retries`` the part of the call's retry budget
     that the target may spend on calls of its own.
+
+    ``route`` names the entry or route that the call falls under;
+    ``objective`` is what is left, like ``timeout``, of the time within
+    which an answer is worth most, and ``priority`` its rank, 0 first.
+    ``from_target`` tells that a target made the call while running
+    another. ``instance`` is the start of the target that was picked, or
+    empty.
     """
 
     call_id: str
@@ -118,6 +155,11 @@
     sent_at: datetime.timedelta = datetime.timedelta()
     repeat: bool = False
     body: bytes = b""
+    route: str = ""
+    objective: datetime.timedelta = datetime.timedelta()
+    priority: int = 0
+    from_target: bool = False
+    instance: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -158,12 +200,18 @@
 
 @attrs.frozen(kw_only=True)
 class TargetRecord:
-    """A target as its node announces it to the others."""
+    """A target as its node announces it to the others.
+
+    ``instance`` names its start, and ``slots`` how many calls it runs at
+    once, 0 if not told.
+    """
 
     target: str
     service: str
     labels: dict[str, str]
     state: TargetState
+    instance: str = ""
+    slots: int = 0
 
 
 class MemberState(enum.Enum):
