--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 	$(BIN)/python -m balsamramp_testing.known_red
 
 settings-doc: $(STAMP)
-	$(BIN)/python -m balsamramp_testing.settings_page docs/OPERATING.md
+	$(BIN)/python -m balsamramp_testing.settings_page docs/OPERATIONS.md
 
 bench-calls: $(STAMP)
 	$(BIN)/python -m balsamramp_testing.benches.call_faults
--- a/packages/node/src/balsamramp_node/calls/entry_calls.py
+++ b/packages/node/src/balsamramp_node/calls/entry_calls.py
@@ -68,6 +68,8 @@
     node: str
     outcome: str
     milliseconds: float
+    load: messages.Load | None
+    load_age_ms: float
 
 
 @attrs.define(kw_only=True)
@@ -143,6 +145,7 @@
                 request_id=request.request_id,
                 host=request.host,
                 reason=failure.reason.value,
+                configuration=self._router.version,
             )
             return _failed(call_id, failure)
         found = resolved.unwrap()
@@ -206,6 +209,7 @@
     ) -> call_transport.Reply:
         progress.tried.add(chosen.record.target)
         started = self._clock.monotonic()
+        load, load_at = chosen.stats.load, chosen.stats.load_at
         message = _message(progress, chosen, started)
         stats = chosen.stats
         stats.start(started)
@@ -222,6 +226,8 @@
                 node=chosen.member.node,
                 outcome=_outcome_of(reply),
                 milliseconds=_milliseconds(now - started),
+                load=load,
+                load_age_ms=_milliseconds(started - load_at),
             )
         )
         return reply
@@ -295,6 +301,7 @@
             call_id=progress.call_id,
             entry=progress.entry.name,
             service=progress.service,
+            configuration=self._router.version,
             outcome=outcome,
             milliseconds=_milliseconds(took),
             attempts=progress.attempts,
--- a/packages/node/src/balsamramp_node/calls/peer_stream.py
+++ b/packages/node/src/balsamramp_node/calls/peer_stream.py
@@ -27,13 +27,15 @@
     While calls wait and no byte has come for ``ping_after``, a ping is
     sent. A connection that stays without a byte for ``suspect_after``
     from then on takes no further calls, and after ``silent_after`` it
-    is closed. This is looked at once in ``check_interval``.
+    is closed. This is looked at once in ``check_interval``. A new
+    connection must stand within ``connect_timeout``.
     """
 
     check_interval: datetime.timedelta = datetime.timedelta(milliseconds=25)
     ping_after: datetime.timedelta = datetime.timedelta(milliseconds=50)
     suspect_after: datetime.timedelta = datetime.timedelta(milliseconds=100)
     silent_after: datetime.timedelta = datetime.timedelta(milliseconds=200)
+    connect_timeout: datetime.timedelta = datetime.timedelta(milliseconds=500)
 
 
 QUICK = Silence()
--- a/packages/node/src/balsamramp_node/calls/router.py
+++ b/packages/node/src/balsamramp_node/calls/router.py
@@ -76,6 +76,11 @@
         """Return the zones that operators have taken out of service."""
         return self._zones.out
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration that rules."""
+        return self._configurations.current.version
+
     def unknown_names(self) -> abc.Mapping[str, int]:
         """Return the unknown service names and how often each was used."""
         return dict(self._unknown)
--- a/packages/node/src/balsamramp_node/calls/stream_client.py
+++ b/packages/node/src/balsamramp_node/calls/stream_client.py
@@ -20,7 +20,6 @@
 
 __all__ = ["StreamClient", "connect_tcp"]
 
-CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
 MESSAGES_MAX = 3
 REPEATS_MAX = 64
 
@@ -141,7 +140,7 @@
         known = self._streams.get(peer)
         if known is not None and known.usable:
             return known
-        wait = min(timeout, CONNECT_TIMEOUT)
+        wait = min(timeout, self._silence.connect_timeout)
         async with asyncio.timeout(wait.total_seconds()):
             lock = self._opening.setdefault(peer, asyncio.Lock())
             async with lock:
--- a/packages/node/src/balsamramp_node/door/door.py
+++ b/packages/node/src/balsamramp_node/door/door.py
@@ -22,6 +22,7 @@
 from balsamramp_node.door import key_ledger
 from balsamramp_node.door import target_client
 from balsamramp_node.door import targets
+from balsamramp_node.process import decision_log
 from balsamramp_wire import messages
 
 __all__ = ["Door"]
@@ -58,7 +59,11 @@
         is_zone_out: abc.Callable[[], bool],
         keys: key_ledger.KeyLedger,
         watch: call_watch.CallWatch | None = None,
+        decisions: decision_log.DecisionLog | None = None,
     ) -> None:
+        self._decisions = decisions or decision_log.DecisionLog(
+            decision_log.NullSink(), time
+        )
         self._incarnation = incarnation
         self._targets = local
         self._make_gate = make_gate
@@ -202,7 +207,7 @@
         refusal: verdict.Failure,
         left: datetime.timedelta,
     ) -> call_transport.Reply:
-        self._metrics.count("refused_total", reason=refusal.reason.value)
+        self._note_refusal(request, refusal)
         if request.repeat and self._journal.full:
             refusal = verdict.Failure(
                 verdict.Verdict.MAY_HAVE_RUN,
@@ -298,7 +303,7 @@
             latency = self._clock.monotonic() - started
             entered.finish(request, latency, outcome)
             self._watch.finished(request, target, called, outcome, latency)
-            self._metrics.count("target_calls_total", outcome=outcome.value)
+            self._note_end(request, called, outcome, latency)
         if isinstance(called, result.Failure):
             failure = called.failure()
             return self._failed(request.call_id, request.target, failure)
@@ -325,9 +330,46 @@
     def _refuse_unrecorded(
         self, request: messages.CallRequest, failure: verdict.Failure
     ) -> messages.CallFailure:
-        self._metrics.count("refused_total", reason=failure.reason.value)
+        self._note_refusal(request, failure)
         return self._failed(request.call_id, request.target, failure)
 
+    def _note_refusal(
+        self, request: messages.CallRequest, failure: verdict.Failure
+    ) -> None:
+        self._metrics.count("refused_total", reason=failure.reason.value)
+        self._decisions.write(
+            "refused",
+            call_id=request.call_id,
+            target=request.target,
+            reason=failure.reason.value,
+            text=failure.message,
+            left_ms=_milliseconds(request.timeout),
+            load=self._load(request.target),
+        )
+
+    def _note_end(
+        self,
+        request: messages.CallRequest,
+        called: target_client.Called | None,
+        outcome: admission.Outcome,
+        latency: datetime.timedelta,
+    ) -> None:
+        self._metrics.count("target_calls_total", outcome=outcome.value)
+        self._metrics.observe("target_call_seconds", latency.total_seconds())
+        answered = outcome is admission.Outcome.ANSWERED
+        write = self._decisions.routine if answered else self._decisions.write
+        text = ""
+        if isinstance(called, result.Failure):
+            text = called.failure().message
+        write(
+            "sent",
+            call_id=request.call_id,
+            target=request.target,
+            outcome=outcome.value,
+            milliseconds=_milliseconds(latency),
+            text=text,
+        )
+
     def _cancelled(
         self, request: messages.CallRequest, progress: "_Progress"
     ) -> messages.CallFailure:
@@ -392,6 +434,10 @@
     )
 
 
+def _milliseconds(duration: datetime.timedelta) -> float:
+    return round(duration / datetime.timedelta(milliseconds=1), 1)
+
+
 def _stale(request: messages.CallRequest) -> verdict.Failure:
     ran = verdict.Verdict.NOT_RUN
     if request.repeat:
--- a/packages/node/src/balsamramp_node/door/orders/worth.py
+++ b/packages/node/src/balsamramp_node/door/orders/worth.py
@@ -9,7 +9,10 @@
 # Part of the time left for which a call that will be late waits. Beyond it
 # the caller does better to come back than to wait for a slot that may not
 # come free.
-LATE_PATIENCE = 0.3
+LATE_PATIENCE = 0.5
+# Service times vary by about a half of their mean; a start that leaves just
+# the mean until the objective makes every second answer late.
+SERVICE_MARGIN = 1.5
 
 
 class WorthOrder(queue_order.QueueOrder):
@@ -34,7 +37,7 @@
         return (
             not waiter.from_target,
             waiter.priority,
-            not waiter.is_on_time(now),
+            now > self._latest_start(waiter),
             waiter.objective_at.total_seconds(),
             waiter.number,
         )
@@ -42,6 +45,9 @@
     def patience(
         self, waiter: queue_order.Waiter, now: datetime.timedelta
     ) -> datetime.timedelta:
-        latest = waiter.objective_at - waiter.service
         left = waiter.deadline - waiter.service - now
-        return max(latest - now, left * LATE_PATIENCE)
+        return max(self._latest_start(waiter) - now, left * LATE_PATIENCE)
+
+    def _latest_start(self, waiter: queue_order.Waiter) -> datetime.timedelta:
+        """Return when a start still probably meets the objective."""
+        return waiter.objective_at - waiter.service * SERVICE_MARGIN
--- a/packages/node/src/balsamramp_node/door/queue_order.py
+++ b/packages/node/src/balsamramp_node/door/queue_order.py
@@ -30,10 +30,6 @@
     priority: int = 0
     from_target: bool = False
 
-    def is_on_time(self, now: datetime.timedelta) -> bool:
-        """Tell whether a start now would meet the objective."""
-        return now + self.service <= self.objective_at
-
 
 class QueueOrder(abc.ABC):
     """Ranks calls that wait, and says how long one is kept waiting.
--- a/packages/node/src/balsamramp_node/process/base_core.py
+++ b/packages/node/src/balsamramp_node/process/base_core.py
@@ -262,6 +262,7 @@
                 self.rollout_spread.is_ready,
                 self._clock,
             ),
+            self.decisions,
         )
         self.kernel.add(self.keys)
         self.kernel.add(self.door)
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -46,6 +46,7 @@
     ping_after=datetime.timedelta(milliseconds=150),
     suspect_after=datetime.timedelta(milliseconds=250),
     silent_after=datetime.timedelta(milliseconds=500),
+    connect_timeout=datetime.timedelta(milliseconds=250),
 )
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
--- a/packages/testing/src/balsamramp_testing/settings_page.py
+++ b/packages/testing/src/balsamramp_testing/settings_page.py
@@ -1,25 +1,33 @@
 """Settings page: writes the table of settings into the operators' page."""
 
+from collections import abc
 import pathlib
 import sys
 
 from balsamramp_core import settings
+from balsamramp_node.process import hosted_options
 from balsamramp_node.process import options
 
-__all__ = ["main", "render"]
+__all__ = ["TABLES", "main", "render"]
 
-BEGIN = "<!-- settings: written by make settings-doc -->\n"
 END = "<!-- end of settings -->\n"
+# The options of each program, by the mark before their table.
+TABLES: abc.Mapping[str, abc.Sequence[settings.Option]] = {
+    "<!-- settings: written by make settings-doc -->\n": options.OPTIONS,
+    "<!-- settings of a sidecar: written by make settings-doc -->\n": (
+        hosted_options.OPTIONS
+    ),
+}
 REQUIRED = "required"
 
 
-def render() -> str:
-    """Return every setting as a row of a Markdown table."""
+def render(table: abc.Sequence[settings.Option]) -> str:
+    """Return every setting of ``table`` as a row of a Markdown table."""
     lines = [
         "| setting | values | default | what it is |",
         "|---|---|---|---|",
     ]
-    for option in options.OPTIONS:
+    for option in table:
         default = REQUIRED if option.default is None else option.default
         lines.append(
             f"| `[{option.section}] {option.name}` "
@@ -30,12 +38,14 @@
 
 
 def main(arguments: list[str]) -> int:
-    """Replace the table in the page that is named."""
+    """Replace the tables in the page that is named."""
     page = pathlib.Path(arguments[0])
     text = page.read_text(encoding="utf-8")
-    before, _, rest = text.partition(BEGIN)
-    _, _, after = rest.partition(END)
-    page.write_text(before + BEGIN + render() + END + after, encoding="utf-8")
+    for begin, table in TABLES.items():
+        before, _, rest = text.partition(begin)
+        _, _, after = rest.partition(END)
+        text = before + begin + render(table) + END + after
+    page.write_text(text, encoding="utf-8")
     return 0
 
 
--- a/packages/testing/tests/test_pages.py
+++ b/packages/testing/tests/test_pages.py
@@ -8,16 +8,16 @@
 from balsamramp_testing import settings_page
 
 ROOT = pathlib.Path(__file__).parents[3]
-PAGE = (ROOT / "docs" / "OPERATING.md").read_text(encoding="utf-8")
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 METRIC_PATTERN = re.compile(
-    r"(?:metrics|counters)\.(?:count|set)\(\s*\"([a-z_]+)\""
+    r"(?:metrics|counters)\.(?:count|set|observe)\(\s*\"([a-z_]+)\""
 )
 
 
 def test_page_holds_every_setting_as_it_is() -> None:
-    begin, end = settings_page.BEGIN, settings_page.END
-    table = PAGE.partition(begin)[2].partition(end)[0]
-    assert table == settings_page.render()
+    for begin, options in settings_page.TABLES.items():
+        table = PAGE.partition(begin)[2].partition(settings_page.END)[0]
+        assert table == settings_page.render(options)
 
 
 def test_page_holds_every_command_and_exit_code() -> None:
