--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,8 +10,20 @@
         --no-deps --target "$deps" -r deploy/requirements.txt
     cp deploy/requirements.txt "$stamp"
 fi
-rm -rf "$deps"/balsamramp_*
+stage=$(mktemp -d target/stage.XXXXXX)
+trap 'rm -rf "$stage"' EXIT
 for package in core wire node; do
-    cp -R packages/"$package"/src/balsamramp_"$package" "$deps"/
+    name=balsamramp_$package
+    cp -R packages/"$package"/src/"$name" "$stage"/
+    find "$stage/$name" -name __pycache__ -prune -exec rm -rf {} +
+    if diff -rq -x __pycache__ "$stage/$name" "$deps/$name" >/dev/null 2>&1
+    then
+        continue
+    fi
+    python3 -m compileall -q -s "$stage" -p "$deps" "$stage/$name"
+    # Two renames, so that a process which starts meanwhile finds either.
+    if [ -e "$deps/$name" ]; then
+        mv "$deps/$name" "$stage/$name.old"
+    fi
+    mv "$stage/$name" "$deps/$name"
 done
-python3 -m compileall -q "$deps"/balsamramp_*
--- a/packages/node/src/balsamramp_node/calls/peer_stream.py
+++ b/packages/node/src/balsamramp_node/calls/peer_stream.py
@@ -50,9 +50,9 @@
         writer: asyncio.StreamWriter,
         time: clock.Clock,
         counters: metrics.Metrics,
-        silence: Silence = QUICK,
+        silence: Silence | None = None,
     ) -> None:
-        self._silence = silence
+        self._silence = silence or QUICK
         self._reader = reader
         self._writer = writer
         self._clock = time
--- a/packages/node/src/balsamramp_node/calls/stream_client.py
+++ b/packages/node/src/balsamramp_node/calls/stream_client.py
@@ -51,9 +51,9 @@
         time: clock.Clock,
         counters: metrics.Metrics,
         connect: Connect = connect_tcp,
-        silence: peer_stream.Silence = peer_stream.QUICK,
+        silence: peer_stream.Silence | None = None,
     ) -> None:
-        self._silence = silence
+        self._silence = silence or peer_stream.QUICK
         self._connect = connect
         self._hello = hello
         self._clock = time
--- a/packages/node/src/balsamramp_node/membership/address_book.py
+++ b/packages/node/src/balsamramp_node/membership/address_book.py
@@ -1,6 +1,7 @@
 """Address book: base class of where a node finds others at its start."""
 
 import abc
+import typing
 
 from balsamramp_core import settings
 
@@ -8,7 +9,13 @@
 
 
 class AddressBook(abc.ABC):
-    """Lists some nodes, of which some may be gone."""
+    """Lists some nodes, of which some may be gone.
+
+    One that lists every node, not some of each zone, says so with
+    ``lists_all``; nodes that start together then use it at once.
+    """
+
+    lists_all: typing.ClassVar[bool] = False
 
     @abc.abstractmethod
     async def read(self) -> list[settings.Address]:
--- a/packages/node/src/balsamramp_node/membership/directory.py
+++ b/packages/node/src/balsamramp_node/membership/directory.py
@@ -44,6 +44,7 @@
     """Makes this node known, and finds the others at a start."""
 
     name = "roster"
+    lists_all = True
     requires = ()
 
     def __init__(
--- a/packages/node/src/balsamramp_node/membership/membership.py
+++ b/packages/node/src/balsamramp_node/membership/membership.py
@@ -251,7 +251,7 @@
         zone_size = len(self._members.alive_in(self._own.zone))
         if self._random.random() < CROSS_EXCHANGES / zone_size:
             reached = await self._exchange_across() or reached
-        joining = self._rounds < JOIN_ROUNDS
+        joining = self._roster.lists_all and self._rounds < JOIN_ROUNDS
         if joining and not self._listed:
             await self._read_addresses()
         if reached and not joining and self._random.random() * zone_size > 1:
--- a/packages/node/src/balsamramp_node/process/base_core.py
+++ b/packages/node/src/balsamramp_node/process/base_core.py
@@ -133,6 +133,11 @@
             self.distribution,
         ):
             self.kernel.add(service)
+        self._add_intent_keeping()
+
+    def _add_intent_keeping(self) -> None:
+        """Make what keeps intents here, if anything does."""
+        return None
 
     def _add_membership(self) -> None:
         own = self._own
--- a/packages/node/src/balsamramp_node/process/core.py
+++ b/packages/node/src/balsamramp_node/process/core.py
@@ -48,7 +48,11 @@
     ) -> None:
         self._objects = outside.objects
         super().__init__(identity, checked, outside, now, counters, choice)
-        self._add_acceptance()
+        self.operations = operations.Operations(
+            self.kernel,
+            self.identity.node,
+            self.acceptor,
+        )
 
     def _make_readiness(self) -> readiness.Readiness:
         return readiness.Readiness(self.store)
@@ -123,7 +127,7 @@
         )
         self.kernel.add(self.calls)
 
-    def _add_acceptance(self) -> None:
+    def _add_intent_keeping(self) -> None:
         self.acceptor = acceptance.Acceptor(
             self._log,
             self._log_source,
@@ -145,8 +149,3 @@
         )
         self.kernel.add(self.acceptor)
         self.kernel.add(self.snapshots)
-        self.operations = operations.Operations(
-            self.kernel,
-            self.identity.node,
-            self.acceptor,
-        )
