--- /dev/null
+++ b/packages/node/tests/test_door_refusals.py
@@ -0,0 +1,211 @@
+"""Door refusals: what the last check keeps from a target, whoever asks."""
+
+import asyncio
+import datetime
+import typing
+
+import attrs
+from returns import result
+
+from balsamramp_core import metrics
+from balsamramp_core import verdict
+from balsamramp_node.door import call_watch
+from balsamramp_node.door import door
+from balsamramp_node.door import target_client
+from balsamramp_node.door import targets
+from balsamramp_node.door.gates import by_slots
+from balsamramp_node.door.orders import worth
+from balsamramp_testing import virtual_time
+from balsamramp_wire import messages
+
+INCARNATION = 7
+SECOND = datetime.timedelta(seconds=1)
+
+
+class _Members:
+    def set_targets(self, found: object) -> None:
+        """Tell nobody."""
+
+
+class _Target(target_client.TargetClient):
+    def __init__(self, clock: virtual_time.VirtualClock) -> None:
+        self.calls: list[str] = []
+        self._clock = clock
+
+    async def call(
+        self,
+        target: targets.Announcement,
+        request: messages.CallRequest,
+        left: datetime.timedelta,
+    ) -> target_client.Called:
+        self.calls.append(request.call_id)
+        await self._clock.sleep(SECOND / 10)
+        return result.Success(
+            target_client.TargetAnswer(status=200, headers=(), body=b"")
+        )
+
+
+class _Condemned(call_watch.CallWatch):
+    def __init__(self) -> None:
+        self.active = False
+
+    def refusal(self, target: targets.LocalTarget) -> verdict.Failure | None:
+        if not self.active:
+            return None
+        return verdict.Failure(
+            verdict.Verdict.NOT_RUN, verdict.Reason.VERSION_CONDEMNED, ""
+        )
+
+
+@attrs.define
+class _Vm:
+    clock: virtual_time.VirtualClock = attrs.field(
+        factory=virtual_time.VirtualClock
+    )
+    zone_out: bool = False
+    watch: _Condemned = attrs.field(factory=_Condemned)
+    target: _Target = attrs.field(init=False)
+    local: targets.LocalTargets = attrs.field(init=False)
+    checked: door.Door = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.target = _Target(self.clock)
+        self.local = targets.LocalTargets(
+            typing.cast(typing.Any, _Members()),
+            self.clock,
+            metrics.Metrics(),
+            60 * SECOND,
+        )
+        self.local.announce(
+            targets.Announcement(
+                target="t", service="s", url="http://t:1", slots=1
+            )
+        )
+        self.checked = door.Door(
+            INCARNATION,
+            self.local,
+            lambda announced: by_slots.SlotGate(
+                announced, worth.WorthOrder(), lambda _: 0.0, self.clock
+            ),
+            self.clock,
+            metrics.Metrics(),
+            self.target,
+            lambda: self.zone_out,
+            typing.cast(typing.Any, None),
+            self.watch,
+        )
+
+    async def submit(
+        self, call_id: str = "c", **fields: typing.Any
+    ) -> verdict.Reason | None:
+        request = messages.CallRequest(
+            call_id=call_id,
+            service="s",
+            target="t",
+            incarnation=INCARNATION,
+            method="GET",
+            path="/",
+            headers=(),
+            timeout=2 * SECOND,
+            objective=SECOND,
+            idempotent=True,
+        )
+        reply = await self.checked.submit(attrs.evolve(request, **fields))
+        if isinstance(reply, messages.CallAnswer):
+            return None
+        assert reply.failure.verdict is verdict.Verdict.NOT_RUN
+        return reply.failure.reason
+
+
+def _run(main: typing.Callable[[_Vm], typing.Awaitable[None]]) -> None:
+    async def start() -> None:
+        await main(_Vm())
+
+    virtual_time.run(start())
+
+
+def test_a_zone_that_is_out_takes_nothing_from_whoever_has_not_heard() -> None:
+    async def main(vm: _Vm) -> None:
+        vm.zone_out = True
+        assert await vm.submit() is verdict.Reason.ZONE_OUT
+        assert not vm.target.calls
+        vm.zone_out = False
+        assert await vm.submit("later") is None
+
+    _run(main)
+
+
+def test_a_draining_target_takes_nothing() -> None:
+    async def main(vm: _Vm) -> None:
+        vm.local.drain("t")
+        assert await vm.submit() is verdict.Reason.DRAINING
+        assert not vm.target.calls
+
+    _run(main)
+
+
+def test_one_that_waits_when_its_target_begins_to_leave_is_not_sent() -> None:
+    async def main(vm: _Vm) -> None:
+        first = asyncio.create_task(vm.submit("first"))
+        await vm.clock.sleep(SECOND / 100)
+        second = asyncio.create_task(vm.submit("second"))
+        await vm.clock.sleep(SECOND / 100)
+        vm.local.drain("t")
+        assert await first is None
+        assert await second is verdict.Reason.DRAINING
+        assert vm.target.calls == ["first"]
+
+    _run(main)
+
+
+def test_one_that_waits_when_its_version_is_condemned_is_not_sent() -> None:
+    async def main(vm: _Vm) -> None:
+        first = asyncio.create_task(vm.submit("first"))
+        await vm.clock.sleep(SECOND / 100)
+        second = asyncio.create_task(vm.submit("second"))
+        await vm.clock.sleep(SECOND / 100)
+        vm.watch.active = True
+        assert await first is None
+        assert await second is verdict.Reason.VERSION_CONDEMNED
+
+    _run(main)
+
+
+def test_a_message_for_an_earlier_start_of_the_node_is_not_run() -> None:
+    async def main(vm: _Vm) -> None:
+        reason = await vm.submit(incarnation=INCARNATION - 1)
+        assert reason is verdict.Reason.STALE_INCARNATION
+        assert not vm.target.calls
+
+    _run(main)
+
+
+def test_a_message_sent_twice_runs_once() -> None:
+    async def main(vm: _Vm) -> None:
+        replies = await asyncio.gather(vm.submit(), vm.submit(repeat=True))
+        assert replies == [None, None]
+        assert vm.target.calls == ["c"]
+
+    _run(main)
+
+
+def test_one_cancelled_before_it_comes_is_not_run() -> None:
+    async def main(vm: _Vm) -> None:
+        vm.checked.cancel("c", "t")
+        request = messages.CallRequest(
+            call_id="c",
+            service="s",
+            target="t",
+            incarnation=INCARNATION,
+            method="GET",
+            path="/",
+            headers=(),
+            timeout=SECOND,
+            idempotent=True,
+        )
+        reply = await vm.checked.submit(request)
+        assert isinstance(reply, messages.CallFailure)
+        assert reply.failure.reason is verdict.Reason.CANCELLED
+        assert not vm.target.calls
+
+    _run(main)
--- /dev/null
+++ b/tests/users_platform/test_adapter.py
@@ -0,0 +1,369 @@
+"""The adapter against a store in memory: what it reads and writes."""
+
+import asyncio
+from collections import abc
+import datetime
+import typing
+
+import announcements
+import fleet_stand_in
+import msgspec
+import operator_rows
+import outcome_rows
+import pytest
+from returns import result
+import store_client
+import store_stand_in
+
+from balsamramp_core import intents
+from balsamramp_core import platform
+from balsamramp_core import settings
+from balsamramp_core.resources import entry
+from balsamramp_core.resources import rollout_order
+from balsamramp_core.resources import zone
+from balsamramp_node.door import targets
+from balsamramp_node.outcomes import outcome_reporter
+
+TIMEOUT = datetime.timedelta(seconds=5)
+KINDS = platform.PlatformErrorKind
+
+
+class _Trial:
+    def __init__(self, store: store_stand_in.StoreStandIn) -> None:
+        self.store = store
+        address = settings.Address("127.0.0.1", store.port)
+        self.client = store_client.StoreClient(address, TIMEOUT)
+        self.table = store_client.StoreTable(self.client)
+        self.rows = operator_rows.OperatorRows(self.client)
+        self.board = outcome_rows.OutcomeRows(self.client)
+
+    async def next(self) -> intents.Intents:
+        read = await self.rows.next()
+        found = read.unwrap()
+        assert found is not None
+        return found
+
+
+def _try(main: abc.Callable[[_Trial], abc.Awaitable[None]]) -> None:
+    async def start() -> None:
+        store = store_stand_in.StoreStandIn()
+        await store.start()
+        trial = _Trial(store)
+        try:
+            await main(trial)
+        finally:
+            await trial.client.stop()
+            await store.stop()
+
+    asyncio.run(start())
+
+
+def _of(found: intents.Intents, kind: type) -> list[typing.Any]:
+    return [item for item in found.resources if isinstance(item, kind)]
+
+
+def test_a_configuration_becomes_entries_with_their_terms() -> None:
+    async def main(trial: _Trial) -> None:
+        split = {
+            "host": "h.example",
+            "prefix": "/big/",
+            "routeType": "download",
+            "timeoutMs": 700,
+            "targetLatencyMs": 900,
+            "priority": 2,
+            "split": [
+                {"service": "caja", "weight": 3},
+                {"service": "catalogo", "weight": 1},
+            ],
+            "maxAttempts": 3,
+        }
+        document = fleet_stand_in.configuration(7, big=split)
+        trial.store.put("op", "config", document)
+        found = await trial.next()
+        assert found.label == "7"
+        by_name = {item.name: item for item in _of(found, entry.Entry)}
+        assert not by_name["pay"].repeatable
+        assert by_name["read"].repeatable
+        big = by_name["big"]
+        assert big.repeatable
+        assert big.large
+        assert (big.timeout_ms, big.objective_ms) == (700, 900)
+        assert [part.weight for part in big.parts] == [3, 1]
+
+    _try(main)
+
+
+def test_there_are_no_intents_before_the_first_configuration() -> None:
+    async def main(trial: _Trial) -> None:
+        read = await trial.rows.next()
+        assert read.unwrap() is None
+
+    _try(main)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("routeType", "sometimes"),
+        ("timeoutMs", "soon"),
+        ("timeoutMs", -1),
+        ("maxAttempts", 0),
+        ("prefix", "no-slash"),
+        ("priority", None),
+        ("split", "both"),
+    ],
+)
+def test_a_configuration_that_is_not_understood_changes_nothing(
+    field: str, value: object
+) -> None:
+    async def main(trial: _Trial) -> None:
+        trial.store.put("op", "config", fleet_stand_in.configuration(3))
+        before = await trial.next()
+        route = fleet_stand_in.configuration(4)["routes"]["pay"]
+        bad = {**route, field: value}
+        document = fleet_stand_in.configuration(4, pay=bad)
+        trial.store.put("op", "config", document)
+        after = await trial.next()
+        assert after.resources == before.resources
+        assert after.label == "3"
+
+    _try(main)
+
+
+def test_an_older_configuration_is_not_gone_back_to() -> None:
+    async def main(trial: _Trial) -> None:
+        trial.store.put("op", "config", fleet_stand_in.configuration(9))
+        await trial.next()
+        trial.store.put("op", "config", fleet_stand_in.configuration(8))
+        assert (await trial.next()).label == "9"
+
+    _try(main)
+
+
+def test_orders_come_and_go_also_when_the_history_is_lost() -> None:
+    async def main(trial: _Trial) -> None:
+        trial.store.put("op", "config", fleet_stand_in.configuration(3))
+        await trial.next()
+        trial.store.put("op", "evacuate/z-a", {})
+        order = {"service": "caja", "to": "v2", "durationS": 12}
+        revision = trial.store.put("op", "rollout/caja", order)
+        found = await trial.next()
+        (out,) = _of(found, zone.Zone)
+        assert out.name == "z-a"
+        (ordered,) = _of(found, rollout_order.RolloutOrder)
+        assert (ordered.new, ordered.revision) == ("v2", revision)
+        trial.store.forget_history = True
+        trial.store.remove("op", "evacuate/z-a")
+        assert not _of(await trial.next(), zone.Zone)
+
+    _try(main)
+
+
+def test_an_order_that_is_not_understood_loses_nothing_else() -> None:
+    async def main(trial: _Trial) -> None:
+        trial.store.put("op", "config", fleet_stand_in.configuration(3))
+        trial.store.put("op", "rollout/caja", {"service": "caja"})
+        trial.store.put("op", "rollout/no", {"service": "no", "to": "v2"})
+        found = await trial.next()
+        assert len(_of(found, entry.Entry)) == 2
+        assert not _of(found, rollout_order.RolloutOrder)
+
+    _try(main)
+
+
+def test_rows_are_written_read_and_dropped() -> None:
+    async def main(trial: _Trial) -> None:
+        write = platform.Write("members/z-a/one", b"1")
+        await trial.table.commit(platform.Transaction((), (write,)))
+        row = (await trial.table.read("members/z-a/one")).unwrap()
+        assert row is not None
+        assert row.value == b"1"
+        found = (await trial.table.scan("members/", "", 10)).unwrap()
+        assert [item.key for item in found] == ["members/z-a/one"]
+        gone = platform.Write("members/z-a/one", None)
+        await trial.table.commit(platform.Transaction((), (gone,)))
+        assert (await trial.table.read("members/z-a/one")).unwrap() is None
+
+    _try(main)
+
+
+def test_what_went_wrong_with_a_write_is_told_apart() -> None:
+    async def main(trial: _Trial) -> None:
+        write = platform.Write("k", b"1")
+        condition = platform.Condition("k", 77)
+        conflict = platform.Transaction((condition,), (write,))
+        plain = platform.Transaction((), (write,))
+
+        async def kind(
+            transaction: platform.Transaction,
+        ) -> platform.PlatformErrorKind:
+            committed = await trial.table.commit(transaction)
+            assert isinstance(committed, result.Failure)
+            return committed.failure().kind
+
+        assert await kind(conflict) is KINDS.CONFLICT
+        trial.store.refuse = 503
+        assert await kind(plain) is KINDS.UNAVAILABLE
+        trial.store.refuse = 0
+        trial.store.lose_answers = True
+        assert await kind(plain) is KINDS.OUTCOME_UNKNOWN
+        assert trial.store.rows
+
+    _try(main)
+
+
+def _outcome(state: str, revision: int) -> intents.Outcome:
+    return intents.Outcome(
+        service="caja", version="v2", revision=revision, state=state
+    )
+
+
+def test_a_final_outcome_is_not_written_over() -> None:
+    async def main(trial: _Trial) -> None:
+        revision = trial.store.put("op", "rollout/caja", {})
+        words = (
+            outcome_reporter.RUNNING,
+            outcome_reporter.TAKEN_BACK,
+            outcome_reporter.COMPLETED,
+            outcome_reporter.RUNNING,
+        )
+        for word in words:
+            published = await trial.board.publish(_outcome(word, revision))
+            assert isinstance(published, result.Success)
+        status = trial.store.read("status", "rollout/caja")
+        assert status["state"] == "rolled_back"
+        assert status["to"] == "v2"
+
+    _try(main)
+
+
+def test_the_outcome_of_an_earlier_order_is_written_over() -> None:
+    async def main(trial: _Trial) -> None:
+        final = _outcome(outcome_reporter.COMPLETED, 0)
+        await trial.board.publish(final)
+        revision = trial.store.put("op", "rollout/caja", {})
+        running = _outcome(outcome_reporter.RUNNING, revision)
+        await trial.board.publish(running)
+        status = trial.store.read("status", "rollout/caja")
+        assert status["state"] == "running"
+
+    _try(main)
+
+
+def test_a_lost_answer_is_resolved_by_publishing_again() -> None:
+    async def main(trial: _Trial) -> None:
+        revision = trial.store.put("op", "rollout/caja", {})
+        running = _outcome(outcome_reporter.RUNNING, revision)
+        trial.store.lose_answers = True
+        lost = await trial.board.publish(running)
+        assert isinstance(lost, result.Failure)
+        version = trial.store.version
+        again = await trial.board.publish(running)
+        assert isinstance(again, result.Success)
+        assert trial.store.version == version
+
+    _try(main)
+
+
+class _Local:
+    def __init__(self) -> None:
+        self.announced: list[targets.Announcement] = []
+        self.drained: list[str] = []
+        self.withdrawn: list[str] = []
+        self.is_late = False
+
+    def announce(
+        self, announcement: targets.Announcement
+    ) -> result.Result[None, str]:
+        self.announced.append(announcement)
+        return result.Failure("late") if self.is_late else result.Success(None)
+
+    def drain(self, target: str) -> None:
+        self.drained.append(target)
+
+    def withdraw(self, target: str) -> None:
+        self.withdrawn.append(target)
+
+
+HEARTBEAT = {
+    "service": "caja",
+    "address": "10.0.0.1:80",
+    "zone": "z-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+
+
+def _post(local: _Local, call: str, body: bytes) -> int:
+    statuses: list[int] = []
+
+    async def receive() -> dict[str, object]:
+        return {"type": "http.request", "body": body}
+
+    async def send(event: dict[str, typing.Any]) -> None:
+        if "status" in event:
+            statuses.append(event["status"])
+
+    application = announcements.Announcements(
+        typing.cast(typing.Any, local), "10.0.0.1:80"
+    )
+    scope = {"path": f"/v1/instances/i-1/{call}", "method": "POST"}
+    asyncio.run(application(scope, receive, send))
+    return statuses[0]
+
+
+def test_a_heartbeat_announces_the_target() -> None:
+    local = _Local()
+    body = msgspec.json.encode(HEARTBEAT)
+    assert _post(local, "heartbeat", body) == 200
+    (found,) = local.announced
+    assert found.target == "i-1"
+    assert found.instance == "1700000000000"
+    assert found.cold_for == datetime.timedelta(seconds=1.5)
+    assert found.labels == {"version": "v1"}
+    assert not local.drained
+
+
+def test_a_leaving_target_is_drained_once_it_is_believed() -> None:
+    local = _Local()
+    body = msgspec.json.encode({**HEARTBEAT, "state": "draining"})
+    assert _post(local, "heartbeat", body) == 200
+    assert local.drained == ["i-1"]
+    local.is_late = True
+    assert _post(local, "heartbeat", body) == 200
+    assert local.drained == ["i-1"]
+    assert _post(local, "deregister", b"{}") == 200
+    assert local.withdrawn == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("state", "sleeping"),
+        ("slots", "8"),
+        ("slots", True),
+        ("born", 1.5),
+        ("sequence", None),
+        ("address", "10.0.0.2:80"),
+        ("version", 1),
+        ("warmupLeftMs", -1),
+    ],
+)
+def test_what_another_writer_sends_names_no_target(
+    field: str, value: object
+) -> None:
+    local = _Local()
+    body = msgspec.json.encode({**HEARTBEAT, field: value})
+    assert _post(local, "heartbeat", body) == 400
+    assert not local.announced
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b'"x"', b"{"])
+def test_bytes_that_are_no_heartbeat_are_refused(body: bytes) -> None:
+    local = _Local()
+    assert _post(local, "heartbeat", body) == 400
+    assert not local.announced
