A target older than its node's process is asked for its health before it gets work

A node that is stopped and started again knows nothing of a leave that its earlier process has acknowledged, and a late heartbeat that says "ready" would be believed. Whether it was that is not shown; the hole is, by test_a_target_older_than_its_node_is_asked_first. Ruled out: waiting for a second announcement always, which costs a restarted node a heartbeat's time of service.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,8 @@
 	$(BIN)/mypy --no-error-summary \
 	    packages/core/src packages/wire/src packages/node/src \
 	    packages/client/src packages/testing/src
+	MYPYPATH=platform $(BIN)/mypy --no-error-summary \
+	    $(wildcard platform/*.py)
 
 test: check
 	$(BIN)/pytest -n $(WORKERS) --dist loadfile
--- a/packages/core/src/balsamramp_core/resources/service.py
+++ b/packages/core/src/balsamramp_core/resources/service.py
@@ -15,7 +15,8 @@
     repeated without harm. A target that has just started is cold for
     ``warm_up_seconds`` and then bears only ``warm_up_rate`` calls a
     second; a rate of 0 sets no bound. ``connections_max`` is how many
-    connections a target takes from its node.
+    connections a target takes from its node. Under ``health_path``, if
+    there is one, a target says whether it is leaving.
     """
 
     kind = "service"
@@ -25,6 +26,7 @@
     warm_up_seconds: float = 0.0
     warm_up_rate: float = 0.0
     connections_max: int = 100
+    health_path: str = ""
 
     def problems(self) -> list[str]:
         found = super().problems()
--- a/packages/node/src/balsamramp_node/door/pooled_target_client.py
+++ b/packages/node/src/balsamramp_node/door/pooled_target_client.py
@@ -6,6 +6,7 @@
 import errno
 import typing
 
+from absl import logging
 import attrs
 from returns import result
 
@@ -25,6 +26,8 @@
 # A target on the same VM takes a connection at once or not at all; a full
 # backlog drops the first packet, which is sent again after a second.
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
+# A health request waits for a slot like any other.
+HEALTH_TIMEOUT = datetime.timedelta(seconds=1)
 # Taken off the time handed on, for the way to the target and back.
 HOP_ALLOWANCE = datetime.timedelta(milliseconds=2)
 # Part of the stated keep-alive for which an idle connection is used again.
@@ -102,6 +105,33 @@
             )
         return await self._exchange(target, request, left, connection)
 
+    async def health(
+        self, target: targets.Announcement, path: str
+    ) -> targets.Health:
+        """Ask a target whether it takes work."""
+        address = settings.parse_address(target.url.removeprefix("http://"))
+        request = f"GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT.total_seconds()):
+                connection = await http_connection.HttpConnection.open(
+                    address, self._body_max_bytes
+                )
+                answer = await connection.exchange(
+                    request.encode(), False, lambda found: True
+                )
+        except (OSError, TimeoutError, http_connection.AnswerError) as error:
+            logging.info("target %s is silent: %r", target.target, error)
+            return targets.Health.UNKNOWN
+        self._keep(target.url, connection)
+        if answer.header(self._names.not_run) is not None:
+            return targets.Health.UNKNOWN
+        named = answer.header(self._names.answered_by)
+        if named not in (None, target.target):
+            return targets.Health.LEAVING
+        if answer.status in STATUS_SUCCESS:
+            return targets.Health.SERVING
+        return targets.Health.LEAVING
+
     async def _exchange(
         self,
         target: targets.Announcement,
--- a/packages/node/src/balsamramp_node/door/targets.py
+++ b/packages/node/src/balsamramp_node/door/targets.py
@@ -4,6 +4,7 @@
 import collections
 from collections import abc
 import datetime
+import enum
 import typing
 
 from absl import logging
@@ -17,7 +18,7 @@
 from balsamramp_node.membership import membership
 from balsamramp_wire import messages
 
-__all__ = ["Announcement", "LocalTarget", "LocalTargets"]
+__all__ = ["Announcement", "Health", "LocalTarget", "LocalTargets"]
 
 # Targets that left, whose late announcements are told apart.
 LEFT_MAX_TARGETS = 64
@@ -93,8 +94,25 @@
         )
 
 
+class Health(enum.Enum):
+    """What a target says of itself when it is asked."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    UNKNOWN = "unknown"
+
+
+Verify = abc.Callable[[Announcement], abc.Awaitable[Health]]
+
+
 class LocalTargets(kernel.Service):
-    """The targets of this VM, kept while they renew their announcement."""
+    """The targets of this VM, kept while they renew their announcement.
+
+    A target that started before this node did may have told an earlier
+    process that it leaves, and what it announces may be late. So it is
+    asked with ``verify`` before it gets work; if it can't say, it gets
+    work from its second announcement on.
+    """
 
     name = "targets"
     requires = ("membership",)
@@ -106,6 +124,10 @@
         counters: metrics.Metrics,
         lease: datetime.timedelta,
     ) -> None:
+        self.verify: Verify | None = None
+        self._since_ms = int(time.now().timestamp() * 1000)
+        self._unverified: dict[str, int] = {}
+        self._asking: set[asyncio.Task[None]] = set()
         self._members = members
         self._clock = time
         self._metrics = counters
@@ -150,13 +172,50 @@
             )
             self._targets[announcement.target] = known
             logging.info("target %s announced", announcement.target)
-        if known.state is messages.TargetState.STARTING:
-            known.state = messages.TargetState.READY
+            self._ask_first(known)
+        elif known.state is messages.TargetState.STARTING:
+            self._resume(known, announcement)
         known.announcement = announcement
         known.expires_at = expires_at
         self._publish()
         return result.Success(known)
 
+    def _ask_first(self, known: LocalTarget) -> None:
+        """Hold a target back that an earlier process may have known."""
+        announcement = known.announcement
+        if self.verify is None or not announcement.started_ms:
+            return
+        if announcement.started_ms >= self._since_ms:
+            return
+        known.state = messages.TargetState.STARTING
+        self._unverified[announcement.target] = announcement.sequence
+        task = asyncio.create_task(self._ask(known, self.verify))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+
+    async def _ask(self, known: LocalTarget, verify: Verify) -> None:
+        target = known.announcement.target
+        health = await verify(known.announcement)
+        logging.info("target %s says it is %s", target, health.value)
+        if self._targets.get(target) is not known:
+            return
+        if health is Health.LEAVING:
+            self.drain(target)
+        if health is not Health.SERVING:
+            return
+        self._unverified.pop(target, None)
+        if known.state is messages.TargetState.STARTING:
+            known.state = messages.TargetState.READY
+            self._publish()
+
+    def _resume(self, known: LocalTarget, announcement: Announcement) -> None:
+        """Give a target work again that has announced itself anew."""
+        asked_at = self._unverified.get(announcement.target)
+        if asked_at is not None and announcement.sequence <= asked_at:
+            return
+        self._unverified.pop(announcement.target, None)
+        known.state = messages.TargetState.READY
+
     def _stale(self, announcement: Announcement) -> str:
         """Return why an announcement is late, or nothing."""
         left_ms = self._left.get(announcement.target)
@@ -190,6 +249,7 @@
         known = self._targets.get(target)
         if known is None:
             return False
+        self._unverified.pop(target, None)
         if known.state is messages.TargetState.DRAINING:
             return True
         known.state = messages.TargetState.DRAINING
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -21,6 +21,7 @@
 from balsamramp_node.door import control_server
 from balsamramp_node.door import pooled_target_client
 from balsamramp_node.door import stream_server
+from balsamramp_node.door import targets as local_targets
 from balsamramp_node.process import base_core
 from balsamramp_node.process import caller_protocol
 from balsamramp_node.process import decision_log
@@ -114,6 +115,8 @@
             random.Random(f"{identity.node} {identity.incarnation}"),
             decisions,
         )
+        self._target_client = targets
+        self._core.targets.verify = self._ask_health
         targets.on_refused = self._on_refused
         targets.on_misdirected = self._core.targets.suspend
         self._core.kernel.add(
@@ -178,6 +181,16 @@
         self._core.targets.suspend(target)
         self._core.door.assume_cold(target)
 
+    async def _ask_health(
+        self, announcement: local_targets.Announcement
+    ) -> local_targets.Health:
+        found = self._core.router.service(announcement.service)
+        if found is None or not found.health_path:
+            return local_targets.Health.UNKNOWN
+        return await self._target_client.health(
+            announcement, found.health_path
+        )
+
     def _caller_server(self, platform: host.Host) -> http_server.HttpServer:
         ingress = entry_ingress.EntryIngress(
             self._core.calls,
--- a/packages/node/tests/test_local_targets.py
+++ b/packages/node/tests/test_local_targets.py
@@ -1,9 +1,11 @@
 """Local targets: late, repeated and crossing announcements change nothing."""
 
+import asyncio
 import datetime
 import typing
 
 import attrs
+import pytest
 from returns import result
 
 from balsamramp_core import metrics
@@ -138,6 +140,60 @@
     _run(main)
 
 
+async def _settle() -> None:
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(
+    ("health", "after_one", "after_two"),
+    [
+        (targets.Health.SERVING, READY, READY),
+        (targets.Health.LEAVING, DRAINING, DRAINING),
+        (targets.Health.UNKNOWN, STARTING, READY),
+    ],
+)
+def test_a_target_older_than_its_node_is_asked_first(
+    health: targets.Health,
+    after_one: messages.TargetState,
+    after_two: messages.TargetState,
+) -> None:
+    """It may have told an earlier process of the node that it leaves."""
+
+    async def main() -> None:
+        vm = _Vm()
+
+        async def verify(announcement: targets.Announcement) -> targets.Health:
+            return health
+
+        vm.local.verify = verify
+        assert vm.announce()
+        assert vm.state() is STARTING
+        await _settle()
+        assert vm.state() is after_one
+        assert not vm.announce(sequence=0)
+        assert vm.state() is after_one
+        assert vm.announce(sequence=2)
+        assert vm.state() is after_two
+
+    virtual_time.run(main())
+
+
+def test_a_target_younger_than_its_node_needs_no_asking() -> None:
+    async def main() -> None:
+        vm = _Vm()
+
+        async def verify(announcement: targets.Announcement) -> targets.Health:
+            raise AssertionError
+
+        vm.local.verify = verify
+        born = int(vm.clock.now().timestamp() * 1000) + 1
+        assert vm.announce(started_ms=born, instance=str(born))
+        assert vm.state() is READY
+
+    virtual_time.run(main())
+
+
 def test_a_target_without_a_start_may_withdraw_and_return() -> None:
     def main(vm: _Vm) -> None:
         plain = {"started_ms": 0, "instance": "", "sequence": 0}
--- a/tests/users_platform/fleet_stand_in.py
+++ b/tests/users_platform/fleet_stand_in.py
@@ -90,9 +90,11 @@
     async def ready(self) -> int:
         """Return the status of the readiness call."""
         url = f"http://{self.address('ready')}/v1/readiness"
-        async with aiohttp.ClientSession() as session:
-            async with session.get(url) as answer:
-                return answer.status
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as answer,
+        ):
+            return answer.status
 
     def log(self) -> str:
         """Return what the process has written."""
@@ -158,7 +160,7 @@
     ) -> None:
         """Wait until ``condition`` holds, and fail if it never does."""
         async with asyncio.timeout(START_TIMEOUT_SECONDS):
-            while not await condition():
+            while not await condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
 
     async def wait_until_ready(self) -> None:
--- a/tests/users_platform/target_stand_in.py
+++ b/tests/users_platform/target_stand_in.py
@@ -66,10 +66,12 @@
     async def post(self, control: str, call: str, document: object) -> int:
         """Make a call of the registry; return the status."""
         url = f"http://{control}/v1/instances/{self.name}/{call}"
-        async with aiohttp.ClientSession() as session:
-            async with session.post(url, json=document) as answer:
-                await answer.read()
-                return answer.status
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, json=document) as answer,
+        ):
+            await answer.read()
+            return answer.status
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         expected = request.headers.get(P + "Target-Instance")
--- a/tests/users_platform/test_whole_path.py
+++ b/tests/users_platform/test_whole_path.py
@@ -1,10 +1,13 @@
 """The whole path on the platform: real processes, stand-ins around them."""
 
 import asyncio
+import json
 import pathlib
 
 import aiohttp
 import fleet_stand_in
+import pytest
+import show
 import yarl
 
 P = "X-Balsamramp-"
@@ -213,3 +216,34 @@
             assert fleet.store.read("status", "rollout/caja")["to"] == "v2"
 
     asyncio.run(main())
+
+
+def test_operators_are_shown_what_the_store_and_a_node_know(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def main() -> None:
+        async with fleet_stand_in.Fleet(tmp_path) as fleet:
+            (only,) = await _serving(fleet, "one")
+            fleet.store.put("op", "evacuate/z-b", {})
+            arguments = [
+                f"127.0.0.1:{fleet.store.port}",
+                "--node",
+                only.address("metrics"),
+            ]
+            code = await asyncio.to_thread(show.main, arguments)
+            assert code == show.EXIT_OK
+
+    asyncio.run(main())
+    shown = json.loads(capsys.readouterr().out)
+    assert shown["configuration"]["version"] == "3"
+    assert shown["configuration"]["zone"][0]["name"] == "z-b"
+    assert shown["nodes"] == ["z-a/one"]
+    assert list(shown["node"]["targets"]) == ["i-one"]
+
+
+def test_a_store_that_is_away_is_said_so(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    assert show.main(["127.0.0.1:1"]) == show.EXIT_UNREACHABLE
+    assert "cannot connect" in capsys.readouterr().err
