--- a/packages/node/src/balsamramp_node/door/door.py
+++ b/packages/node/src/balsamramp_node/door/door.py
@@ -19,6 +19,7 @@
 from balsamramp_node.door import call_watch
 from balsamramp_node.door import gate
 from balsamramp_node.door import journal
+from balsamramp_node.door import kept_answers
 from balsamramp_node.door import key_ledger
 from balsamramp_node.door import target_client
 from balsamramp_node.door import targets
@@ -60,6 +61,7 @@
         keys: key_ledger.KeyLedger,
         watch: call_watch.CallWatch | None = None,
         decisions: decision_log.DecisionLog | None = None,
+        kept_max_bytes: int = kept_answers.KEPT_MAX_BYTES,
     ) -> None:
         self._decisions = decisions or decision_log.DecisionLog(
             decision_log.NullSink(), time
@@ -73,7 +75,7 @@
         self._is_zone_out = is_zone_out
         self._keys = keys
         self._watch = watch or call_watch.CallWatch()
-        self._journal = journal.Journal()
+        self._journal = journal.Journal(kept_max_bytes=kept_max_bytes)
         self._gates: dict[str, gate.Gate] = {}
         self._running = 0
 
@@ -184,7 +186,7 @@
         if self._is_zone_out():
             return _not_run(verdict.Reason.ZONE_OUT, "the zone is out")
         target = self._targets.find(request.target)
-        failure = _unready(request.target, target)
+        failure = _unready(request, target)
         if failure is not None:
             return failure
         assert target is not None
@@ -264,7 +266,7 @@
     ) -> call_transport.Reply:
         deadline = self._clock.monotonic() + left
         target = self._targets.find(request.target)
-        failure = _unready(request.target, target)
+        failure = _unready(request, target)
         if failure is not None:
             return self._refuse_unrecorded(request, failure)
         assert target is not None
@@ -274,7 +276,7 @@
             self._watch.refused(request, target)
             return self._refuse_unrecorded(request, failure)
         target = self._targets.find(request.target)
-        failure = _unready(request.target, target)
+        failure = _unready(request, target)
         if failure is None and target is not None:
             failure = self._watch.refusal(target)
         if failure is not None:
@@ -423,10 +425,17 @@
 
 
 def _unready(
-    name: str, target: targets.LocalTarget | None
+    request: messages.CallRequest, target: targets.LocalTarget | None
 ) -> verdict.Failure | None:
+    name = request.target
     if target is None:
         return _not_run(verdict.Reason.NO_TARGET, f"no target {name}")
+    instance = target.announcement.instance
+    if request.instance and request.instance != instance:
+        return _not_run(
+            verdict.Reason.NO_TARGET,
+            f"target {name} has started again since it was picked",
+        )
     if target.state is messages.TargetState.READY:
         return None
     return _not_run(
--- a/packages/node/src/balsamramp_node/door/journal.py
+++ b/packages/node/src/balsamramp_node/door/journal.py
@@ -42,11 +42,15 @@
     because copies may have waited in the sockets meanwhile.
     """
 
-    def __init__(self, entries_max: int = ENTRIES_MAX) -> None:
+    def __init__(
+        self,
+        entries_max: int = ENTRIES_MAX,
+        kept_max_bytes: int = kept_answers.KEPT_MAX_BYTES,
+    ) -> None:
         self._entries_max = entries_max
         self._entries: dict[JournalKey, Entry] = {}
         self._expiry: list[tuple[datetime.timedelta, JournalKey]] = []
-        self._answers = kept_answers.KeptAnswers()
+        self._answers = kept_answers.KeptAnswers(kept_max_bytes)
         self._time = datetime.timedelta()
         self._last = datetime.timedelta()
 
--- a/packages/node/src/balsamramp_node/door/kept_answers.py
+++ b/packages/node/src/balsamramp_node/door/kept_answers.py
@@ -6,7 +6,7 @@
 from balsamramp_node.calls import call_transport
 from balsamramp_wire import messages
 
-__all__ = ["Ended", "KeptAnswers"]
+__all__ = ["KEPT_MAX_BYTES", "Ended", "KeptAnswers"]
 
 KEPT_MAX_BYTES = 16 * 1024 * 1024
 
@@ -21,11 +21,12 @@
 class KeptAnswers:
     """Bounds the bodies that are kept for repeated calls.
 
-    Beyond ``KEPT_MAX_BYTES`` together the oldest are dropped, and the
+    Beyond ``max_bytes`` together the oldest are dropped, and the
     reply becomes a failure which says that the call ran.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = KEPT_MAX_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._kept: dict[Ended, int] = {}
         self._bytes = 0
 
@@ -36,7 +37,7 @@
             return
         self._kept[ended] = len(reply.body)
         self._bytes += len(reply.body)
-        while self._bytes > KEPT_MAX_BYTES:
+        while self._bytes > self._max_bytes:
             oldest = next(iter(self._kept))
             self.forget(oldest)
             assert oldest.reply is not None
--- a/packages/node/src/balsamramp_node/process/base_core.py
+++ b/packages/node/src/balsamramp_node/process/base_core.py
@@ -21,6 +21,7 @@
 from balsamramp_node.configuration import store
 from balsamramp_node.door import door
 from balsamramp_node.door import gate
+from balsamramp_node.door import kept_answers
 from balsamramp_node.door import key_ledger
 from balsamramp_node.door import targets
 from balsamramp_node.membership import address_book
@@ -61,6 +62,8 @@
     come in.
     """
 
+    kept_answers_max_bytes = kept_answers.KEPT_MAX_BYTES
+
     def __init__(
         self,
         identity: Identity,
@@ -268,6 +271,7 @@
                 self._clock,
             ),
             self.decisions,
+            self.kept_answers_max_bytes,
         )
         self.kernel.add(self.keys)
         self.kernel.add(self.door)
--- a/packages/node/src/balsamramp_node/process/hosted_core.py
+++ b/packages/node/src/balsamramp_node/process/hosted_core.py
@@ -44,6 +44,10 @@
     Targets say how many calls they run, and their doors queue the rest.
     """
 
+    # Answers are asked for again within a second if their connection was
+    # lost, and memory is what a small VM has least of.
+    kept_answers_max_bytes = 2 * 1024 * 1024
+
     def __init__(
         self,
         identity: base_core.Identity,
--- a/packages/node/tests/test_door_refusals.py
+++ b/packages/node/tests/test_door_refusals.py
@@ -180,6 +180,15 @@
     _run(main)
 
 
+def test_a_call_for_an_earlier_start_of_the_target_is_not_run() -> None:
+    async def main(vm: _Vm) -> None:
+        reason = await vm.submit(instance="earlier")
+        assert reason is verdict.Reason.NO_TARGET
+        assert not vm.target.calls
+
+    _run(main)
+
+
 def test_a_message_sent_twice_runs_once() -> None:
     async def main(vm: _Vm) -> None:
         replies = await asyncio.gather(vm.submit(), vm.submit(repeat=True))
