--- a/packages/node/src/balsamramp_node/calls/entry_calls.py
+++ b/packages/node/src/balsamramp_node/calls/entry_calls.py
@@ -34,7 +34,7 @@
 # the answer would come too late.
 TIME_LEFT_MIN = 0.15
 NO_LOAD = messages.Load(0, 0)
-REACHED_REASONS = frozenset(
+UNREACHABLE_REASONS = frozenset(
     [verdict.Reason.CONNECTION_LOST, verdict.Reason.STALE_INCARNATION]
 )
 RANKS = {
@@ -337,7 +337,10 @@
         if reply.status >= STATUS_FAILED_MIN:
             return picker.Sign.FAILED
         return picker.Sign.ANSWERED
-    if reply.failure.reason in REACHED_REASONS and not reply.failure.offered:
+    if (
+        reply.failure.reason in UNREACHABLE_REASONS
+        and not reply.failure.offered
+    ):
         return picker.Sign.UNREACHABLE
     if reply.failure.verdict is verdict.Verdict.NOT_RUN:
         return picker.Sign.REFUSED
--- a/packages/node/src/balsamramp_node/process/hosted_options.py
+++ b/packages/node/src/balsamramp_node/process/hosted_options.py
@@ -1,31 +1,33 @@
 """Hosted options: the settings of a node that runs on a host's VMs."""
 
+import attrs
+
 from balsamramp_core import settings
-from balsamramp_node.calls import pickers
 from balsamramp_node.door import orders
-from balsamramp_node.outcomes import policies
+from balsamramp_node.process import options
 
 __all__ = ["OPTIONS"]
 
+
+def _of_node(
+    section: str, name: str, default: str | None = None
+) -> settings.Option:
+    """Return the option of any node, with another default if given."""
+    for option in options.OPTIONS:
+        if (option.section, option.name) != (section, name):
+            continue
+        return (
+            option
+            if default is None
+            else attrs.evolve(option, default=default)
+        )
+    raise LookupError(f"no option [{section}] {name}")
+
+
 OPTIONS: tuple[settings.Option, ...] = (
-    settings.Option(
-        section="node",
-        name="id",
-        kind="name",
-        doc="name of this node, unique in the fleet",
-    ),
-    settings.Option(
-        section="node",
-        name="zone",
-        kind="name",
-        doc="availability zone of this VM",
-    ),
-    settings.Option(
-        section="node",
-        name="region",
-        kind="name",
-        doc="region of this VM",
-    ),
+    _of_node("node", "id"),
+    _of_node("node", "zone"),
+    _of_node("node", "region"),
     settings.Option(
         section="node",
         name="service",
@@ -38,12 +40,7 @@
         kind="address",
         doc="address of the target on this VM",
     ),
-    settings.Option(
-        section="listen",
-        name="host",
-        kind="host",
-        doc="IP address of this VM",
-    ),
+    _of_node("listen", "host"),
     settings.Option(
         section="listen",
         name="callers",
@@ -102,44 +99,10 @@
         default="",
         doc="stream addresses, host:port, of nodes to join through",
     ),
-    settings.Option(
-        section="membership",
-        name="interval",
-        kind="duration",
-        unit="ms",
-        default="500",
-        low=10,
-        high=60000,
-        doc="time between two exchanges with a peer",
-    ),
-    settings.Option(
-        section="calls",
-        name="body_max_bytes",
-        kind="int",
-        unit="bytes",
-        default="16000000",
-        low=0,
-        high=16000000,
-        doc="largest body of an answer",
-    ),
-    settings.Option(
-        section="calls",
-        name="key_retention",
-        kind="duration",
-        unit="ms",
-        default="300000",
-        low=1000,
-        high=86400000,
-        doc="time for which an idempotency key is remembered",
-    ),
-    settings.Option(
-        section="calls",
-        name="picker",
-        kind="str",
-        choices=tuple(sorted(pickers.PICKERS)),
-        default="expected-finish",
-        doc="how a target is picked among those that match",
-    ),
+    _of_node("membership", "interval"),
+    _of_node("calls", "body_max_bytes", default="16000000"),
+    _of_node("calls", "key_retention"),
+    _of_node("calls", "picker", default="expected-finish"),
     settings.Option(
         section="calls",
         name="retry_ratio",
@@ -169,14 +132,7 @@
         high=100000,
         doc="repeats of the fleet in the window beyond the ratio",
     ),
-    settings.Option(
-        section="rollouts",
-        name="policy",
-        kind="str",
-        default="bounded-exposure",
-        choices=tuple(sorted(policies.POLICIES)),
-        doc="how a rollout's share is decided, alike on all nodes",
-    ),
+    _of_node("rollouts", "policy", default="bounded-exposure"),
     settings.Option(
         section="targets",
         name="beat",
