--- a/packages/node/src/balsamramp_node/configuration/distribution.py
+++ b/packages/node/src/balsamramp_node/configuration/distribution.py
@@ -44,6 +44,10 @@
     each node hands it on once. Whoever missed it finds a later version
     or another digest in an exchange and fetches the difference, or a
     snapshot where the peer went through other states.
+
+    With ``patience`` every node reads from the source itself. Nothing is
+    pushed then, and a node fetches from a peer only what it has known to
+    be behind for that long, or to start with.
     """
 
     name = "distribution"
@@ -60,7 +64,10 @@
         time: clock.Clock,
         counters: metrics.Metrics,
         choice: random.Random,
+        patience: datetime.timedelta | None = None,
     ) -> None:
+        self._patience = patience
+        self._behind: tuple[int, datetime.timedelta] | None = None
         self._node = own.node
         self._zone = own.zone
         self._members = members
@@ -107,7 +114,8 @@
         """Compare with what ``peer`` has in force; fetch if it is later."""
         own = self._store.current
         if state.version > own.version:
-            self._fetch_soon(peer, zone)
+            if self._is_behind(own.version):
+                self._fetch_soon(peer, zone)
             return
         if state.version < own.version:
             return
@@ -117,6 +125,15 @@
         if self._checking is None or self._checking.done():
             self._checking = asyncio.create_task(self._check())
 
+    def _is_behind(self, version: int) -> bool:
+        """Tell whether peers have held a later version for long enough."""
+        if self._patience is None or version == 0:
+            return True
+        now = self._clock.monotonic()
+        if self._behind is None or self._behind[0] != version:
+            self._behind = (version, now)
+        return now - self._behind[1] >= self._patience
+
     def dump(self) -> abc.Mapping[str, typing.Any]:
         return {"pushes_in_flight": len(self._sending)}
 
@@ -125,7 +142,7 @@
 
     def _note_change(self, current: configuration.Configuration) -> None:
         before, self._known = self._known, current
-        if not self._from_peer:
+        if not self._from_peer and self._patience is None:
             self._push_after(before)
 
     def _push_after(self, before: configuration.Configuration) -> None:
--- a/packages/node/src/balsamramp_node/configuration/watched_source.py
+++ b/packages/node/src/balsamramp_node/configuration/watched_source.py
@@ -7,7 +7,6 @@
 import typing
 
 from absl import logging
-import immutables
 from returns import result
 
 from balsamramp_core import clock
@@ -119,7 +118,7 @@
     def _bring_into_force(self, found: intents.Intents) -> None:
         current = self._store.current
         if found.revision > current.version:
-            later = _configuration(found, self._clock.now())
+            later = _follow(current, found, self._clock.now())
             if isinstance(later, result.Failure):
                 self._refuse(found, later.failure())
                 return
@@ -149,29 +148,41 @@
         )
 
 
-def _configuration(
-    found: intents.Intents, now: datetime.datetime
+def _follow(
+    current: configuration.Configuration,
+    found: intents.Intents,
+    now: datetime.datetime,
 ) -> result.Result[configuration.Configuration, configuration.Refusal]:
-    """Return the checked configuration that ``found`` describes."""
-    seen: set[resource.ResourceKey] = set()
+    """Return the checked configuration that ``found`` describes.
+
+    It shares with ``current`` what did not change, since a change of some
+    routes is a small part of a large configuration.
+    """
+    items: dict[resource.ResourceKey, resource.Resource] = {}
     for item in found.resources:
-        if item.key in seen:
+        if item.key in items:
             message = f"{item.key} stands twice"
             kind = configuration.RefusalKind.INVALID
             return result.Failure(configuration.Refusal(kind, message))
-        seen.add(item.key)
-    empty = configuration.Configuration(0, immutables.Map(), 0)
+        items[item.key] = item
+    puts = tuple(
+        item
+        for key, item in items.items()
+        if current.resources.get(key) != item
+    )
+    deletes = tuple(key for key in current.resources if key not in items)
     change = configuration.Change(
         version=found.revision,
-        base_version=0,
+        base_version=current.version,
         change_id=str(found.revision),
-        base_digest=0,
+        base_digest=current.digest,
         digest=0,
         author=AUTHOR,
         accepted_at=now,
-        puts=found.resources,
+        puts=puts,
+        deletes=deletes,
     )
-    merged = configuration.merge(empty, found.revision, found.resources, ())
+    merged = configuration.merge(current, found.revision, puts, deletes)
     problems = configuration.problems(merged, change)
     if problems:
         return result.Failure(problems[0])
--- a/packages/node/src/balsamramp_node/process/base_core.py
+++ b/packages/node/src/balsamramp_node/process/base_core.py
@@ -63,6 +63,7 @@
     """
 
     kept_answers_max_bytes = kept_answers.KEPT_MAX_BYTES
+    fetch_patience: datetime.timedelta | None = None
 
     def __init__(
         self,
@@ -128,6 +129,7 @@
             self._clock,
             self._metrics,
             self._random,
+            self.fetch_patience,
         )
         for service in (
             self.store,
--- a/packages/node/src/balsamramp_node/process/hosted_core.py
+++ b/packages/node/src/balsamramp_node/process/hosted_core.py
@@ -47,6 +47,9 @@
     # Answers are asked for again within a second if their connection was
     # lost, and memory is what a small VM has least of.
     kept_answers_max_bytes = 2 * 1024 * 1024
+    # Half of the time within which a change is in force, for the store to
+    # answer; then a peer is asked.
+    fetch_patience = datetime.timedelta(seconds=1)
 
     def __init__(
         self,
--- a/tests/users_platform/store_stand_in.py
+++ b/tests/users_platform/store_stand_in.py
@@ -16,6 +16,7 @@
 class StoreStandIn:
     """Rows, conditional transactions and a feed of changes.
 
+    While it is ``silent`` a wait for changes is never answered.
     ``refuse`` is a status with which every call is answered, or 0, and
     ``lose_answers`` has writes take effect and the connection end.
     ``forget_history`` makes the feed answer that it is gone, once.
@@ -26,6 +27,7 @@
         self.version = 0
         self.calls = 0
         self.refuse = 0
+        self.silent = False
         self.lose_answers = False
         self.forget_history = False
         self.port = 0
@@ -122,6 +124,8 @@
         refusal = self._refusal()
         if refusal is not None:
             return refusal
+        if self.silent:
+            await asyncio.Event().wait()
         if self.forget_history:
             self.forget_history = False
             return web.Response(status=410)
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -159,6 +159,20 @@
     _try(main)
 
 
+def test_a_wait_that_began_in_an_outage_does_not_hide_what_follows() -> None:
+    async def main(trial: _Trial) -> None:
+        trial.store.put("op", "config", fleet_stand_in.configuration(3))
+        await trial.next()
+        trial.store.silent = True
+        unanswered = await trial.rows.next()
+        assert isinstance(unanswered, result.Failure)
+        trial.store.silent = False
+        trial.store.put("op", "config", fleet_stand_in.configuration(4))
+        assert (await trial.next()).label == "4"
+
+    _try(main)
+
+
 def test_an_order_that_is_not_understood_loses_nothing_else() -> None:
     async def main(trial: _Trial) -> None:
         trial.store.put("op", "config", fleet_stand_in.configuration(3))
