--- a/packages/node/src/balsamramp_node/outcomes/policies/bounded_exposure.py
+++ b/packages/node/src/balsamramp_node/outcomes/policies/bounded_exposure.py
@@ -10,7 +10,7 @@
 # Share of all calls in the planned time that a version may have got before
 # the last step, so that a version which is only bad in full use stays
 # within the 10% that operators allow.
-EXPOSURE_MAX = 0.06
+EXPOSURE_MAX = 0.05
 # Part of the planned time; half of that planned for the shortest step.
 DWELL_PART = 0.02
 
@@ -20,12 +20,15 @@
 
     A version that turns bad late, or only under load, has then got at
     most ``EXPOSURE_MAX`` of the calls of the planned time before its last
-    step. The time spent at a share is inverse to it. Evidence, suspicion
-    and take-back are those of the evidence policy.
+    step. The time spent at a share is inverse to it. Evidence and suspicion
+    are those of the evidence policy. Failures at the last step that stand
+    out from the record take the version back without another comparison:
+    a second of half of the calls is more than a short plan allows.
     """
 
     name = "bounded-exposure"
     doc = "like evidence, with equal exposure at each step, for short plans"
+    failures_on_record_decide = True
     shares = (0.0, 0.05, 0.1, 0.25, 0.5, 1.0)
 
     def dwell(self, intent: rollout.Rollout) -> datetime.timedelta:
--- a/packages/node/src/balsamramp_node/outcomes/policies/evidence.py
+++ b/packages/node/src/balsamramp_node/outcomes/policies/evidence.py
@@ -76,6 +76,7 @@
 
     name = "evidence"
     doc = "on schedule while a side-by-side test finds new no worse than old"
+    failures_on_record_decide: typing.ClassVar[bool] = False
     shares: typing.ClassVar[tuple[float, ...]] = (
         0.0,
         SHARE_CAP,
@@ -233,7 +234,10 @@
             cause = _cause(slow).value
             where = f"route {route}" if route else "all routes"
             text = f"more {cause} on {where} than on record"
-            return rollout_state.enter(state, PHASE.DOUBTED, now, cause, text)
+            entered = PHASE.DOUBTED
+            if slow is None and self.failures_on_record_decide:
+                entered = PHASE.TAKEN_BACK
+            return rollout_state.enter(state, entered, now, cause, text)
         return _finish(intent, state, now)
 
 
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -43,8 +43,8 @@
 # A connection between nodes is idle for tenths of a second, and a VM that
 # is short of processor time answers as late.
 SILENCE = peer_stream.Silence(
-    check_interval=datetime.timedelta(milliseconds=50),
-    ping_after=datetime.timedelta(milliseconds=150),
+    check_interval=datetime.timedelta(milliseconds=100),
+    ping_after=datetime.timedelta(milliseconds=200),
     suspect_after=datetime.timedelta(milliseconds=250),
     silent_after=datetime.timedelta(milliseconds=500),
     connect_timeout=datetime.timedelta(milliseconds=250),
