--- a/packages/node/src/balsamramp_node/calls/calls.py
+++ b/packages/node/src/balsamramp_node/calls/calls.py
@@ -24,6 +24,15 @@
 
 REFUSALS_MAX = 2
 FAILED_STATUS_MIN = 500
+# A door that is closed says nothing of the others: all are tried, since what
+# this node knows of versions, zones and targets may be older than the door's.
+CLOSED_REASONS = frozenset(
+    [
+        verdict.Reason.DRAINING,
+        verdict.Reason.VERSION_CONDEMNED,
+        verdict.Reason.ZONE_OUT,
+    ]
+)
 FAILED_REASONS = frozenset(
     [
         verdict.Reason.CONNECTION_LOST,
@@ -226,6 +235,8 @@
         """Tell whether another target may be tried, and account for it."""
         if failure.verdict is verdict.Verdict.NOT_RUN:
             self.retries += self.handed_on
+            if failure.reason in CLOSED_REASONS:
+                return True
             self.refusals += 1
             return self.refusals <= REFUSALS_MAX
         if failure.verdict is verdict.Verdict.RAN or not self.idempotent:
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -127,6 +127,55 @@
     )
 
 
+class _Closed(_Streams):
+    """Doors that are closed for a reason, but for the last of them."""
+
+    def __init__(self, reason: verdict.Reason) -> None:
+        super().__init__([])
+        self._reason = reason
+
+    async def call(
+        self, peer: settings.Address, request: messages.CallRequest
+    ) -> call_transport.Reply:
+        self.sent.append(request)
+        load = messages.Load(0, 0)
+        if len(self.sent) == TARGETS:
+            return messages.CallAnswer(
+                call_id=request.call_id,
+                status=200,
+                headers=(),
+                body=b"",
+                load=load,
+            )
+        failure = verdict.Failure(NOT_RUN, self._reason, "")
+        return messages.CallFailure(
+            call_id=request.call_id, failure=failure, load=load
+        )
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize(
+    "reason",
+    [
+        verdict.Reason.DRAINING,
+        verdict.Reason.VERSION_CONDEMNED,
+        verdict.Reason.ZONE_OUT,
+    ],
+)
+def test_closed_doors_are_tried_until_one_is_open(
+    method: str, reason: verdict.Reason
+) -> None:
+    """The caller's node hears of a rollout or a zone after the doors."""
+
+    async def main() -> None:
+        streams = _Closed(reason)
+        reply = await _make(streams).call(_request(method, 0))
+        assert isinstance(reply, messages.CallAnswer)
+        assert len(streams.sent) == TARGETS
+
+    virtual_time.run(main())
+
+
 CASES = [
     ("GET", [MAY_HAVE_RUN, NOT_RUN], MAY_HAVE_RUN, 3),
     ("GET", [NOT_RUN], NOT_RUN, 3),
