--- a/packages/node/src/balsamramp_node/membership/membership.py
+++ b/packages/node/src/balsamramp_node/membership/membership.py
@@ -309,6 +309,10 @@
             messages.MemberState.ALIVE
         ):
             members = (*members, known)
+        if self._roster.lists_all:
+            # A peer that has started anew has no seeds; while the table is
+            # away it knows nobody but those who ask it.
+            members = (*members, self._own)
         request = messages.ExchangeRequest(
             node=self._own.node,
             zone=self._own.zone,
--- a/tests/users_platform/target_stand_in.py
+++ b/tests/users_platform/target_stand_in.py
@@ -74,6 +74,8 @@
             return answer.status
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        if request.path == "/health":
+            return web.Response(headers={P + "Instance-Id": self.name})
         expected = request.headers.get(P + "Target-Instance")
         request_id = request.headers.get(P + "Request-Id", "")
         headers = {
