--- a/packages/node/src/balsamramp_node/calls/pickers/expected_finish.py
+++ b/packages/node/src/balsamramp_node/calls/pickers/expected_finish.py
@@ -5,7 +5,7 @@
 
 from balsamramp_node.calls import picker
 
-__all__ = ["ExpectedFinish", "expected_wait"]
+__all__ = ["ExpectedFinish"]
 
 # A load older than this says nothing; a second is ten answers from a
 # target in use.
@@ -27,15 +27,6 @@
 SPREAD = 0.1
 
 
-def expected_wait(
-    candidate: picker.Candidate, now: datetime.timedelta
-) -> datetime.timedelta:
-    """Return how long a call would probably wait for a slot there."""
-    busy, slots = _occupation(candidate, now)
-    excess = max(0.0, busy + 1 - slots)
-    return _service(candidate, now) * (excess / slots)
-
-
 class ExpectedFinish(picker.TargetPicker):
     """Answers targets of different speed, and zones of different load.
 
