Log the calls to the store and the bytes sent to peers

Callers of grown fleets get 404 for routes whose version was acknowledged more than 2.5 s before. The logs don't tell why a node is late: neither when a call to the store began, how many bytes its response had and when the first of them came, nor what else the node sent meanwhile.

Each call to the store writes a store_call line and counts its bytes. Each second with traffic between nodes writes a traffic line with the bytes by kind of message, and those that the sockets have not taken yet.

--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -71,6 +71,14 @@
         """Return the listening address, with the port that was bound."""
         return self._address
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how much written data the sockets have not taken yet."""
+        return sum(
+            item.writer.transport.get_write_buffer_size()
+            for item in self._connections
+        )
+
     async def start(self) -> None:
         self._server = await asyncio.start_server(
             self.serve,
@@ -153,8 +161,7 @@
             self._serve_control(message, connection)
             return
         if isinstance(message, messages.Ping):
-            pong = messages.Pong(message.number)
-            connection.writer.write(frames.encode(pong))
+            self._write(connection, messages.Pong(message.number))
 
     def _serve_control(
         self, call: messages.ControlCall, connection: _Connection
@@ -174,8 +181,7 @@
         connection: _Connection,
     ) -> None:
         control_reply = await control.serve(call)
-        if not connection.writer.is_closing():
-            connection.writer.write(frames.encode(control_reply))
+        self._write(connection, control_reply)
 
     def _start_call(
         self, request: messages.CallRequest, connection: _Connection
@@ -205,5 +211,15 @@
     def _reply(
         self, connection: _Connection, reply: call_transport.Reply
     ) -> None:
-        if not connection.writer.is_closing():
-            connection.writer.write(frames.encode(reply))
+        self._write(connection, reply)
+
+    def _write(self, connection: _Connection, message: object) -> None:
+        if connection.writer.is_closing():
+            return
+        frame = frames.encode(message)
+        self._metrics.count(
+            "stream_sent_bytes_total",
+            len(frame),
+            message=type(message).__name__,
+        )
+        connection.writer.write(frame)
--- a/packages/node/src/balsamramp_node/outbound/peer_stream.py
+++ b/packages/node/src/balsamramp_node/outbound/peer_stream.py
@@ -114,6 +114,11 @@
         """Return whether the connection accepts further calls."""
         return not (self._closed or self._unresponsive or self.suspect)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how much written data the socket has not taken yet."""
+        return self._writer.transport.get_write_buffer_size()
+
     async def call(
         self, request: messages.CallRequest
     ) -> call_transport.Reply | None:
@@ -126,7 +131,7 @@
         loop = asyncio.get_running_loop()
         future: _ReplyFuture = loop.create_future()
         self._pending_calls[request.call_id] = future
-        self._write_frame(frame)
+        self._write_frame(request, frame)
         self._start_keepalive()
         wait = request.timeout + REPLY_GRACE
         timer = loop.call_later(
@@ -210,9 +215,14 @@
         future.set_result(_deadline_failure(request))
 
     def _write(self, message: object) -> None:
-        self._write_frame(frames.encode(message))
+        self._write_frame(message, frames.encode(message))
 
-    def _write_frame(self, frame: bytes) -> None:
+    def _write_frame(self, message: object, frame: bytes) -> None:
+        self._metrics.count(
+            "stream_sent_bytes_total",
+            len(frame),
+            message=type(message).__name__,
+        )
         self._written_bytes += len(frame)
         self._writer.write(frame)
 
--- a/packages/node/src/balsamramp_node/outbound/stream_client.py
+++ b/packages/node/src/balsamramp_node/outbound/stream_client.py
@@ -105,6 +105,12 @@
         self._resend_slots = asyncio.Semaphore(RESENDING_CALLS_MAX)
         self._late_replies: dict[str, _ReplyFuture] = {}
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how much written data the sockets have not taken yet."""
+        streams = self._streams.values()
+        return sum(item.unsent_bytes for item in streams if not item.closed)
+
     async def stop(self) -> None:
         for task in self._connecting.values():
             task.cancel()
--- a/packages/node/src/balsamramp_node/process/http_connection.py
+++ b/packages/node/src/balsamramp_node/process/http_connection.py
@@ -14,6 +14,7 @@
 from balsamramp_core import settings
 
 __all__ = [
+    "ExchangeProgress",
     "ResponseError",
     "ResponseFailure",
     "HttpResponse",
@@ -68,6 +69,17 @@
         return None
 
 
+@attrs.frozen(kw_only=True)
+class ExchangeProgress:
+    """How much of the last response was received, and when it began.
+
+    ``first_byte_after`` is counted from the sending of the request.
+    """
+
+    received_bytes: int
+    first_byte_after: datetime.timedelta | None
+
+
 @attrs.define
 class _PartialResponse:
     """The response that is being parsed."""
@@ -108,6 +120,21 @@
         self._keep_alive_seconds: int | None = None
         self._received_bytes = 0
         self._body_bytes = 0
+        self._sent_at = 0.0
+        self._first_byte_at: float | None = None
+
+    @property
+    def progress(self) -> ExchangeProgress:
+        """Return the progress of the last response, complete or not."""
+        first_byte_after = None
+        if self._first_byte_at is not None:
+            first_byte_after = datetime.timedelta(
+                seconds=self._first_byte_at - self._sent_at
+            )
+        return ExchangeProgress(
+            received_bytes=self._received_bytes,
+            first_byte_after=first_byte_after,
+        )
 
     @property
     def reusable(self) -> bool:
@@ -171,6 +198,8 @@
         self._bodiless = bodiless
         self._received_bytes = 0
         self._body_bytes = 0
+        self._sent_at = loop.time()
+        self._first_byte_at = None
         self._transport.write(data)
         try:
             return await self._pending
@@ -214,6 +243,8 @@
 
     def _parse(self, data: memoryview) -> None:
         self._received_bytes += len(data)
+        if self._first_byte_at is None:
+            self._first_byte_at = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
--- a/packages/node/src/balsamramp_node/process/platform_adapter.py
+++ b/packages/node/src/balsamramp_node/process/platform_adapter.py
@@ -6,9 +6,11 @@
 
 from balsamramp_core import header_names
 from balsamramp_core import intents
+from balsamramp_core import metrics
 from balsamramp_core import service_manager
 from balsamramp_core import storage
 from balsamramp_node.inbound import targets
+from balsamramp_node.process import decision_log
 
 __all__ = ["Application", "PlatformAdapter"]
 
@@ -45,6 +47,12 @@
     def services(self) -> tuple[service_manager.Service, ...]:
         """Return the services that the service manager starts and stops."""
 
+    @abc.abstractmethod
+    def instrument(
+        self, counters: metrics.Metrics, decisions: decision_log.DecisionLog
+    ) -> None:
+        """Report the calls to the platform there from now on."""
+
     @abc.abstractmethod
     def heartbeat_api(self, local: targets.LocalTargets) -> Application:
         """Return the ASGI application for the heartbeats of targets."""
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -35,6 +35,7 @@
 from balsamramp_node.process import shutdown_log
 from balsamramp_node.process import shutdown_schedule
 from balsamramp_node.process import sidecar_services
+from balsamramp_node.process import traffic_monitor
 from balsamramp_wire import messages
 
 __all__ = ["Sidecar"]
@@ -86,6 +87,7 @@
             now, checked.duration("shutdown", "grace")
         )
         self._metrics = metrics.Metrics()
+        adapter.instrument(self._metrics, decisions)
         identity = node_services.Identity(
             checked.text("node", "id"),
             checked.text("node", "zone"),
@@ -140,15 +142,22 @@
         target_client.on_connection_refused = self._on_connection_refused
         target_client.on_misdirected = self._services.targets.suspend
         self._services.service_manager.add(self._make_side_server(adapter))
+        peer_server = stream_server.StreamServer(
+            hello,
+            self._listen_address("stream_port"),
+            self._services.inbound_handler,
+            now,
+            self._metrics,
+            control=control_handlers,
+            shutdown=self._shutdown,
+        )
+        self._services.service_manager.add(peer_server)
         self._services.service_manager.add(
-            stream_server.StreamServer(
-                hello,
-                self._listen_address("stream_port"),
-                self._services.inbound_handler,
+            traffic_monitor.TrafficMonitor(
+                lambda: streams.unsent_bytes + peer_server.unsent_bytes,
                 now,
                 self._metrics,
-                control=control_handlers,
-                shutdown=self._shutdown,
+                decisions,
             )
         )
         self._services.service_manager.add(self._make_caller_server(adapter))
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -15,13 +15,16 @@
 import store_intent_source
 import store_outcome_publisher
 
+from balsamramp_core import clock
 from balsamramp_core import intents
+from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_core import storage
 from balsamramp_core.resources import entry
 from balsamramp_core.resources import rollout_order
 from balsamramp_core.resources import zone
 from balsamramp_node.inbound import targets
+from balsamramp_node.process import decision_log
 from balsamramp_node.rollouts import outcome_reporter
 
 TIMEOUT = datetime.timedelta(seconds=5)
@@ -98,6 +101,37 @@
     _try(main)
 
 
+class _ListSink(decision_log.LineSink):
+    def __init__(self) -> None:
+        self.lines: list[dict[str, typing.Any]] = []
+
+    def write(self, line: bytes) -> bool:
+        self.lines.append(msgspec.json.decode(line))
+        return True
+
+
+def test_each_call_is_logged_with_its_bytes_and_times() -> None:
+    async def main(trial: _Trial) -> None:
+        sink = _ListSink()
+        trial.client.call_log = store_client.StoreCallLog(
+            metrics.Metrics(),
+            decision_log.DecisionLog(sink, clock.SystemClock()),
+        )
+        trial.store.put("op", "config", sidecar_fleet.configuration(7))
+        await trial.next()
+        trial.store.refuse = 503
+        await trial.rows.next()
+        read, refused = sink.lines
+        assert read["call"] == "/v1/rows-get"
+        assert read["received_bytes"] > 1000
+        assert 0 < read["first_byte_ms"] <= read["milliseconds"]
+        assert read["error"] is None
+        assert refused["call"] == "/v1/rows-feed"
+        assert refused["error"] == "status 503"
+
+    _try(main)
+
+
 def test_there_are_no_intents_before_the_first_configuration() -> None:
     async def main(trial: _Trial) -> None:
         read = await trial.rows.next()
