Test: changes and downloads on a node whose link is full

The test puts one node behind a loopback proxy that carries 5 Mbit/s each way, as a queue that all its connections share. Its target answers ten downloads of 90 KB a second, and the configuration of 800 routes changes every 0.57 s.

--- a/tests/users_platform/fake_target.py
+++ b/tests/users_platform/fake_target.py
@@ -16,7 +16,8 @@
     """Answers requests, and tells its node of itself on ``send_heartbeat``.
 
     ``runs`` lists the ids of the requests that it ran. ``delay`` is how
-    long one takes, in seconds, and ``status`` what it answers.
+    long one takes, in seconds, ``status`` what it answers, and ``padding``
+    what it adds to the body.
     """
 
     def __init__(self, name: str, service: str, version: str = "v1") -> None:
@@ -27,6 +28,7 @@
         self.sequence = 0
         self.delay = 0.0
         self.status = 200
+        self.padding = b""
         self.slots = 8
         self.runs: list[str] = []
         self.seen: list[web.Request] = []
@@ -95,6 +97,6 @@
         headers[HEADER_PREFIX + "Response-Signature"] = "3e1b.07"
         return web.Response(
             status=self.status,
-            body=b"answer " + body,
+            body=b"answer " + body + self.padding,
             headers=headers,
         )
--- a/tests/users_platform/loopback_proxy.py
+++ b/tests/users_platform/loopback_proxy.py
@@ -6,6 +6,7 @@
 import enum
 
 import attrs
+import narrow_link
 
 __all__ = ["Direction", "LoopbackProxy"]
 
@@ -31,10 +32,18 @@
     """Passes connections on to one port of loopback.
 
     Bytes that are held back arrive when the direction is open again, as
-    they do after a cut of the network.
+    they do after a cut of the network. ``links`` slow a direction down;
+    then a connection has up to ``chunk_bytes`` on its way.
     """
 
-    def __init__(self, port_behind: int) -> None:
+    def __init__(
+        self,
+        port_behind: int,
+        links: abc.Mapping[Direction, narrow_link.NarrowLink] | None = None,
+        chunk_bytes: int = CHUNK_BYTES,
+    ) -> None:
+        self._links_by_way = links or {}
+        self._chunk_bytes = chunk_bytes
         self.delay = 0.0
         self.refusing = False
         self.port = 0
@@ -47,7 +56,7 @@
     async def start(self, port: int = 0) -> None:
         """Listen on ``port`` of loopback, or on a free one."""
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", port
+            self._serve, "127.0.0.1", port, limit=self._chunk_bytes
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -87,7 +96,7 @@
             return
         try:
             behind = await asyncio.open_connection(
-                "127.0.0.1", self._port_behind
+                "127.0.0.1", self._port_behind, limit=self._chunk_bytes
             )
         except OSError:
             writer.transport.abort()
@@ -111,7 +120,9 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         with contextlib.suppress(ConnectionError):
-            async for data in _chunks(reader):
+            async for data in _chunks(reader, self._chunk_bytes):
+                if way in self._links_by_way:
+                    await self._links_by_way[way].carry(len(data))
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 await self._open[way].wait()
@@ -124,8 +135,10 @@
             writer.close()
 
 
-async def _chunks(reader: asyncio.StreamReader) -> abc.AsyncIterator[bytes]:
-    while data := await reader.read(CHUNK_BYTES):
+async def _chunks(
+    reader: asyncio.StreamReader, chunk_bytes: int
+) -> abc.AsyncIterator[bytes]:
+    while data := await reader.read(chunk_bytes):
         yield data
 
 
