Pace large replies to the rate of the VM's link

Cause: replies were written as they came. On a link of 5 Mbit/s a target that answers 5 downloads of 90 KB a second fills the queues of the link, which nothing bounds, and everything else that its node sends waits behind them.

A node now knows the rate of its link (setting link_rate). Small replies are sent at once, large ones in parts as fast as the link takes them, those first that can still meet their objective. A reply that can't arrive before its deadline becomes a failure at once, one whose caller has left is dropped. A call whose reply would be late is refused before it runs, and the wait for the link is part of the load on which callers' nodes base their choice.

--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -7,6 +7,7 @@
 import typing
 
 from absl import logging
+import attrs
 from returns import result
 
 from balsamramp_core import clock
@@ -17,6 +18,7 @@
 from balsamramp_node.inbound import concurrency_limit
 from balsamramp_node.inbound import deduplication_cache
 from balsamramp_node.inbound import idempotency_store
+from balsamramp_node.inbound import link_admission
 from balsamramp_node.inbound import response_cache
 from balsamramp_node.inbound import target_client
 from balsamramp_node.inbound import target_limiter
@@ -67,7 +69,9 @@
         decisions: decision_log.DecisionLog | None = None,
         cache_max_bytes: int = response_cache.RESPONSE_CACHE_MAX_BYTES,
         shutdown: shutdown_schedule.ShutdownSchedule | None = None,
+        link: link_admission.LinkAdmission | None = None,
     ) -> None:
+        self._link = link or link_admission.LinkAdmission()
         self._shutdown = shutdown or shutdown_schedule.ShutdownSchedule(time)
         self._decisions = decisions or decision_log.DecisionLog(
             decision_log.NullSink(), time
@@ -307,6 +311,8 @@
         if excluded is not None:
             return excluded
         limiter_failure = self._limiter_for(target).refusal(request, time_left)
+        if limiter_failure is None:
+            limiter_failure = self._link.refusal(request, time_left)
         if limiter_failure is not None:
             self._interceptor.on_call_refused(request, target)
             return limiter_failure
@@ -353,7 +359,11 @@
         limiter = self._limiters.get(target)
         if limiter is None:
             return messages.Load(0, 0)
-        return limiter.load()
+        load = limiter.load()
+        link_wait = self._link.expected_wait()
+        if not link_wait:
+            return load
+        return attrs.evolve(load, link_wait=link_wait)
 
     async def _run(
         self,
@@ -362,8 +372,11 @@
         entry: deduplication_cache.CachedCall,
     ) -> call_transport.Reply:
         self._running.add(entry)
+        self._link.start(request)
+        reply: call_transport.Reply | None = None
         try:
-            return await self._acquire_and_call(request, time_left, entry)
+            reply = await self._acquire_and_call(request, time_left, entry)
+            return reply
         except asyncio.CancelledError:
             if entry.drained:
                 return self._refuse_uncached(request, _node_stops(entry.sent))
@@ -382,6 +395,7 @@
             )
         finally:
             self._running.discard(entry)
+            self._link.finish(request, reply)
 
     async def _acquire_and_call(
         self,
--- a/packages/node/src/balsamramp_node/inbound/link_admission.py
+++ b/packages/node/src/balsamramp_node/inbound/link_admission.py
@@ -19,8 +19,8 @@
 # Smaller responses don't wait for the link.
 SMALL_RESPONSE_MAX_BYTES = reply_scheduler.SMALL_FRAME_MAX_BYTES
 # Share of its remaining time that a call may wait when it can't meet its
-# objective. After that a retry elsewhere is better for the caller.
-LATE_WAIT_SHARE = 0.5
+# objective. Those that can are sent first, so the wait may become longer.
+LATE_WAIT_SHARE = 0.25
 
 
 class LinkAdmission:
--- a/packages/node/src/balsamramp_node/inbound/reply_order.py
+++ b/packages/node/src/balsamramp_node/inbound/reply_order.py
@@ -40,7 +40,7 @@
     As many as possible meet their objective: they go in the order of their
     objectives, and while the next one would be late, the longest is put off
     (Moore and Hodgson's algorithm). Replies that are put off follow, the
-    shortest first.
+    shortest first, but none waits until its deadline can't be met.
 
     Example: of 500 KB and 100 KB, both due in 0.5 s, on a link of 600 KB/s
     the second is returned.
@@ -60,6 +60,17 @@
         punctual.remove(longest)
         put_off.append(longest)
         total_bytes -= longest.remaining_bytes
-    if punctual:
-        return punctual[0]
-    return min(put_off, key=lambda item: item.remaining_bytes, default=None)
+    if not punctual:
+        return min(
+            put_off, key=lambda item: item.remaining_bytes, default=None
+        )
+    first = punctual[0]
+    for reply in put_off:
+        bytes_before_deadline = (
+            reply.deadline - now
+        ).total_seconds() * bytes_per_second
+        if first.remaining_bytes + reply.remaining_bytes > (
+            bytes_before_deadline
+        ):
+            return reply
+    return first
--- a/packages/node/src/balsamramp_node/inbound/reply_scheduler.py
+++ b/packages/node/src/balsamramp_node/inbound/reply_scheduler.py
@@ -15,7 +15,7 @@
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
-__all__ = ["ReplyScheduler"]
+__all__ = ["Reply", "ReplyScheduler"]
 
 # Share of the link for replies. The rest is for calls to the platform's
 # store, requests, callers on this VM, and the headers of TCP and IP.
@@ -34,15 +34,25 @@
 NONE = datetime.timedelta()
 
 
+Reply = call_transport.Reply | messages.ControlAnswer
+
+
 @attrs.define(eq=False, kw_only=True)
 class _QueuedReply(reply_order.PendingReply):
     """A frame that is sent in parts, with the ``number`` of its parts."""
 
     number: int
-    reply: call_transport.Reply
+    reply: Reply
     frame: memoryview
     writer: asyncio.StreamWriter
 
+    @property
+    def call_id(self) -> str | None:
+        """Return the identifier of the call, if it is one."""
+        if isinstance(self.reply, messages.ControlAnswer):
+            return None
+        return self.reply.call_id
+
     @property
     def blocked(self) -> bool:
         """Return whether the peer does not take what was sent before."""
@@ -99,7 +109,7 @@
     def send(
         self,
         writer: asyncio.StreamWriter,
-        reply: call_transport.Reply,
+        reply: Reply,
         objective_at: datetime.timedelta,
         deadline: datetime.timedelta,
         in_parts: bool,
@@ -137,7 +147,7 @@
     def discard(self, call_id: str) -> None:
         """Stop sending the reply to a call whose caller has left."""
         for item in list(self._queue):
-            if item.reply.call_id == call_id:
+            if item.call_id == call_id:
                 self._drop(item)
 
     def forget(self, writer: asyncio.StreamWriter) -> None:
@@ -221,10 +231,12 @@
             self._metrics.count("replies_overdue_total")
             self._decisions.write(
                 "reply_overdue",
-                call_id=item.reply.call_id,
+                call_id=item.call_id,
                 remaining_bytes=item.remaining_bytes,
                 queued_bytes=self.queued_bytes,
             )
+            if isinstance(item.reply, messages.ControlAnswer):
+                continue
             failure = verdict.Failure(
                 verdict.Verdict.MAY_HAVE_RUN,
                 verdict.Reason.DEADLINE,
--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -15,7 +15,9 @@
 from balsamramp_node.inbound import control_server
 from balsamramp_node.inbound import inbound_handler
 from balsamramp_node.inbound import message_age_estimator
+from balsamramp_node.inbound import reply_scheduler
 from balsamramp_node.outbound import call_transport
+from balsamramp_node.process import decision_log
 from balsamramp_node.process import shutdown_schedule
 from balsamramp_wire import frames
 from balsamramp_wire import messages
@@ -23,6 +25,10 @@
 __all__ = ["StreamServer"]
 
 HELLO_TIMEOUT = datetime.timedelta(seconds=5)
+# Large control replies, such as snapshots, are due after the first, and are
+# not awaited after the second.
+CONTROL_OBJECTIVE = datetime.timedelta(seconds=1)
+CONTROL_TIMEOUT = datetime.timedelta(seconds=2)
 FLUSH_TIMEOUT = datetime.timedelta(seconds=2)
 
 
@@ -52,7 +58,14 @@
         security: ssl.SSLContext | None = None,
         control: control_server.ControlServer | None = None,
         shutdown: shutdown_schedule.ShutdownSchedule | None = None,
+        replies: reply_scheduler.ReplyScheduler | None = None,
     ) -> None:
+        self._replies = replies or reply_scheduler.ReplyScheduler(
+            0.0,
+            time,
+            counters,
+            decision_log.DecisionLog(decision_log.NullSink(), time),
+        )
         self._shutdown = shutdown or shutdown_schedule.ShutdownSchedule(time)
         self._hello = hello
         self._control = control
@@ -108,6 +121,7 @@
             async with asyncio.timeout(timeout):
                 while connection.calls:
                     await asyncio.wait(list(connection.calls))
+                await self._replies.flush(connection.writer)
                 connection.writer.close()
                 await connection.writer.wait_closed()
         except (ConnectionError, TimeoutError):
@@ -133,6 +147,7 @@
             self._metrics.count("malformed_frames_total")
         finally:
             self._connections.discard(connection)
+            self._replies.forget(writer)
             writer.close()
             for request in connection.calls.values():
                 if request is not None:
@@ -156,12 +171,15 @@
             return
         if isinstance(message, messages.CallCancel):
             self._inbound_handler.cancel(message.call_id, message.target)
+            self._replies.discard(message.call_id)
             return
         if isinstance(message, messages.ControlCall):
             self._serve_control(message, connection)
             return
         if isinstance(message, messages.Ping):
-            self._write(connection, messages.Pong(message.number))
+            self._replies.write(
+                connection.writer, messages.Pong(message.number)
+            )
 
     def _serve_control(
         self, call: messages.ControlCall, connection: _Connection
@@ -181,45 +199,67 @@
         connection: _Connection,
     ) -> None:
         control_reply = await control.serve(call)
-        self._write(connection, control_reply)
+        now = self._clock.monotonic()
+        self._send(
+            connection,
+            control_reply,
+            now + CONTROL_OBJECTIVE,
+            now + CONTROL_TIMEOUT,
+        )
 
     def _start_call(
         self, request: messages.CallRequest, connection: _Connection
     ) -> None:
         assert connection.hello is not None
-        age = self._age_estimator.age(
-            connection.hello, request.sent_at, self._clock.monotonic()
-        )
+        now = self._clock.monotonic()
+        age = self._age_estimator.age(connection.hello, request.sent_at, now)
+        sent_at = now - age
         reply_or_task = self._inbound_handler.start_call(request, age)
         if not isinstance(reply_or_task, asyncio.Task):
-            self._reply(connection, reply_or_task)
+            self._reply(connection, request, sent_at, reply_or_task)
             return
         connection.calls[reply_or_task] = request
         reply_or_task.add_done_callback(
-            functools.partial(self._on_call_done, connection, request)
+            functools.partial(self._on_call_done, connection, request, sent_at)
         )
 
     def _on_call_done(
         self,
         connection: _Connection,
         request: messages.CallRequest,
+        sent_at: datetime.timedelta,
         task: asyncio.Task[call_transport.Reply],
     ) -> None:
         connection.calls.pop(task)
-        self._reply(connection, self._inbound_handler.reply_of(request, task))
+        reply = self._inbound_handler.reply_of(request, task)
+        self._reply(connection, request, sent_at, reply)
 
     def _reply(
-        self, connection: _Connection, reply: call_transport.Reply
+        self,
+        connection: _Connection,
+        request: messages.CallRequest,
+        sent_at: datetime.timedelta,
+        reply: call_transport.Reply,
     ) -> None:
-        self._write(connection, reply)
+        self._send(
+            connection,
+            reply,
+            sent_at + request.objective,
+            sent_at + request.timeout,
+        )
 
-    def _write(self, connection: _Connection, message: object) -> None:
-        if connection.writer.is_closing():
-            return
-        frame = frames.encode(message)
-        self._metrics.count(
-            "stream_sent_bytes_total",
-            len(frame),
-            message=type(message).__name__,
+    def _send(
+        self,
+        connection: _Connection,
+        reply: reply_scheduler.Reply,
+        objective_at: datetime.timedelta,
+        deadline: datetime.timedelta,
+    ) -> None:
+        assert connection.hello is not None
+        self._replies.send(
+            connection.writer,
+            reply,
+            objective_at,
+            deadline,
+            connection.hello.protocol >= messages.PROTOCOL_WITH_PARTS,
         )
-        connection.writer.write(frame)
--- a/packages/node/src/balsamramp_node/outbound/pickers/expected_finish.py
+++ b/packages/node/src/balsamramp_node/outbound/pickers/expected_finish.py
@@ -76,6 +76,8 @@
         load = item.stats.load
         if load is not None:
             cost += FAILURE_COST * load.failing
+            if pick_info.large:
+                cost += load.link_wait
         refused_at = item.stats.refused_at
         if (
             refused_at is not None
--- a/packages/node/src/balsamramp_node/process/node_dependencies.py
+++ b/packages/node/src/balsamramp_node/process/node_dependencies.py
@@ -5,6 +5,7 @@
 from balsamramp_core import intents
 from balsamramp_core import service_manager
 from balsamramp_core import storage
+from balsamramp_node.inbound import reply_scheduler
 from balsamramp_node.inbound import target_client
 from balsamramp_node.outbound import call_transport
 from balsamramp_wire import control_transport
@@ -16,7 +17,8 @@
 class NodeDependencies:
     """Interfaces to external systems that every node needs.
 
-    The service manager starts and stops ``services``. Tests replace every
+    The service manager starts and stops ``services``. ``replies`` sends the
+    replies to other nodes, if their link is limited. Tests replace every
     dependency by one in memory.
     """
 
@@ -25,6 +27,7 @@
     calls: call_transport.CallTransport
     targets: target_client.TargetClient
     services: tuple[service_manager.Service, ...] = ()
+    replies: reply_scheduler.ReplyScheduler | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/node/src/balsamramp_node/process/node_services.py
+++ b/packages/node/src/balsamramp_node/process/node_services.py
@@ -18,6 +18,7 @@
 from balsamramp_node.configuration import transfer_rate_limiter
 from balsamramp_node.inbound import idempotency_store
 from balsamramp_node.inbound import inbound_handler
+from balsamramp_node.inbound import link_admission
 from balsamramp_node.inbound import response_cache
 from balsamramp_node.inbound import target_limiter
 from balsamramp_node.inbound import targets
@@ -282,6 +283,7 @@
             self.decisions,
             self.response_cache_max_bytes,
             self.shutdown,
+            link_admission.LinkAdmission(self._dependencies.replies),
         )
         self.service_manager.add(self.key_store)
         self.service_manager.add(self.inbound_handler)
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -16,6 +16,7 @@
 from balsamramp_core import settings
 from balsamramp_node.inbound import control_server
 from balsamramp_node.inbound import pooled_target_client
+from balsamramp_node.inbound import reply_scheduler
 from balsamramp_node.inbound import stream_server
 from balsamramp_node.inbound import targets as local_targets
 from balsamramp_node.outbound import entry_ingress
@@ -53,6 +54,7 @@
     close_after=datetime.timedelta(milliseconds=500),
     connect_timeout=datetime.timedelta(milliseconds=250),
 )
+BYTES_PER_MEGABIT = 125_000
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
@@ -105,7 +107,14 @@
             now,
             self._metrics,
         )
+        replies = reply_scheduler.ReplyScheduler(
+            checked.number("listen", "link_rate") * BYTES_PER_MEGABIT,
+            now,
+            self._metrics,
+            decisions,
+        )
         dependencies = node_dependencies.SidecarDependencies(
+            replies=replies,
             table=adapter.table,
             control=stream_control_transport.StreamControlTransport(
                 streams, control_handlers
@@ -150,6 +159,7 @@
             self._metrics,
             control=control_handlers,
             shutdown=self._shutdown,
+            replies=replies,
         )
         self._services.service_manager.add(peer_server)
         self._services.service_manager.add(
--- a/packages/node/src/balsamramp_node/process/sidecar_options.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_options.py
@@ -74,6 +74,16 @@
         default="",
         doc="host:port at which other nodes reach stream_port, if another",
     ),
+    settings.Option(
+        section="listen",
+        name="link_rate",
+        kind="float",
+        unit="Mbit/s",
+        default="0",
+        low=0,
+        high=1_000_000,
+        doc="rate of this VM's link, to pace large replies; 0: no pacing",
+    ),
     settings.Option(
         section="listen",
         name="metrics_port",
--- a/packages/node/tests/test_expected_finish.py
+++ b/packages/node/tests/test_expected_finish.py
@@ -84,6 +84,13 @@
     assert _most_picked_target(busy, far, large=True) == "near"
 
 
+def test_large_response_avoids_a_full_link_and_a_small_one_does_not() -> None:
+    full = _candidate("full", service=60 * MS, link_wait=800 * MS)
+    free = _candidate("free", service=120 * MS)
+    assert _most_picked_target(full, free, large=True) == "free"
+    assert _most_picked_target(full, free) == "full"
+
+
 def test_healthy_target_is_preferred_to_a_failing_one() -> None:
     failing = _candidate("failing", failing=0.5)
     healthy = _candidate("healthy", service=140 * MS)
--- a/packages/testing/tests/test_fuzz.py
+++ b/packages/testing/tests/test_fuzz.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import random
 import typing
 
 import hypothesis
@@ -18,6 +19,7 @@
 from balsamramp_node.inbound import targets
 from balsamramp_node.process import options
 from balsamramp_wire import frames
+from balsamramp_wire import messages
 
 FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
 NAMES = strategies.text("abcz019._:-", min_size=1, max_size=12)
@@ -230,6 +232,39 @@
     assert frames.decode(again[4], again[5:]) == message
 
 
+@FUZZ
+@hypothesis.given(
+    sizes=strategies.lists(strategies.integers(0, 200), max_size=4),
+    part_bytes=strategies.integers(1, 100),
+    order=strategies.randoms(use_true_random=False),
+)
+def test_frames_in_parts_are_put_together(
+    sizes: list[int], part_bytes: int, order: random.Random
+) -> None:
+    sent = [
+        messages.ControlAnswer(number, True, bytes(size))
+        for number, size in enumerate(sizes)
+    ]
+    waiting = [frames.encode(message) for message in sent]
+    data = b""
+    while any(waiting):
+        number = order.choice([i for i, left in enumerate(waiting) if left])
+        piece = waiting[number][:part_bytes]
+        waiting[number] = waiting[number][part_bytes:]
+        part = messages.FramePart(number, piece, last=not waiting[number])
+        data += frames.encode(part)
+
+    async def read() -> list[typing.Any]:
+        reader = asyncio.StreamReader()
+        reader.feed_data(data)
+        reader.feed_eof()
+        incoming = frames.FrameReader(reader)
+        return [await incoming.read() for _ in sent]
+
+    received = asyncio.run(read())
+    assert sorted(received, key=lambda item: item.number) == sent
+
+
 @FUZZ
 @hypothesis.given(strategies.binary(max_size=40))
 def test_a_stream_of_bytes_ends_or_is_refused(data: bytes) -> None:
--- a/packages/wire/src/balsamramp_wire/frames.py
+++ b/packages/wire/src/balsamramp_wire/frames.py
@@ -17,6 +17,8 @@
 
 HEADER = struct.Struct(">IB")
 PAYLOAD_MAX_BYTES = 16 * 1024 * 1024
+# Frames that a connection receives in parts at the same time.
+PARTS_MAX_BYTES = 2 * PAYLOAD_MAX_BYTES
 # Default size limit of the buffer of an asyncio stream.
 READ_MAX_BYTES = 128 * 1024
 
@@ -30,6 +32,7 @@
     7: messages.CallCancel,
     8: messages.ControlCall,
     9: messages.ControlAnswer,
+    10: messages.FramePart,
 }
 KIND_NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
 DECODERS: dict[int, msgspec.msgpack.Decoder[typing.Any]] = {
@@ -71,6 +74,18 @@
         raise FrameError(f"malformed frame: {error}") from error
 
 
+def _decode_frame(frame: bytes) -> typing.Any:
+    if len(frame) < HEADER.size:
+        raise FrameError(f"frame of {len(frame)} bytes has no header")
+    length, number = HEADER.unpack_from(frame)
+    if length != len(frame) - HEADER.size:
+        raise FrameError(
+            f"frame in parts has {len(frame) - HEADER.size} bytes,"
+            f" its header says {length}"
+        )
+    return decode(number, frame[HEADER.size :])
+
+
 def _do_nothing() -> None:
     return None
 
@@ -90,6 +105,7 @@
         self._on_data = on_data
         self._buffer = bytearray()
         self._start = 0
+        self._parts: dict[int, bytearray] = {}
 
     async def read(self) -> typing.Any:
         """Return the next message.
@@ -107,9 +123,32 @@
                         f" the maximum is {PAYLOAD_MAX_BYTES}"
                     )
                 if left >= HEADER.size + length:
-                    return decode(number, self._take_payload(length))
+                    message = decode(number, self._take_payload(length))
+                    if not isinstance(message, messages.FramePart):
+                        return message
+                    whole = self._add_part(message)
+                    if whole is not None:
+                        return _decode_frame(whole)
+                    continue
             await self._fill()
 
+    def _add_part(self, part: messages.FramePart) -> bytes | None:
+        """Return the frame if ``part`` completes it."""
+        if part.drop:
+            self._parts.pop(part.number, None)
+            return None
+        received = self._parts.setdefault(part.number, bytearray())
+        received += part.data
+        total = sum(len(data) for data in self._parts.values())
+        if total > PARTS_MAX_BYTES:
+            raise FrameError(
+                f"parts of frames have {total} bytes,"
+                f" the maximum is {PARTS_MAX_BYTES}"
+            )
+        if not part.last:
+            return None
+        return bytes(self._parts.pop(part.number))
+
     def _take_payload(self, length: int) -> bytes:
         start = self._start + HEADER.size
         self._start = start + length
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -29,6 +29,7 @@
     "ControlRequest",
     "ExchangeReply",
     "ExchangeRequest",
+    "FramePart",
     "Hello",
     "KeyClaimReply",
     "KeyClaimRequest",
@@ -41,6 +42,8 @@
     "Pong",
     "ProbeReply",
     "ProbeRequest",
+    "PROTOCOL",
+    "PROTOCOL_WITH_PARTS",
     "PushReply",
     "PushRequest",
     "RefusalReport",
@@ -54,20 +57,39 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+PROTOCOL = 2
+# First version of the protocol with frames in parts.
+PROTOCOL_WITH_PARTS = 2
+
 
 @attrs.frozen
 class Hello:
     """First frame in both directions, which identifies the sender.
 
-    ``sent_at`` is read from the sender's monotonic clock.
+    ``sent_at`` is read from the sender's monotonic clock. From ``protocol``
+    2 on the sender accepts frames in parts.
     """
 
     node: str
     incarnation: int
-    protocol: int = 1
+    protocol: int = PROTOCOL
     sent_at: datetime.timedelta = datetime.timedelta()
 
 
+@attrs.frozen
+class FramePart:
+    """The next bytes of a large frame, which others may interrupt.
+
+    Parts with the same ``number`` belong to one frame. It is complete with
+    the part that is the ``last``, and abandoned with one that is a ``drop``.
+    """
+
+    number: int
+    data: bytes
+    last: bool = False
+    drop: bool = False
+
+
 @attrs.frozen
 class Ping:
     """Checks that the connection still carries data."""
@@ -90,6 +112,8 @@
     slots. ``service`` is the mean service time of a call at the target, and
     ``failing`` the fraction of its recent calls that failed. ``cold`` states
     that the target is warming up and accepts calls at a limited rate.
+    ``link_wait`` is the time that the link of its VM needs for the large
+    responses that it has to send.
     """
 
     in_flight: int
@@ -98,6 +122,7 @@
     service: datetime.timedelta = datetime.timedelta()
     failing: float = 0.0
     cold: bool = False
+    link_wait: datetime.timedelta = datetime.timedelta()
 
 
 @attrs.frozen
--- a/tests/users_platform/sidecar_fleet.py
+++ b/tests/users_platform/sidecar_fleet.py
@@ -46,6 +46,7 @@
 ready = 127.0.0.1:{ready}
 announcements = 127.0.0.1:{control}
 stream_port = {stream}
+link_rate = {link_rate}
 stream_advertised = {advertised}
 metrics_port = {metrics}
 [platform]
@@ -161,8 +162,12 @@
         ports: dict[str, int],
         store_port: int,
         advertised_port: int,
+        link_rate: float = 0.0,
     ) -> SidecarProcess:
-        """Start a sidecar that other nodes reach at ``advertised_port``."""
+        """Start a sidecar that other nodes reach at ``advertised_port``.
+
+        ``link_rate`` is that of its VM's link, in Mbit/s, or 0.
+        """
         settings = self._folder / f"{name}.ini"
         settings.write_text(
             SETTINGS.format(
@@ -173,6 +178,7 @@
                 store=store_port,
                 advertised=f"127.0.0.1:{advertised_port}",
                 grace=self._grace_seconds,
+                link_rate=link_rate,
                 **ports,
             )
         )
--- a/tests/users_platform/test_full_links.py
+++ b/tests/users_platform/test_full_links.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import functools
 import itertools
 import pathlib
 import typing
@@ -79,7 +80,13 @@
             self.fleet.store.port, {there: egress, back: ingress}
         )
         self.narrow = await self.fleet.start_beside(
-            target, "narrow", "z-a", ports, store_port, stream_port
+            target,
+            "narrow",
+            "z-a",
+            ports,
+            store_port,
+            stream_port,
+            LINK_BYTES_PER_SECOND * 8 / 1e6,
         )
         for number in range(CALLING_NODES):
             target = fake_target.FakeTarget(f"i-n{number}", "catalogo")
@@ -100,6 +107,11 @@
                 )
             )
         await self.fleet.wait_until_ready()
+        async with aiohttp.ClientSession() as session:
+            for caller in self.callers:
+                await self.fleet.wait_until(
+                    functools.partial(_is_served, session, caller)
+                )
 
     async def stop(self) -> None:
         for proxy in self._proxies:
@@ -123,6 +135,12 @@
         return proxy.port
 
 
+async def _is_served(
+    session: aiohttp.ClientSession, caller: sidecar_fleet.SidecarProcess
+) -> bool:
+    return await request(session, caller, "/read/1", "first") == 200
+
+
 async def request(
     session: aiohttp.ClientSession,
     sidecar: sidecar_fleet.SidecarProcess,
