Have one node of a zone read the store and tell the others

Callers of grown fleets got 404 for routes that had been acknowledged.

Cause: each of 80 to 91 nodes reads the whole configuration, one row of 180 KB at 800 routes and 240 KB at 2,142, for each change. A link of 5 Mbit/s takes 0.3 to 0.4 s for it; versions come as close as 0.2 s apart, the responses hold all versions since the last one, and 0.4 s pass between reads. In the traces half of all reads had two versions, and the slowest nodes were 0.8 to 2.0 s behind the fastest also where the link was not full of replies.

Now the node with the fastest link of a zone reads the store, and after each read, at least every 0.7 s, tells the others along a tree what is in force: version, digest, and the recent changes as one, which leads to it from any version they may have. A node that is not told for 1.2 s reads by itself, as all did before, and the next in rank tells the others if none better does. A change of more than 32 resources is read by each node from the store.

--- a/packages/core/src/balsamramp_core/intents.py
+++ b/packages/core/src/balsamramp_core/intents.py
@@ -1,6 +1,7 @@
 """Interfaces to an external store of operators' intents."""
 
 import abc
+import datetime
 
 import attrs
 from returns import result
@@ -29,13 +30,20 @@
 
     @abc.abstractmethod
     async def next(
-        self,
+        self, poll_time: datetime.timedelta
     ) -> result.Result[Intents | None, storage.StorageError]:
         """Return the current intents; later calls return the next ones.
 
-        The first call returns at once. Later calls wait for a change until
-        the long poll of the store ends, and return None if there was none.
-        Revisions never decrease.
+        The first call returns at once. Later calls wait for a change for
+        ``poll_time``, and return None if there was none. Revisions never
+        decrease.
+        """
+
+    @abc.abstractmethod
+    def restart(self) -> None:
+        """Have the next call return at once, like the first one.
+
+        That costs less than to follow all changes since a call long ago.
         """
 
 
--- a/packages/node/src/balsamramp_node/configuration/distribution.py
+++ b/packages/node/src/balsamramp_node/configuration/distribution.py
@@ -1,7 +1,6 @@
 """Propagates configuration changes from node to node."""
 
 import asyncio
-import bisect
 from collections import abc
 import datetime
 import random
@@ -17,9 +16,9 @@
 from balsamramp_core import service_manager
 from balsamramp_core import settings
 from balsamramp_node.configuration import configuration_reader
-from balsamramp_node.configuration import fanout_tree
 from balsamramp_node.configuration import store
 from balsamramp_node.configuration import transfer_rate_limiter
+from balsamramp_node.configuration import tree_sender
 from balsamramp_node.membership import member_list
 from balsamramp_wire import control_transport
 from balsamramp_wire import messages
@@ -27,12 +26,12 @@
 __all__ = ["Distribution"]
 
 REQUEST_TIMEOUT = datetime.timedelta(seconds=2)
-PUSH_TIMEOUT = datetime.timedelta(milliseconds=500)
 PUSH_INTERVAL = datetime.timedelta(milliseconds=200)
 PUSH_MAX_CHANGES = 64
 FETCH_MAX_CHANGES = 2048
 FORWARDED_MAX_VERSIONS = 256
 PUSH_ATTEMPTS_PER_ZONE = 2
+# Versions that share a tree, so that connections are reused.
 VERSIONS_PER_TREE = 32
 
 
@@ -85,7 +84,9 @@
         self._push_task: asyncio.Task[None] | None = None
         self._fetch_task: asyncio.Task[None] | None = None
         self._divergence_task: asyncio.Task[None] | None = None
-        self._send_tasks: set[asyncio.Task[None]] = set()
+        self._tree = tree_sender.TreeSender(
+            own.node, own.zone, members, transport, counters
+        )
         self._forwarded: dict[int, None] = {}
         self._snapshot_cache = (0, b"")
         configurations.listen(self._on_configuration)
@@ -95,10 +96,10 @@
     async def stop(self) -> None:
         tasks = [self._push_task, self._fetch_task, self._divergence_task]
         running = [task for task in tasks if task is not None]
-        running += self._send_tasks
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
+        await self._tree.stop()
 
     def push_to_zones(self) -> None:
         """Push the configuration in force to the other zones as well."""
@@ -156,7 +157,7 @@
         return now - self._behind_since[1] >= self._fetch_delay
 
     def dump(self) -> abc.Mapping[str, typing.Any]:
-        return {"pushes_in_flight": len(self._send_tasks)}
+        return {"pushes_in_flight": self._tree.pending}
 
     async def _resolve_divergence(self) -> None:
         await self._reader.resolve_divergence()
@@ -188,7 +189,7 @@
             to_zones, self._to_zones = self._to_zones, False
             if to_zones:
                 self._push_to_other_zones(request)
-            self._start_task(self._send_to_position(request, 0))
+            self._tree.send(request, _tree_seed(request.version))
             await self._clock.sleep(PUSH_INTERVAL)
 
     def _push_request(
@@ -210,7 +211,7 @@
         for zone in self._members.zones:
             if zone == self._zone:
                 continue
-            self._start_task(self._push_to_zone(zone, request))
+            self._tree.start_task(self._push_to_zone(zone, request))
 
     async def _push_to_zone(
         self, zone: str, request: messages.PushRequest
@@ -219,50 +220,18 @@
         count = min(PUSH_ATTEMPTS_PER_ZONE, len(members))
         for member in self._random.sample(members, count):
             sent = await self._transport.send(
-                member.control, request, PUSH_TIMEOUT
+                member.control, request, tree_sender.SEND_TIMEOUT
             )
             if isinstance(sent, result.Success):
                 return
 
-    async def _send_to_position(
-        self, request: messages.PushRequest, position: int
-    ) -> None:
-        members = self._members.alive_in(self._zone)
-        if position >= len(members):
-            return
-        tree = _tree_for_version(len(members), request.version)
-        member = members[tree.index(position)]
-        if member.node == self._node:
-            self._forward(request)
-            return
-        self._metrics.count("pushes_sent_total")
-        sent = await self._transport.send(
-            member.control, request, PUSH_TIMEOUT
-        )
-        if isinstance(sent, result.Success):
-            return
-        for child in tree.children(position):
-            self._start_task(self._send_to_position(request, child))
-
     def _forward(self, request: messages.PushRequest) -> None:
         if request.version in self._forwarded:
             return
         self._forwarded[request.version] = None
         if len(self._forwarded) > FORWARDED_MAX_VERSIONS:
             del self._forwarded[next(iter(self._forwarded))]
-        members = self._members.alive_in(self._zone)
-        names = [member.node for member in members]
-        index = bisect.bisect_left(names, self._node)
-        tree = _tree_for_version(len(names), request.version)
-        for child in tree.children(tree.position(index)):
-            self._start_task(self._send_to_position(request, child))
-
-    def _start_task(
-        self, coroutine: abc.Coroutine[typing.Any, typing.Any, None]
-    ) -> None:
-        task = asyncio.create_task(coroutine)
-        self._send_tasks.add(task)
-        task.add_done_callback(self._send_tasks.discard)
+        self._tree.forward(request, _tree_seed(request.version))
 
     async def _serve_push(
         self, request: messages.PushRequest
@@ -359,13 +328,9 @@
         return own.control
 
 
-def _tree_for_version(size: int, version: int) -> fanout_tree.FanoutTree:
-    """Return the tree for a push of ``version``.
-
-    VERSIONS_PER_TREE versions share a tree, so that connections are
-    reused.
-    """
-    return fanout_tree.FanoutTree.seeded(size, version // VERSIONS_PER_TREE)
+def _tree_seed(version: int) -> int:
+    """Return the seed of the tree for a push of ``version``."""
+    return version // VERSIONS_PER_TREE
 
 
 def digest_bytes(digest: int) -> bytes:
--- a/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
@@ -20,6 +20,7 @@
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
 from balsamramp_node.configuration import store
+from balsamramp_node.configuration import zone_feed
 from balsamramp_node.process import decision_log
 
 __all__ = ["IntentStoreReader"]
@@ -27,10 +28,10 @@
 # Minimum time between reads, so that a burst of changes is read at once.
 # Kept well below the 2 s within which operators expect a change in force.
 COALESCE_INTERVAL = datetime.timedelta(milliseconds=400)
-# Bounds of the exponential backoff after a failed read. The upper bound keeps
-# each node at one read per second at most while the store rejects reads.
+# Bounds of the exponential backoff after a failed read. With its jitter, the
+# upper bound leaves time for a read before a change has to be in force.
 RETRY_MIN = datetime.timedelta(milliseconds=200)
-RETRY_MAX = datetime.timedelta(seconds=2)
+RETRY_MAX = datetime.timedelta(seconds=1)
 AUTHOR = "operators"
 # Resources that are edited before the event loop runs other tasks.
 EDITS_PER_TURN = 50
@@ -41,12 +42,14 @@
 class IntentStoreReader(configuration_reader.ConfigurationReader):
     """Polls an intent source and applies each state to the local store.
 
+    It does so while the zone's feed does not tell what is in force.
+
     The external store assigns and keeps the versions, so this class
     commits no changes and repairs no log. An invalid state is rejected
     as a whole, and the previous one stays in force.
     """
 
-    requires = ("configuration", "readiness")
+    requires = ("configuration", "readiness", "zone-feed")
 
     def __init__(
         self,
@@ -58,7 +61,9 @@
         counters: metrics.Metrics,
         decisions: decision_log.DecisionLog,
         rng: random.Random,
+        feed: zone_feed.ZoneFeed,
     ) -> None:
+        self._feed = feed
         self._source = source
         self._store = configurations
         self._readiness = ready
@@ -88,7 +93,9 @@
 
     async def _run(self) -> None:
         while True:
-            read = await self._source.next()
+            if await self._feed.wait_until_read_needed():
+                self._source.restart()
+            read = await self._source.next(self._feed.poll_time)
             self._record_read(read)
             if isinstance(read, result.Failure):
                 jitter = 0.5 + self._random.random()
@@ -97,10 +104,11 @@
                 continue
             self._retry_wait = RETRY_MIN
             latest = read.unwrap()
-            if latest is None:
-                continue
-            await self._apply_intents(latest)
-            await self._clock.sleep(COALESCE_INTERVAL)
+            if latest is not None:
+                await self._apply_intents(latest)
+            self._feed.tell()
+            if latest is not None:
+                await self._clock.sleep(COALESCE_INTERVAL)
 
     def _record_read(
         self,
--- a/packages/node/src/balsamramp_node/configuration/store.py
+++ b/packages/node/src/balsamramp_node/configuration/store.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections import abc
+import datetime
 import typing
 
 from absl import logging
@@ -18,6 +19,8 @@
 CHANGES_MAX = 2048
 ACCEPTED_MAX_VERSIONS = 4096
 LOST_MAX_CHANGES = 64
+# Steps to the configuration in force whose changed keys are kept.
+STEPS_MAX = 64
 
 Listener = abc.Callable[[configuration.Configuration], None]
 ChangeListener = abc.Callable[
@@ -25,6 +28,15 @@
 ]
 
 
+@attrs.frozen
+class _Step:
+    """The keys that changed when ``version`` came into force."""
+
+    version: int
+    base_version: int
+    keys: frozenset[resource.ResourceKey]
+
+
 class ConfigurationStore(service_manager.Service):
     """Holds one configuration and replaces it only by a later one.
 
@@ -50,6 +62,9 @@
         self._refusal: configuration.Refusal | None = None
         self._lost_changes: list[configuration.AcceptedVersion] = []
         self._in_service = False
+        self._steps: collections.deque[_Step] = collections.deque(
+            maxlen=STEPS_MAX
+        )
 
     @property
     def current(self) -> configuration.Configuration:
@@ -161,6 +176,49 @@
             return None
         return changes
 
+    def recent_change(
+        self, keys_max: int, accepted_at: datetime.datetime
+    ) -> configuration.Change | None:
+        """Return the last steps as one change of at most ``keys_max`` keys.
+
+        It leads from any version of the external store since its
+        ``base_version`` to the one in force, if each version has the same
+        content on all nodes. Returns None if the last step is larger.
+        """
+        keys: frozenset[resource.ResourceKey] = frozenset()
+        base_version = self._current.version
+        for step in reversed(self._steps):
+            if len(keys | step.keys) > keys_max:
+                break
+            keys |= step.keys
+            base_version = step.base_version
+        if base_version == self._current.version:
+            return None
+        resources = self._current.resources
+        return configuration.Change(
+            version=self._current.version,
+            base_version=base_version,
+            change_id=str(self._current.version),
+            base_digest=0,
+            digest=self._current.digest,
+            author="",
+            accepted_at=accepted_at,
+            puts=tuple(resources[key] for key in keys if key in resources),
+            deletes=tuple(key for key in keys if key not in resources),
+        )
+
+    def apply_recent_change(
+        self, change: configuration.Change
+    ) -> result.Result[configuration.Configuration, configuration.Refusal]:
+        """Apply what ``recent_change`` of another node returned."""
+        if change.base_version <= self._current.version < change.version:
+            change = attrs.evolve(
+                change,
+                base_version=self._current.version,
+                base_digest=self._current.digest,
+            )
+        return self.apply_change(change)
+
     def changes_since(self, version: int) -> list[configuration.Change] | None:
         """Return the changes after ``version``, or None if unknown."""
         if version == self._current.version:
@@ -235,6 +293,10 @@
         later: configuration.Configuration,
         changed: abc.Iterable[resource.ResourceKey],
     ) -> None:
+        changed = frozenset(changed)
+        self._steps.append(
+            _Step(later.version, self._current.version, changed)
+        )
         self._current = later
         self._refusal = None
         self._metrics.set("configuration_version", later.version)
--- /dev/null
+++ b/packages/node/src/balsamramp_node/configuration/zone_feed.py
@@ -0,0 +1,231 @@
+"""Spreads what one node of a zone reads from the external store.
+
+Reading the store costs each node a copy of the whole configuration, which
+takes a narrow link longer than changes come apart. So one node of the zone
+reads, and tells the others after each read what is in force and what has
+changed. A node that is not told in time reads by itself.
+"""
+
+import asyncio
+from collections import abc
+import datetime
+import typing
+import zlib
+
+from returns import result
+
+from balsamramp_core import clock
+from balsamramp_core import configuration_codec
+from balsamramp_core import metrics
+from balsamramp_core import service_manager
+from balsamramp_node.configuration import distribution
+from balsamramp_node.configuration import read_age
+from balsamramp_node.configuration import store
+from balsamramp_node.configuration import tree_sender
+from balsamramp_node.membership import member_list
+from balsamramp_node.process import decision_log
+from balsamramp_wire import control_transport
+from balsamramp_wire import messages
+
+__all__ = ["ZoneFeed"]
+
+# Long-poll time of the reader, and so the interval of its messages while
+# nothing changes.
+READER_POLL_TIME = datetime.timedelta(milliseconds=700)
+# Long-poll time of a node that is not told. A poll that begins while the
+# store is away is never answered, so it must not last long.
+OWN_POLL_TIME = datetime.timedelta(seconds=1)
+# A node that has not been told for this long reads by itself. It leaves more
+# than a second of the two within which a change has to be in force.
+SILENCE_MAX = datetime.timedelta(milliseconds=1200)
+# Further silence, for each better reader, after which a node also tells the
+# others what it reads.
+TAKEOVER_STEP = datetime.timedelta(milliseconds=300)
+# Resources in one message. After a larger change all nodes read the store.
+CHANGE_MAX_KEYS = 32
+NEVER = datetime.timedelta.min
+
+# Incarnation of the reader and number of its message.
+Mark = tuple[int, int]
+
+
+class ZoneFeed(service_manager.Service):
+    """Decides which node reads the store, and brings changes into force.
+
+    The node with the fastest link reads, among equals the first by name.
+    Nodes may disagree about that while they learn of each other; then some
+    more of them read.
+    """
+
+    name = "zone-feed"
+    requires = ("configuration",)
+
+    def __init__(
+        self,
+        own: messages.Member,
+        members: member_list.MemberList,
+        transport: control_transport.ControlTransport,
+        configurations: store.ConfigurationStore,
+        age: read_age.ReadAge,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+        decisions: decision_log.DecisionLog,
+    ) -> None:
+        self._own = own
+        self._members = members
+        self._store = configurations
+        self._age = age
+        self._clock = time
+        self._metrics = counters
+        self._decisions = decisions
+        self._tree = tree_sender.TreeSender(
+            own.node, own.zone, members, transport, counters
+        )
+        self._number = 0
+        self._last_marks: dict[str, Mark] = {}
+        self._told_at = NEVER
+        self._told_by_better_at = NEVER
+        self._behind = asyncio.Event()
+        self._reading = True
+        transport.handle(messages.StateRequest, self._serve_state)
+
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this node tells the others what it reads."""
+        rank = self._rank_of(self._own)
+        if not rank:
+            return True
+        silence = SILENCE_MAX + rank * TAKEOVER_STEP
+        return self._clock.monotonic() >= self._told_by_better_at + silence
+
+    @property
+    def poll_time(self) -> datetime.timedelta:
+        """Return how long a read of this node waits for a change."""
+        return READER_POLL_TIME if self.is_reader else OWN_POLL_TIME
+
+    async def stop(self) -> None:
+        await self._tree.stop()
+
+    def dump(self) -> abc.Mapping[str, typing.Any]:
+        return {"reader": self.is_reader, "reading": self._reading}
+
+    async def wait_until_read_needed(self) -> bool:
+        """Wait while others tell this node what is in force.
+
+        Returns whether it waited: the last own read is outdated then.
+        """
+        waited = False
+        while not (self.is_reader or self._behind.is_set()):
+            silent_at = self._told_at + SILENCE_MAX
+            remaining = silent_at - self._clock.monotonic()
+            if remaining <= datetime.timedelta():
+                break
+            self._set_reading(False)
+            waited = True
+            await self._wait_until_behind(remaining)
+        self._behind.clear()
+        self._set_reading(True)
+        return waited
+
+    def tell(self) -> None:
+        """Tell the others, if it is for this node, what it has just read."""
+        if not self.is_reader:
+            return
+        current = self._store.current
+        if not current.version:
+            return
+        change = self._store.recent_change(CHANGE_MAX_KEYS, self._clock.now())
+        encoded = b""
+        if change is not None:
+            encoded = configuration_codec.change_to_bytes(change)
+        self._number += 1
+        request = messages.StateRequest(
+            reader=self._own.node,
+            incarnation=self._own.incarnation,
+            number=self._number,
+            version=current.version,
+            digest=distribution.digest_bytes(current.digest),
+            change=encoded,
+        )
+        self._tree.send(request, _tree_seed(request))
+
+    async def _wait_until_behind(self, timeout: datetime.timedelta) -> None:
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                await self._behind.wait()
+        except TimeoutError:
+            return
+
+    def _set_reading(self, reading: bool) -> None:
+        if reading is self._reading:
+            return
+        self._reading = reading
+        self._decisions.write(
+            "configuration_reader",
+            reading=reading,
+            reader=self.is_reader,
+            version=self._store.current.version,
+        )
+
+    async def _serve_state(
+        self, request: messages.StateRequest
+    ) -> messages.StateReply:
+        mark = request.incarnation, request.number
+        if mark > self._last_marks.get(request.reader, (0, 0)):
+            self._last_marks[request.reader] = mark
+            self._tree.forward(request, _tree_seed(request))
+            self._handle_state(request)
+        return messages.StateReply(self._store.current.version)
+
+    def _handle_state(self, request: messages.StateRequest) -> None:
+        now = self._clock.monotonic()
+        if request.version > self._store.current.version:
+            self._catch_up(request)
+        if self._store.current.version < request.version:
+            self._metrics.count("states_missed_total")
+            self._behind.set()
+            return
+        self._told_at = now
+        self._age.update_read_age(datetime.timedelta())
+        reader = self._members.get(request.reader)
+        if reader is not None and _rank_key(reader) < _rank_key(self._own):
+            self._told_by_better_at = now
+
+    def _catch_up(self, request: messages.StateRequest) -> None:
+        current = self._store.current
+        if request.digest == distribution.digest_bytes(current.digest):
+            self._store.adopt_version(request.version)
+            return
+        if not request.change:
+            return
+        decoded = configuration_codec.change_from_bytes(request.change)
+        if isinstance(decoded, result.Failure):
+            return
+        change = decoded.unwrap()
+        applied = self._store.apply_recent_change(change)
+        if isinstance(applied, result.Failure):
+            return
+        self._decisions.write(
+            "configuration",
+            version=request.version,
+            previous=current.version,
+            changed=len(change.puts) + len(change.deletes),
+            source=request.reader,
+        )
+
+    def _rank_of(self, member: messages.Member) -> int:
+        """Return how many nodes of the zone are better readers."""
+        own_key = _rank_key(member)
+        return sum(
+            _rank_key(other) < own_key
+            for other in self._members.alive_in(member.zone)
+        )
+
+
+def _rank_key(member: messages.Member) -> tuple[float, str]:
+    return -member.link_rate, member.node
+
+
+def _tree_seed(request: messages.StateRequest) -> int:
+    """Return the seed of the tree for the messages of one reader."""
+    return zlib.crc32(request.reader.encode())
--- a/packages/node/src/balsamramp_node/process/sidecar_services.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_services.py
@@ -13,6 +13,7 @@
 from balsamramp_node.configuration import intent_store_reader
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import zone_feed
 from balsamramp_node.inbound import queue_disciplines
 from balsamramp_node.inbound import target_limiter
 from balsamramp_node.inbound import targets
@@ -101,6 +102,17 @@
         self,
     ) -> tuple[configuration_reader.ConfigurationReader, read_age.ReadAge]:
         last_read_age = read_age.ReadAge(self._clock)
+        feed = zone_feed.ZoneFeed(
+            self._own_member,
+            self.member_list,
+            self._dependencies.control,
+            self.store,
+            last_read_age,
+            self._clock,
+            self._metrics,
+            self.decisions,
+        )
+        self.service_manager.add(feed)
         reader = intent_store_reader.IntentStoreReader(
             self._sidecar_dependencies.intents,
             self.store,
@@ -110,6 +122,7 @@
             self._metrics,
             self.decisions,
             self._random,
+            feed,
         )
         return reader, last_read_age
 
@@ -155,6 +168,7 @@
             incarnation=self.identity.incarnation,
             sequence=0,
             state=messages.MemberState.ALIVE,
+            link_rate=self._settings.number("listen", "link_rate"),
         )
 
     def _on_zone_state(self, current: configuration.Configuration) -> None:
--- a/packages/node/tests/test_intent_store_reader.py
+++ b/packages/node/tests/test_intent_store_reader.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import datetime
 import random
 
 import attrs
@@ -15,6 +16,7 @@
 from balsamramp_core import intents
 from balsamramp_core import metrics
 from balsamramp_core import resource
+from balsamramp_core import settings
 from balsamramp_core import storage
 from balsamramp_core.resources import entry
 from balsamramp_core.resources import service
@@ -22,8 +24,12 @@
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
 from balsamramp_node.configuration import store
+from balsamramp_node.configuration import zone_feed
+from balsamramp_node.membership import member_list
 from balsamramp_node.process import decision_log
+from balsamramp_testing import memory_network
 from balsamramp_testing import virtual_time
+from balsamramp_wire import messages
 
 CAJA = service.Service(name="caja")
 STORE_UNAVAILABLE = storage.StorageError(
@@ -45,7 +51,10 @@
         self._reads = reads
         self._clock = clock
 
-    async def next(self) -> Read:
+    def restart(self) -> None:
+        """Do nothing: the reads are given."""
+
+    async def next(self, poll_time: datetime.timedelta) -> Read:
         if self._reads:
             return self._reads.pop(0)
         await self._clock.sleep(intent_store_reader.RETRY_MAX)
@@ -65,6 +74,37 @@
     return result.Success(intents.Intents(revision=revision, resources=items))
 
 
+def _feed_of_one_node(
+    configurations: store.ConfigurationStore, clock: virtual_time.VirtualClock
+) -> zone_feed.ZoneFeed:
+    """Return a feed that has its only node read the store."""
+    address = settings.Address("own", 1)
+    own = messages.Member(
+        node="own",
+        zone="z",
+        region="r",
+        stream=address,
+        control=address,
+        admin=address,
+        incarnation=1,
+        sequence=1,
+        state=messages.MemberState.ALIVE,
+    )
+    members = member_list.MemberList()
+    members.put(own)
+    network = memory_network.MemoryNetwork(clock, random.Random(1))
+    return zone_feed.ZoneFeed(
+        own,
+        members,
+        memory_network.MemoryControl("own", network),
+        configurations,
+        read_age.ReadAge(clock),
+        clock,
+        metrics.Metrics(),
+        decision_log.DecisionLog(decision_log.NullSink(), clock),
+    )
+
+
 async def _count_turns(
     configurations: store.ConfigurationStore, edits_by_turn: list[int]
 ) -> None:
@@ -91,6 +131,7 @@
             counters,
             decision_log.DecisionLog(decision_log.NullSink(), clock),
             random.Random(1),
+            _feed_of_one_node(configurations, clock),
         )
         await reader.start()
         if edits_by_turn is not None:
@@ -185,6 +226,7 @@
             counters,
             decision_log.DecisionLog(decision_log.NullSink(), clock),
             random.Random(1),
+            _feed_of_one_node(configurations, clock),
         )
         newer = configuration.merge(
             configuration.EMPTY, 7, (CAJA, _entry("b")), ()
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -49,6 +49,8 @@
     "RefusalReport",
     "ReportReply",
     "ReportRequest",
+    "StateReply",
+    "StateRequest",
     "TargetRecord",
     "TargetState",
     "VersionCount",
@@ -258,6 +260,7 @@
     ``incarnation`` increases with each start of the node and ``sequence``
     with each change that the node makes to its own record, so the later of
     two records can be determined without contacting the node.
+    ``link_rate`` is the rate of its VM's link in Mbit/s, or 0 if unknown.
     """
 
     node: str
@@ -270,6 +273,7 @@
     sequence: int
     state: MemberState
     targets: tuple[TargetRecord, ...] = ()
+    link_rate: float = 0.0
 
 
 @attrs.frozen
@@ -493,6 +497,34 @@
     digest: bytes
 
 
+@attrs.frozen
+class StateReply:
+    """The version that the receiver has in force after a StateRequest."""
+
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class StateRequest(ControlRequest):
+    """Tells the nodes of a zone what ``reader`` just read from the store.
+
+    ``number`` increases with each message of one ``incarnation`` of the
+    reader. ``version`` is in force there, with ``digest``. ``change`` leads
+    to it from any recent version, or is empty if there was no change or a
+    large one.
+    """
+
+    method = "state"
+    reply = StateReply
+
+    reader: str
+    incarnation: int
+    number: int
+    version: int
+    digest: bytes
+    change: bytes = b""
+
+
 @attrs.frozen
 class ReportReply:
     """Reply to a ReportRequest."""
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -28,6 +28,7 @@
 from balsamramp_node.rollouts import outcome_reporter
 
 TIMEOUT = datetime.timedelta(seconds=5)
+POLL_TIME = datetime.timedelta(seconds=2)
 LARGE_ROUTES = 1300
 # A node has to answer pings within 250 ms on less than half of a core.
 ITEMS_PER_TURN_MAX = 200
@@ -46,7 +47,7 @@
         )
 
     async def next(self) -> intents.Intents:
-        read = await self.rows.next()
+        read = await self.rows.next(POLL_TIME)
         found = read.unwrap()
         assert found is not None
         return found
@@ -120,7 +121,7 @@
         trial.store.put("op", "config", sidecar_fleet.configuration(7))
         await trial.next()
         trial.store.refuse = 503
-        await trial.rows.next()
+        await trial.rows.next(POLL_TIME)
         read, refused = sink.lines
         assert read["call"] == "/v1/rows-get"
         assert read["received_bytes"] > 1000
@@ -134,7 +135,7 @@
 
 def test_there_are_no_intents_before_the_first_configuration() -> None:
     async def main(trial: _Trial) -> None:
-        read = await trial.rows.next()
+        read = await trial.rows.next(POLL_TIME)
         assert read.unwrap() is None
 
     _try(main)
@@ -256,7 +257,7 @@
         trial.store.put("op", "config", sidecar_fleet.configuration(3))
         await trial.next()
         trial.store.silent = True
-        unanswered = await trial.rows.next()
+        unanswered = await trial.rows.next(POLL_TIME)
         assert isinstance(unanswered, result.Failure)
         trial.store.silent = False
         trial.store.put("op", "config", sidecar_fleet.configuration(4))
@@ -271,7 +272,7 @@
         await trial.next()
         trial.store.silent = True
         trial.store.put("op", "config", sidecar_fleet.configuration(4))
-        assert isinstance(await trial.rows.next(), result.Failure)
+        assert isinstance(await trial.rows.next(POLL_TIME), result.Failure)
         assert (await trial.next()).label == "4"
 
     _try(main)
