--- a/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
@@ -31,7 +31,7 @@
 # Bounds of the exponential backoff after a failed read. With its jitter, the
 # upper bound leaves time for a read before a change has to be in force.
 RETRY_MIN = datetime.timedelta(milliseconds=200)
-RETRY_MAX = datetime.timedelta(seconds=1)
+RETRY_MAX = datetime.timedelta(milliseconds=700)
 AUTHOR = "operators"
 # Resources that are edited before the event loop runs other tasks.
 EDITS_PER_TURN = 50
--- a/packages/node/src/balsamramp_node/process/http_connection.py
+++ b/packages/node/src/balsamramp_node/process/http_connection.py
@@ -122,6 +122,9 @@
         self._body_bytes = 0
         self._sent_at = 0.0
         self._first_byte_at: float | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._pause_max = 0.0
+        self._ends_at = 0.0
 
     @property
     def progress(self) -> ExchangeProgress:
@@ -179,9 +182,13 @@
         bodiless: bool,
         accepts: abc.Callable[[HttpResponse], bool],
         timeout: datetime.timedelta,
+        body_timeout: datetime.timedelta | None = None,
     ) -> HttpResponse:
         """Send a complete request and return the complete response.
 
+        With ``body_timeout``, a response may take that long, as long as no
+        part of its body takes longer than ``timeout``.
+
         ``bodiless`` states that the response has no body, as for HEAD.
         A response for which ``accepts`` returns False does not belong to
         the request: it is skipped, and the connection is not reused.
@@ -193,7 +200,9 @@
         assert self._transport is not None
         loop = asyncio.get_running_loop()
         self._pending = loop.create_future()
-        timer = loop.call_later(timeout.total_seconds(), self._on_timeout)
+        self._pause_max = timeout.total_seconds()
+        self._timer = loop.call_later(self._pause_max, self._on_timeout)
+        self._ends_at = loop.time() + (body_timeout or timeout).total_seconds()
         self._accepts = accepts
         self._bodiless = bodiless
         self._received_bytes = 0
@@ -207,7 +216,7 @@
             self.abort()
             raise
         finally:
-            timer.cancel()
+            self._timer.cancel()
             self._pending = None
 
     def set_options(self, options: abc.Iterable[tuple[int, int, int]]) -> None:
@@ -298,6 +307,7 @@
         """Append a part of the body (parser callback)."""
         self._partial.append_body(body)
         self._body_bytes += len(body)
+        self._extend_timeout()
         if self._partial.body_bytes > self._body_max_bytes:
             self._fail(ResponseFailure.TOO_LARGE)
 
@@ -344,6 +354,16 @@
         self._partial = _PartialResponse()
         self._pending.set_result(response)
 
+    def _extend_timeout(self) -> None:
+        """Allow the full pause before the next part of the body."""
+        if self._timer is None:
+            return
+        loop = asyncio.get_running_loop()
+        timeout_at = min(loop.time() + self._pause_max, self._ends_at)
+        if timeout_at > self._timer.when():
+            self._timer.cancel()
+            self._timer = loop.call_at(timeout_at, self._on_timeout)
+
     def _on_timeout(self) -> None:
         if self._pending is not None and not self._pending.done():
             self._pending.set_exception(TimeoutError())
--- a/packages/node/tests/test_http_connection.py
+++ b/packages/node/tests/test_http_connection.py
@@ -9,6 +9,8 @@
 from balsamramp_node.process import http_connection
 
 TIMEOUT = datetime.timedelta(seconds=20)
+PAUSE_MAX_SECONDS = 0.2
+BODY_SECONDS = 1.0
 BODY_BYTES = 1_000_000
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 CHUNKS = b"2\r\nxy\r\n" * 1000
@@ -92,3 +94,46 @@
         return kept_bytes
 
     assert asyncio.run(main()) < BODY_BYTES // 2
+
+
+async def _receive_slowly(
+    pauses: list[float],
+) -> http_connection.HttpResponse:
+    """Receive a body in parts, one after each of ``pauses``."""
+    connection = http_connection.HttpConnection(BODY_BYTES)
+    connection.connection_made(_Transport(connection))
+    task = asyncio.create_task(
+        connection.send_request(
+            b"request",
+            False,
+            lambda _: True,
+            datetime.timedelta(seconds=PAUSE_MAX_SECONDS),
+            datetime.timedelta(seconds=BODY_SECONDS),
+        )
+    )
+    await asyncio.sleep(0)
+    length = str(len(pauses)).encode()
+    connection.data_received(
+        b"HTTP/1.1 200 OK\r\ncontent-length: " + length + b"\r\n\r\n"
+    )
+    for pause in pauses:
+        await asyncio.sleep(pause)
+        connection.data_received(b"x")
+    return await task
+
+
+def test_response_that_is_still_arriving_is_not_dropped() -> None:
+    response = asyncio.run(_receive_slowly([PAUSE_MAX_SECONDS / 2] * 5))
+    assert response.body == b"xxxxx"
+
+
+@pytest.mark.parametrize(
+    "pauses",
+    [[PAUSE_MAX_SECONDS * 2], [PAUSE_MAX_SECONDS / 2] * 30],
+    ids=["stalled", "endless"],
+)
+def test_response_that_stalls_or_never_ends_is_dropped(
+    pauses: list[float],
+) -> None:
+    with pytest.raises(TimeoutError):
+        asyncio.run(_receive_slowly(pauses))
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -1,6 +1,7 @@
 """The adapter against a store in memory: what it reads and writes."""
 
 import asyncio
+import base64
 from collections import abc
 import datetime
 import typing
@@ -488,3 +489,30 @@
     local = _Local()
     assert _post(local, "heartbeat", body) == 400
     assert not local.announced
+
+
+def test_versions_that_were_missed_are_not_all_read() -> None:
+    async def main(trial: _Trial) -> None:
+        trial.store.put("op", "config", sidecar_fleet.configuration(3))
+        await trial.next()
+        trial.store.refuse = 503
+        assert isinstance(await trial.rows.next(POLL_TIME), result.Failure)
+        trial.store.refuse = 0
+        sink = _ListSink()
+        trial.client.call_log = store_client.StoreCallLog(
+            metrics.Metrics(),
+            decision_log.DecisionLog(sink, clock.SystemClock()),
+        )
+        for version in range(4, 14):
+            trial.store.put(
+                "op", "config", sidecar_fleet.configuration(version)
+            )
+        assert (await trial.next()).label == "13"
+        one_row = len(
+            base64.b64encode(
+                msgspec.json.encode(sidecar_fleet.configuration(13))
+            )
+        )
+        assert sink.lines[0]["received_bytes"] < 2 * one_row
+
+    _try(main)
