Answer 404 only by a configuration that is known to be current

A node that has not heard of the store for a while told callers that a route does not exist, though its version had been acknowledged long before. Callers don't repeat a request after a 404.

An unknown path gets 404 only if the node read the store, or was told what is in force, at most 1.5 s ago. Otherwise it waits 0.2 s for that, and then gets 503 with Retry-After, which promises less. Known paths are served by what the node has, as before. This is a second line: it doesn't bring a change into force any sooner.

test_entry_is_unknown_only_by_a_current_configuration and test_configuration_is_confirmed_until_the_store_is_away fail without it.

--- a/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
@@ -106,7 +106,7 @@
             latest = read.unwrap()
             if latest is not None:
                 await self._apply_intents(latest)
-            self._feed.tell()
+            self._feed.record_read()
             if latest is not None:
                 await self._clock.sleep(COALESCE_INTERVAL)
 
--- a/packages/node/src/balsamramp_node/configuration/zone_feed.py
+++ b/packages/node/src/balsamramp_node/configuration/zone_feed.py
@@ -41,6 +41,10 @@
 # Further silence, for each better reader, after which a node also tells the
 # others what it reads.
 TAKEOVER_STEP = datetime.timedelta(milliseconds=300)
+# Age up to which the state of the store may be taken for the present one, and
+# the wait for a later confirmation.
+CONFIRMATION_AGE_MAX = datetime.timedelta(milliseconds=1500)
+CONFIRMATION_WAIT = datetime.timedelta(milliseconds=200)
 # Resources in one message. After a larger change all nodes read the store.
 CHANGE_MAX_KEYS = 32
 NEVER = datetime.timedelta.min
@@ -83,6 +87,8 @@
         )
         self._number = 0
         self._last_marks: dict[str, Mark] = {}
+        self._confirmed = asyncio.Event()
+        self._confirmed_at = NEVER
         self._told_at = NEVER
         self._told_by_better_at = NEVER
         self._behind = asyncio.Event()
@@ -127,8 +133,23 @@
         self._set_reading(True)
         return waited
 
-    def tell(self) -> None:
-        """Tell the others, if it is for this node, what it has just read."""
+    async def confirm(self) -> bool:
+        """Return whether what is in force was confirmed a moment ago.
+
+        If not, it waits a short time for the next confirmation.
+        """
+        if self._is_confirmed():
+            return True
+        try:
+            async with asyncio.timeout(CONFIRMATION_WAIT.total_seconds()):
+                await self._confirmed.wait()
+        except TimeoutError:
+            return self._is_confirmed()
+        return True
+
+    def record_read(self) -> None:
+        """Record an own read; tell the others if that is for this node."""
+        self._record_confirmation()
         if not self.is_reader:
             return
         current = self._store.current
@@ -186,11 +207,21 @@
             self._behind.set()
             return
         self._told_at = now
+        self._record_confirmation()
         self._age.update_read_age(datetime.timedelta())
         reader = self._members.get(request.reader)
         if reader is not None and _rank_key(reader) < _rank_key(self._own):
             self._told_by_better_at = now
 
+    def _is_confirmed(self) -> bool:
+        now = self._clock.monotonic()
+        return now <= self._confirmed_at + CONFIRMATION_AGE_MAX
+
+    def _record_confirmation(self) -> None:
+        self._confirmed_at = self._clock.monotonic()
+        self._confirmed.set()
+        self._confirmed = asyncio.Event()
+
     def _catch_up(self, request: messages.StateRequest) -> None:
         current = self._store.current
         if request.digest == distribution.digest_bytes(current.digest):
--- a/packages/node/src/balsamramp_node/outbound/entry_proxy.py
+++ b/packages/node/src/balsamramp_node/outbound/entry_proxy.py
@@ -40,6 +40,8 @@
 UNREACHABLE_REASONS = frozenset(
     [verdict.Reason.CONNECTION_LOST, verdict.Reason.STALE_INCARNATION]
 )
+# For requests whose entry may be part of a change that is on its way.
+UNCONFIRMED_RETRY_AFTER = datetime.timedelta(milliseconds=300)
 VERDICT_RANKS = {
     verdict.Verdict.NOT_RUN: 0,
     verdict.Verdict.MAY_HAVE_RUN: 1,
@@ -47,6 +49,9 @@
 }
 
 
+ConfirmConfiguration = abc.Callable[[], abc.Awaitable[bool]]
+
+
 @attrs.frozen(kw_only=True)
 class EntryRequest:
     """A request as received from its caller.
@@ -141,7 +146,11 @@
         decisions: decision_log.DecisionLog,
         rng: random.Random,
         shutdown: shutdown_schedule.ShutdownSchedule | None = None,
+        confirm_configuration: ConfirmConfiguration | None = None,
     ) -> None:
+        self._confirm_configuration = (
+            confirm_configuration or _trust_configuration
+        )
         self._shutdown = shutdown or shutdown_schedule.ShutdownSchedule(time)
         self._running: dict[str, tuple[_Progress, asyncio.Task[object]]] = {}
         self._router = routes
@@ -161,7 +170,7 @@
     async def call(self, request: EntryRequest) -> call_transport.Reply:
         """Return the response of a target, or a failure with a verdict."""
         call_id = f"{self._call_prefix}{next(self._call_numbers):x}"
-        resolved = self._router.resolve_entry(request.host, request.path)
+        resolved = await self._resolve(request)
         if isinstance(resolved, result.Failure):
             failure = resolved.failure()
             self._decisions.write(
@@ -203,6 +212,30 @@
         self._log_reply(progress, reply)
         return reply
 
+    async def _resolve(
+        self, request: EntryRequest
+    ) -> result.Result[entry.Entry, verdict.Failure]:
+        """Return the entry of a request.
+
+        It is unknown only by a configuration that is known to be current.
+        """
+        found = self._router.resolve_entry(request.host, request.path)
+        if not _is_unknown(found):
+            return found
+        confirmed = await self._confirm_configuration()
+        found = self._router.resolve_entry(request.host, request.path)
+        if confirmed or not _is_unknown(found):
+            return found
+        self._metrics.count("unconfirmed_entries_total")
+        return result.Failure(
+            verdict.Failure(
+                verdict.Verdict.NOT_RUN,
+                verdict.Reason.NOT_READY,
+                "no entry for this path in a configuration that may be old",
+                UNCONFIRMED_RETRY_AFTER,
+            )
+        )
+
     def end_calls(self) -> int:
         """End all requests with a failure and return their number."""
         for progress, task in self._running.values():
@@ -447,6 +480,18 @@
         )
 
 
+async def _trust_configuration() -> bool:
+    return True
+
+
+def _is_unknown(
+    found: result.Result[entry.Entry, verdict.Failure],
+) -> bool:
+    if isinstance(found, result.Success):
+        return False
+    return found.failure().reason is verdict.Reason.UNKNOWN_SERVICE
+
+
 def _build_request(
     progress: _Progress, chosen: picker.Candidate, now: datetime.timedelta
 ) -> messages.CallRequest:
--- a/packages/node/src/balsamramp_node/process/sidecar_services.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_services.py
@@ -102,7 +102,7 @@
         self,
     ) -> tuple[configuration_reader.ConfigurationReader, read_age.ReadAge]:
         last_read_age = read_age.ReadAge(self._clock)
-        feed = zone_feed.ZoneFeed(
+        self.zone_feed = zone_feed.ZoneFeed(
             self._own_member,
             self.member_list,
             self._dependencies.control,
@@ -112,7 +112,7 @@
             self._metrics,
             self.decisions,
         )
-        self.service_manager.add(feed)
+        self.service_manager.add(self.zone_feed)
         reader = intent_store_reader.IntentStoreReader(
             self._sidecar_dependencies.intents,
             self.store,
@@ -122,7 +122,7 @@
             self._metrics,
             self.decisions,
             self._random,
-            feed,
+            self.zone_feed,
         )
         return reader, last_read_age
 
@@ -209,5 +209,6 @@
             self.decisions,
             self._random,
             self.shutdown,
+            self.zone_feed.confirm,
         )
         self.service_manager.add(self.entry_proxy)
--- a/packages/node/tests/test_entry_proxy.py
+++ b/packages/node/tests/test_entry_proxy.py
@@ -60,12 +60,19 @@
 
     def __init__(self, entry_found: entry.Entry) -> None:
         self._entry = entry_found
+        self.knows_entry = True
         self.candidates = [_candidate(name) for name in TARGETS]
 
     def resolve_entry(
         self, host: str, path: str
     ) -> result.Result[entry.Entry, verdict.Failure]:
-        return result.Success(self._entry)
+        if self.knows_entry:
+            return result.Success(self._entry)
+        return result.Failure(
+            verdict.Failure(
+                verdict.Verdict.NOT_RUN, verdict.Reason.UNKNOWN_SERVICE, ""
+            )
+        )
 
     def service_candidates(self, *place: object) -> list[picker.Candidate]:
         return self.candidates
@@ -176,8 +183,12 @@
     respond: Respond,
     restarted: tuple[str, ...] = (),
     stopping: bool = False,
+    confirmed: bool = True,
     **fields: typing.Any,
 ) -> _Node:
+    async def confirm() -> bool:
+        return confirmed
+
     clock = virtual_time.VirtualClock()
     entry_found = entry.Entry(
         name="e",
@@ -204,10 +215,32 @@
         decision_log.DecisionLog(sink, clock),
         random.Random(1),
         schedule,
+        confirm,
     )
     return _Node(clock, dispatcher, router, proxy)
 
 
+@pytest.mark.parametrize(
+    ("confirmed", "reason"),
+    [
+        (True, verdict.Reason.UNKNOWN_SERVICE),
+        (False, verdict.Reason.NOT_READY),
+    ],
+)
+def test_entry_is_unknown_only_by_a_current_configuration(
+    confirmed: bool, reason: verdict.Reason
+) -> None:
+    async def main() -> None:
+        node = _make_node(succeed, confirmed=confirmed)
+        node.router.knows_entry = False
+        reply = await node.call()
+        assert isinstance(reply, messages.CallFailure)
+        assert reply.failure.reason is reason
+        assert reply.failure.verdict is verdict.Verdict.NOT_RUN
+
+    virtual_time.run(main())
+
+
 def test_refused_request_is_sent_to_another_target() -> None:
     async def main() -> None:
         node = _make_node(lambda request: succeed(request))
--- a/packages/node/tests/test_zone_feed.py
+++ b/packages/node/tests/test_zone_feed.py
@@ -292,6 +292,23 @@
     virtual_time.run(main())
 
 
+def test_configuration_is_confirmed_until_the_store_is_away() -> None:
+    async def main() -> None:
+        zone = await _started_zone()
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            for node in zone.nodes:
+                assert await node.feed.confirm()
+        for node in zone.nodes:
+            node.source.away = True
+        await asyncio.sleep(2)
+        for node in zone.nodes:
+            assert not await node.feed.confirm()
+        await zone.stop()
+
+    virtual_time.run(main())
+
+
 def test_change_that_does_not_fit_is_not_applied() -> None:
     async def main() -> None:
         zone = await _started_zone()
