Don't have a call wait for a slot beyond its deadline

Callers got 504 for requests that never reached a target, at the end of the time that they had. Seen in the test of targets that state a limit, with requests whose timeout (0.9 s) is shorter than the objective of their route (1 s): ten of them were queued at a target, each got its slot as its deadline passed, and the slot was spent on "deadline passed while connecting".

Cause: a call that can meet its objective may wait until the latest start for that, whatever its deadline. The wait is now bounded by the deadline less the service time, so that such a call is refused at once, or in time for a retry.

test_call_does_not_wait_until_its_deadline_for_a_later_objective failed before: a call with 0.3 s left waited 4.85 s for its slot.

--- a/packages/node/src/balsamramp_node/inbound/queue_disciplines/priority.py
+++ b/packages/node/src/balsamramp_node/inbound/queue_disciplines/priority.py
@@ -47,7 +47,8 @@
         self, call: queue_discipline.QueuedCall, now: datetime.timedelta
     ) -> datetime.timedelta:
         remaining = call.deadline - call.service_time - now
-        return max(self._latest_start(call) - now, remaining * LATE_WAIT_SHARE)
+        punctual = min(self._latest_start(call) - now, remaining)
+        return max(punctual, remaining * LATE_WAIT_SHARE)
 
     def _latest_start(
         self, call: queue_discipline.QueuedCall
--- a/packages/node/tests/test_slot_limiter.py
+++ b/packages/node/tests/test_slot_limiter.py
@@ -226,3 +226,21 @@
         assert not fixture.limiter.load().cold
 
     _run_scenario(main)
+
+
+def test_call_does_not_wait_until_its_deadline_for_a_later_objective() -> None:
+    async def main(fixture: _LimiterFixture) -> None:
+        busy = [
+            asyncio.create_task(fixture.run("busy", _request(), 5 * SECOND))
+            for _ in range(SLOTS)
+        ]
+        await fixture.clock.sleep(MS)
+        started = fixture.clock.monotonic()
+        request = _request(timeout=300 * MS, objective=5 * SECOND)
+        await fixture.run("short", request, MS)
+        waited = fixture.clock.monotonic() - started
+        assert fixture.refused == ["short"]
+        assert waited <= 300 * MS - slot_limiter.SERVICE_TIME_DEFAULT
+        await asyncio.gather(*busy)
+
+    _run_scenario(main)
