Send a target no more calls than the limit that it states

A target in need states in its responses the requests a second that it takes from all VMs together (LIMIT).

Cause: nothing read the header.

All calls to a target pass the node beside it, so the limit is kept there, without agreement between nodes: a token bucket beside the slots. Calls that would wait too long are refused as not run, which costs no retry budget. The load in replies states the slots and the service time that the rate leaves, so that pickers give such a target its share. A limit ends with a response to a later call without it; a rate near 0 still lets one call in two seconds find that out. A node that starts beside an older target doesn't know its limit and sends one call until the first response, or reads it from the health check. Values that are no decimal number, negative, over a million or given twice are ignored, counted and logged at most every ten seconds.

--- a/packages/core/src/balsamramp_core/header_names.py
+++ b/packages/core/src/balsamramp_core/header_names.py
@@ -32,7 +32,10 @@
     request, and ``target`` the only target that may run it. In responses,
     the target sets ``not_run`` if it did not run the request,
     ``response_signature`` if it produced the response, ``answered_by`` to
-    its own name, and ``warm_up_ms`` while it is cold.
+    its own name, and ``warm_up_ms`` while it is cold. It sets ``rate_limit``
+    to the calls per second that it takes from all nodes together, while it
+    takes fewer than its slots allow, and ``leaving`` to 1 once it is about to
+    stop.
     """
 
     request_id: str
@@ -43,6 +46,8 @@
     response_signature: str
     answered_by: str
     warm_up_ms: str
+    rate_limit: str
+    leaving: str
 
 
 DEFAULT_HEADER_NAMES = HeaderNames(
@@ -54,4 +59,6 @@
     response_signature="",
     answered_by="balsamramp-answered-by",
     warm_up_ms="balsamramp-cold-ms",
+    rate_limit="balsamramp-rate-limit",
+    leaving="balsamramp-leaving",
 )
--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -22,6 +22,7 @@
 from balsamramp_node.inbound import response_cache
 from balsamramp_node.inbound import target_client
 from balsamramp_node.inbound import target_limiter
+from balsamramp_node.inbound import target_statement
 from balsamramp_node.inbound import targets
 from balsamramp_node.outbound import call_transport
 from balsamramp_node.process import decision_log
@@ -259,6 +260,22 @@
             if target in ("", name):
                 limiter.assume_cold()
 
+    def record_statement(
+        self,
+        announcement: targets.Announcement,
+        statement: target_statement.TargetStatement,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        """Apply what a target stated in the response to a request."""
+        local_target = self._targets.find(announcement.target)
+        if local_target is None:
+            return
+        if local_target.announcement.instance != announcement.instance:
+            return
+        self._limiter_for(local_target).set_rate_limit(
+            statement.rate_limit, sent_at
+        )
+
     def dump(self) -> abc.Mapping[str, typing.Any]:
         state: dict[str, typing.Any] = {
             "remembered_calls": len(self._deduplication)
--- a/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
+++ b/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
@@ -5,12 +5,14 @@
 import datetime
 import itertools
 
+from absl import logging
 import attrs
 
 from balsamramp_core import clock
 from balsamramp_core import verdict
 from balsamramp_node.inbound import concurrency_limit
 from balsamramp_node.inbound import queue_discipline
+from balsamramp_node.inbound import stated_rate
 from balsamramp_node.inbound import target_limiter
 from balsamramp_node.inbound import targets
 from balsamramp_node.inbound import warm_up
@@ -26,6 +28,7 @@
 # Assumed until the first call to a target has ended.
 SERVICE_TIME_DEFAULT = datetime.timedelta(milliseconds=100)
 NONE = datetime.timedelta()
+RATE_LOG_SECONDS = 1
 
 RateSource = abc.Callable[[str], float]
 
@@ -41,7 +44,9 @@
 
     This keeps the target's own queue empty. Calls wait in the limiter
     instead, where they can be reordered, cancelled or refused with verdict
-    NOT_RUN. A cold target gets calls at a limited rate.
+    NOT_RUN. A cold target gets calls at a limited rate, and so does one that
+    states a limit. ``process_started_ms`` is the start of this process: what
+    an older target stated before is not known to it.
     """
 
     name = "slots"
@@ -53,8 +58,11 @@
         discipline: queue_discipline.QueueDiscipline,
         warm_up_rate: RateSource,
         time: clock.Clock,
+        process_started_ms: int = 0,
     ) -> None:
         super().__init__(announcement)
+        self._process_started_ms = process_started_ms
+        self._stated_rate = self._make_rate_limiter(announcement)
         self._discipline = discipline
         self._warm_up_rate = warm_up_rate
         self._clock = time
@@ -72,15 +80,28 @@
 
     def load(self) -> messages.Load:
         now = self._clock.monotonic()
+        slots, service = self._usable_slots()
         return messages.Load(
             in_flight=self._in_flight,
-            limit=self._slots,
+            limit=slots,
             queued=len(self._queue),
-            service=self._mean_service_time,
+            service=service,
             failing=self._failure_share,
             cold=self._warm_up.is_cold(now),
         )
 
+    def _usable_slots(self) -> tuple[int, datetime.timedelta]:
+        """Return the slots that are in use at the rate that is allowed.
+
+        The second value is the time for which a call uses one of them.
+        """
+        service = self._mean_service_time
+        rate = self._stated_rate.rate
+        if rate is None:
+            return self._slots, service
+        slots = max(1, min(self._slots, int(rate * service.total_seconds())))
+        return slots, max(service, datetime.timedelta(seconds=slots / rate))
+
     def announce(self, announcement: targets.Announcement) -> None:
         if announcement is self._announcement:
             return
@@ -88,6 +109,7 @@
         if announcement.instance != self._instance:
             self._instance = announcement.instance
             self._failure_share = 0.0
+            self._stated_rate = self._make_rate_limiter(announcement)
         self._announcement = announcement
         self._slots = max(announcement.slots, 1)
         self._warm_up.set_cold_for(now, announcement.cold_for)
@@ -96,6 +118,32 @@
         """Treat the target as cold until its next announcement."""
         self._warm_up.assume_cold()
 
+    def set_rate_limit(
+        self, rate: float | None, sent_at: datetime.timedelta
+    ) -> None:
+        limiter = self._stated_rate
+        before = limiter.known, limiter.rate
+        limiter.set_rate(self._clock.monotonic(), rate, sent_at)
+        if (limiter.known, limiter.rate) == before:
+            return
+        assert self._announcement is not None
+        logging.log_every_n_seconds(
+            logging.INFO,
+            "target %s is sent %s calls per second at most, before: %s",
+            RATE_LOG_SECONDS,
+            self._announcement.target,
+            limiter.rate,
+            before[1],
+        )
+        self._admit_queued()
+
+    def _make_rate_limiter(
+        self, announcement: targets.Announcement
+    ) -> stated_rate.StatedRateLimiter:
+        started_ms = announcement.started_ms
+        known = not started_ms or started_ms >= self._process_started_ms
+        return stated_rate.StatedRateLimiter(known)
+
     def refusal(
         self, request: messages.CallRequest, time_left: datetime.timedelta
     ) -> verdict.Failure | None:
@@ -212,14 +260,28 @@
                 work_ahead += entry.call.service_time
                 calls_ahead += 1
         expected_wait = work_ahead / self._slots
+        rates = []
+        if self._warm_up.is_cold(now):
+            rates.append(self._current_warm_up_rate())
+        if self._stated_rate.rate is not None:
+            rates.append(self._stated_rate.rate)
+        pacing_wait = self._required_delay(now)
+        for rate in rates:
+            if rate:
+                pacing_wait = max(
+                    pacing_wait,
+                    self._required_delay(now)
+                    + datetime.timedelta(seconds=calls_ahead / rate),
+                )
+        return max(expected_wait, pacing_wait)
+
+    def _required_delay(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return the wait for the rates at which the target takes calls."""
         warm_up_rate = self._current_warm_up_rate()
-        if warm_up_rate and self._warm_up.is_cold(now):
-            warm_up_wait = self._warm_up.required_delay(now, warm_up_rate)
-            warm_up_wait += datetime.timedelta(
-                seconds=calls_ahead / warm_up_rate
-            )
-            return max(expected_wait, warm_up_wait)
-        return expected_wait
+        return max(
+            self._warm_up.required_delay(now, warm_up_rate),
+            self._stated_rate.required_delay(now),
+        )
 
     def _current_warm_up_rate(self) -> float:
         assert self._announcement is not None
@@ -228,13 +290,12 @@
     def _has_free_slot(self, now: datetime.timedelta) -> bool:
         if self._in_flight >= self._slots:
             return False
-        return not self._warm_up.required_delay(
-            now, self._current_warm_up_rate()
-        )
+        return not self._required_delay(now)
 
     def _occupy_slot(self, now: datetime.timedelta) -> None:
         self._in_flight += 1
         self._warm_up.record_call(now)
+        self._stated_rate.record_call(now)
 
     def _granted_else_dequeue(self, entry: _QueueEntry) -> bool:
         """Return whether ``entry`` was granted a slot; else dequeue it."""
@@ -262,8 +323,8 @@
             first.slot.set_result(None)
 
     def _set_timer(self, now: datetime.timedelta) -> None:
-        """Schedule the next check of the queue for a cold target."""
-        wait = self._warm_up.required_delay(now, self._current_warm_up_rate())
+        """Schedule the next check of the queue for a target with a rate."""
+        wait = self._required_delay(now)
         if not wait or self._timer is not None:
             return
         loop = asyncio.get_running_loop()
--- a/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
@@ -17,6 +17,7 @@
 from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_node.inbound import target_client
+from balsamramp_node.inbound import target_statement
 from balsamramp_node.inbound import targets
 from balsamramp_node.process import http_connection
 from balsamramp_wire import messages
@@ -38,10 +39,19 @@
 # A call that is not idempotent reuses only connections idle for at most this
 # long, since a target may close an idle connection before the node notices.
 FRESH_IDLE_MAX = datetime.timedelta(milliseconds=500)
+MALFORMED_LOG_SECONDS = 10
 STATUS_SUCCESS = range(200, 300)
 STATUS_MISDIRECTED = 421
 
 TargetCallback = abc.Callable[[str], None]
+StatementCallback = abc.Callable[
+    [
+        targets.Announcement,
+        target_statement.TargetStatement,
+        datetime.timedelta,
+    ],
+    None,
+]
 CallResult = target_client.TargetCallResult
 
 
@@ -56,7 +66,8 @@
 
     ``on_connection_refused`` is called with the name of a target that
     refuses connections, ``on_misdirected`` with the name of a target at
-    whose address another target responds.
+    whose address another target responds. ``on_statement`` is called with
+    what a target states in a response, and when its request was sent.
     """
 
     name = "target-client"
@@ -75,6 +86,7 @@
         self._idle: dict[str, list[_IdleConnection]] = {}
         self.on_connection_refused: TargetCallback = _ignore
         self.on_misdirected: TargetCallback = _ignore
+        self.on_statement: StatementCallback = _ignore_statement
 
     async def stop(self) -> None:
         for idle in self._idle.values():
@@ -112,6 +124,7 @@
         """Request the health of ``target`` at ``path``."""
         address = settings.parse_address(target.url.removeprefix("http://"))
         request = f"GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+        sent_at = self._clock.monotonic()
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT.total_seconds()):
                 connection = await http_connection.HttpConnection.open(
@@ -136,6 +149,8 @@
         answered_by = response.header(self._names.answered_by)
         if answered_by not in (None, target.target):
             return targets.Health.LEAVING
+        if self._report_health_statement(target, response, sent_at):
+            return targets.Health.LEAVING
         if response.status in STATUS_SUCCESS:
             return targets.Health.SERVING
         return targets.Health.LEAVING
@@ -154,6 +169,7 @@
             return echoed_id is None or echoed_id == request_id
 
         data = self._encode(target, request, time_left)
+        sent_at = self._clock.monotonic()
         try:
             response = await connection.send_request(
                 data, request.method == "HEAD", is_own_response, time_left
@@ -174,8 +190,51 @@
                 f"no whole answer: {error}",
             )
         self._return_to_pool(target.url, connection)
+        if response.status != STATUS_MISDIRECTED:
+            self._report_statement(target, response, sent_at)
         return self._to_result(target, response)
 
+    def _report_statement(
+        self,
+        target: targets.Announcement,
+        response: http_connection.HttpResponse,
+        sent_at: datetime.timedelta,
+    ) -> target_statement.TargetStatement | None:
+        """Pass on what the target states; ignore what is malformed."""
+        try:
+            statement = target_statement.parse_statement(
+                response.headers, self._names
+            )
+        except target_statement.StatementError as error:
+            self._metrics.count("statements_malformed_total")
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "ignored a statement of target %s: %s",
+                MALFORMED_LOG_SECONDS,
+                target.target,
+                error,
+            )
+            return None
+        self.on_statement(target, statement, sent_at)
+        return statement
+
+    def _report_health_statement(
+        self,
+        target: targets.Announcement,
+        response: http_connection.HttpResponse,
+        sent_at: datetime.timedelta,
+    ) -> bool:
+        """Pass on a limit that is stated; return whether the target leaves.
+
+        That a health response states no limit doesn't mean that there is
+        none.
+        """
+        stated = {self._names.rate_limit, self._names.leaving}
+        if not any(name in stated for name, _ in response.headers):
+            return False
+        statement = self._report_statement(target, response, sent_at)
+        return statement is not None and statement.leaving
+
     def _to_result(
         self,
         target: targets.Announcement,
@@ -306,6 +365,14 @@
     return None
 
 
+def _ignore_statement(
+    target: targets.Announcement,
+    statement: target_statement.TargetStatement,
+    sent_at: datetime.timedelta,
+) -> None:
+    return None
+
+
 def _header_value(headers: messages.Headers, name: str) -> str | None:
     for header, value in headers:
         if header == name:
--- a/packages/node/src/balsamramp_node/inbound/target_limiter.py
+++ b/packages/node/src/balsamramp_node/inbound/target_limiter.py
@@ -44,6 +44,15 @@
         """Treat the target as cold until its next announcement."""
         return None
 
+    def set_rate_limit(
+        self, rate: float | None, sent_at: datetime.timedelta
+    ) -> None:
+        """Apply the calls per second that the target states, None for any.
+
+        It was stated in the response to a request that was ``sent_at``.
+        """
+        return None
+
     @abc.abstractmethod
     def refusal(
         self, request: messages.CallRequest, time_left: datetime.timedelta
--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -141,6 +141,11 @@
         self._draining_all = False
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def process_started_ms(self) -> int:
+        """Return the start of this process in Unix milliseconds."""
+        return self._process_started_ms
+
     @property
     def lease(self) -> datetime.timedelta:
         """Return how long an announcement is valid."""
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -150,6 +150,9 @@
         self._services.targets.probe_health = self._check_target_health
         target_client.on_connection_refused = self._on_connection_refused
         target_client.on_misdirected = self._services.targets.suspend
+        target_client.on_statement = (
+            self._services.inbound_handler.record_statement
+        )
         self._services.service_manager.add(self._make_side_server(adapter))
         peer_server = stream_server.StreamServer(
             hello,
--- a/packages/node/src/balsamramp_node/process/sidecar_services.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_services.py
@@ -148,6 +148,7 @@
             discipline_type(),
             self._get_warm_up_rate,
             self._clock,
+            self.targets.process_started_ms,
         )
 
     def _get_target_lease(self) -> datetime.timedelta:
--- a/packages/node/tests/test_pooled_target_client.py
+++ b/packages/node/tests/test_pooled_target_client.py
@@ -20,6 +20,7 @@
 from balsamramp_core import verdict
 from balsamramp_node.inbound import pooled_target_client
 from balsamramp_node.inbound import target_client
+from balsamramp_node.inbound import target_statement
 from balsamramp_node.inbound import targets
 from balsamramp_wire import messages
 
@@ -112,6 +113,9 @@
     target: _Target
     announcement: targets.Announcement
     misdirected: list[str] = attrs.field(factory=list)
+    statements: list[target_statement.TargetStatement] = attrs.field(
+        factory=list
+    )
 
     async def call(
         self, idempotent_call: bool = False
@@ -151,6 +155,9 @@
         )
         fixture = _Fixture(client, test_clock, target, announcement)
         client.on_misdirected = fixture.misdirected.append
+        client.on_statement = lambda target, statement, sent_at: (
+            fixture.statements.append(statement)
+        )
         try:
             await main(fixture)
         finally:
@@ -290,3 +297,26 @@
         assert refused == ["t"]
 
     _run_script([], main)
+
+
+def _stating(header: bytes) -> bytes:
+    return COMPLETE.replace(b"proof: p", b"proof: p\r\n" + header)
+
+
+def test_what_targets_state_is_passed_on_unless_malformed() -> None:
+    async def main(fixture: _Fixture) -> None:
+        for _ in range(5):
+            await fixture.call()
+
+    limit = NAMES.rate_limit.encode()
+    shed = SHED.replace(b"1\r\n", b"1\r\n" + limit + b": 3\r\n")
+    other = MISDIRECTED.replace(b"No\r\n", b"No\r\n" + limit + b": 9\r\n")
+    script = [
+        (_stating(limit + b": 17.7"), "keep"),
+        (_stating(limit + b": many"), "keep"),
+        (shed, "keep"),
+        (other, "end"),
+        (COMPLETE, "keep"),
+    ]
+    fixture = _run_script(script, main)
+    assert [item.rate_limit for item in fixture.statements] == [17.7, 3, None]
--- a/tests/users_platform/fake_target.py
+++ b/tests/users_platform/fake_target.py
@@ -17,7 +17,8 @@
 
     ``runs`` lists the ids of the requests that it ran. ``delay`` is how
     long one takes, in seconds, ``status`` what it answers, and ``padding``
-    what it adds to the body.
+    what it adds to the body. ``statements`` are headers of all its answers,
+    and ``arrivals`` the times at which requests came.
     """
 
     def __init__(self, name: str, service: str, version: str = "v1") -> None:
@@ -29,6 +30,8 @@
         self.delay = 0.0
         self.status = 200
         self.padding = b""
+        self.statements: dict[str, str] = {}
+        self.arrivals: list[float] = []
         self.slots = 8
         self.runs: list[str] = []
         self.seen: list[web.Request] = []
@@ -91,10 +94,12 @@
         if expected not in (None, self.name):
             return web.Response(status=421, headers=headers)
         body = await request.read()
+        self.arrivals.append(time.monotonic())
         self.runs.append(request_id)
         self.seen.append(request)
         await asyncio.sleep(self.delay)
         headers[HEADER_PREFIX + "Response-Signature"] = "3e1b.07"
+        headers.update(self.statements)
         return web.Response(
             status=self.status,
             body=b"answer " + body + self.padding,
