Send no calls to a target that states that it leaves

A target that leaves says so in its responses, also if it reports ready in its heartbeats (DRAIN). Nothing read that: in a test of ours such a target got 174 requests in 3 s, 2 s after it had first said so, and 178 after a restart of its node.

Its node now drains that start of the target for good when it reads the response, whatever later announcements say, until the target starts anew. The reply tells the callers' nodes, which don't pick it again: they remember it also when the node beside the target restarts and forgets, which then learns it from the health check or the first response.

The tests of test_target_statements for targets that leave, and test_target_that_leaves_is_not_ready_again_before_its_next_start, failed before.

--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -267,6 +267,12 @@
         sent_at: datetime.timedelta,
     ) -> None:
         """Apply what a target stated in the response to a request."""
+        if statement.leaving and not self._targets.is_leaving(announcement):
+            logging.info(
+                "target %s states that it leaves; it gets no more calls",
+                announcement.target,
+            )
+            self._targets.drain_for_good(announcement)
         local_target = self._targets.find(announcement.target)
         if local_target is None:
             return
@@ -378,9 +384,13 @@
             return messages.Load(0, 0)
         load = limiter.load()
         link_wait = self._link.expected_wait()
-        if not link_wait:
+        local_target = self._targets.find(target)
+        leaving = local_target is not None and self._targets.is_leaving(
+            local_target.announcement
+        )
+        if not (link_wait or leaving):
             return load
-        return attrs.evolve(load, link_wait=link_wait)
+        return attrs.evolve(load, link_wait=link_wait, leaving=leaving)
 
     async def _run(
         self,
--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -138,6 +138,8 @@
         self._targets: dict[str, LocalTarget] = {}
         self._withdrawn_ms: collections.OrderedDict[str, int]
         self._withdrawn_ms = collections.OrderedDict()
+        self._leaving_instances: collections.OrderedDict[str, str]
+        self._leaving_instances = collections.OrderedDict()
         self._draining_all = False
         self._task: asyncio.Task[None] | None = None
 
@@ -181,7 +183,7 @@
             )
             self._targets[announcement.target] = local_target
             logging.info("target %s announced", announcement.target)
-            if self._draining_all:
+            if self._draining_all or self.is_leaving(announcement):
                 self.drain(announcement.target)
             else:
                 self._probe_if_older(local_target)
@@ -287,6 +289,26 @@
         self._publish()
         return True
 
+    def drain_for_good(self, announcement: Announcement) -> None:
+        """Accept no new calls to this start of a target.
+
+        Its later announcements don't change that.
+        """
+        target = announcement.target
+        self._leaving_instances[target] = announcement.instance
+        while len(self._leaving_instances) > WITHDRAWN_TARGETS_MAX:
+            self._leaving_instances.popitem(last=False)
+        local_target = self._targets.get(target)
+        if local_target is not None and self.is_leaving(
+            local_target.announcement
+        ):
+            self.drain(target)
+
+    def is_leaving(self, announcement: Announcement) -> bool:
+        """Return whether this start of a target was drained for good."""
+        instance = self._leaving_instances.get(announcement.target)
+        return instance is not None and instance == announcement.instance
+
     def suspend(self, target: str) -> None:
         """Accept no calls to ``target`` until its next announcement."""
         local_target = self._targets.get(target)
--- a/packages/node/src/balsamramp_node/outbound/entry_proxy.py
+++ b/packages/node/src/balsamramp_node/outbound/entry_proxy.py
@@ -19,6 +19,7 @@
 from balsamramp_core.resources import entry
 from balsamramp_node.outbound import call_dispatcher
 from balsamramp_node.outbound import call_transport
+from balsamramp_node.outbound import leaving_targets
 from balsamramp_node.outbound import picker
 from balsamramp_node.outbound import recent_refusals
 from balsamramp_node.outbound import retry_budget
@@ -164,6 +165,7 @@
         self._decisions = decisions
         self._random = rng
         self._refusals = recent_refusals.RecentRefusals()
+        self._leaving = leaving_targets.LeavingTargets()
         self._call_prefix = f"{uuid.uuid4().hex[:16]}-"
         self._call_numbers = itertools.count()
 
@@ -289,6 +291,8 @@
         ):
             if candidate.record.target in progress.tried:
                 continue
+            if self._leaving.has_left(candidate.record):
+                continue
             if self._refused_recently(progress, candidate, now):
                 continue
             candidates.append(candidate)
@@ -341,6 +345,8 @@
         progress.attempting = False
         now = self._clock.monotonic()
         stats.record_result(now, now - started, _done_info(reply), reply.load)
+        if reply.load.leaving:
+            self._leaving.add(chosen.record)
         self._update_recent_refusals(progress, chosen, reply, started)
         progress.attempts.append(
             _Attempt(
--- a/packages/node/tests/test_entry_proxy.py
+++ b/packages/node/tests/test_entry_proxy.py
@@ -396,3 +396,25 @@
     assert refusals.retry_delay(last, "e", SECOND, SECOND) == SECOND
     refusals.clear_refusal(last, "e")
     assert refusals.retry_delay(last, "e", SECOND, SECOND) is None
+
+
+def test_target_that_states_that_it_leaves_is_not_picked_again() -> None:
+    async def main() -> None:
+        def leave(request: messages.CallRequest) -> messages.CallAnswer:
+            leaving = attrs.evolve(IDLE, leaving=True)
+            return attrs.evolve(succeed(request), load=leaving)
+
+        node = _make_node(leave)
+        for candidate in node.router.candidates:
+            record = attrs.evolve(candidate.record, instance="1")
+            node.router.candidates[node.router.candidates.index(candidate)] = (
+                attrs.evolve(candidate, record=record)
+            )
+        for _ in TARGETS:
+            assert isinstance(await node.call(), messages.CallAnswer)
+        assert sorted(node.dispatcher.called) == sorted(TARGETS)
+        reply = await node.call()
+        assert isinstance(reply, messages.CallFailure)
+        assert reply.failure.verdict is verdict.Verdict.NOT_RUN
+
+    virtual_time.run(main())
--- a/packages/node/tests/test_local_targets.py
+++ b/packages/node/tests/test_local_targets.py
@@ -225,3 +225,20 @@
         assert vm.announce(**without_start)
 
     _run(main)
+
+
+def test_target_that_leaves_is_not_ready_again_before_its_next_start() -> None:
+    def main(vm: _Vm) -> None:
+        assert vm.announce()
+        found = vm.local.find("i-1")
+        assert found is not None
+        vm.local.drain_for_good(found.announcement)
+        assert vm.announce(sequence=6)
+        assert vm.state() is DRAINING
+        del vm.local._targets["i-1"]
+        assert vm.announce(sequence=7)
+        assert vm.state() is DRAINING
+        assert vm.announce(instance="2000", started_ms=2000, sequence=1)
+        assert vm.state() is READY
+
+    _run(main)
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -115,7 +115,8 @@
     ``failing`` the fraction of its recent calls that failed. ``cold`` states
     that the target is warming up and accepts calls at a limited rate.
     ``link_wait`` is the time that the link of its VM needs for the large
-    responses that it has to send.
+    responses that it has to send. ``leaving`` states that this start of the
+    target gets no more calls.
     """
 
     in_flight: int
@@ -125,6 +126,7 @@
     failing: float = 0.0
     cold: bool = False
     link_wait: datetime.timedelta = datetime.timedelta()
+    leaving: bool = False
 
 
 @attrs.frozen
--- a/tests/users_platform/test_target_statements.py
+++ b/tests/users_platform/test_target_statements.py
@@ -1,4 +1,4 @@
-"""Targets that state in their answers how many calls they take.
+"""Targets that state in their answers how much they take, or that they leave.
 
 All calls reach a target through the node beside it, which forgets what the
 target stated when it restarts.
@@ -23,6 +23,8 @@
 OVERAGE = 1.5
 SLACK = 5
 NOTICE_SECONDS = 3.0
+# Time after which no call may reach a target that has stated that it leaves.
+DRAIN_SECONDS = 2.0
 
 Phase = abc.Callable[["_Trial"], abc.Awaitable[None]]
 
@@ -146,3 +148,38 @@
         assert len(trial.target.arrivals) > REQUESTS_PER_SECOND
 
     _run(tmp_path, main)
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_target_that_states_that_it_leaves_gets_no_more_calls(
+    tmp_path: pathlib.Path, restarted: bool
+) -> None:
+    async def main(trial: _Trial) -> None:
+        trial.target.statements = {"Server-Leaving": "1"}
+        await trial.load(0.5)
+        if restarted:
+            await trial.restart_beside()
+        await asyncio.sleep(DRAIN_SECONDS)
+        trial.target.arrivals.clear()
+        await trial.load(3)
+        # The restarted node may have to ask once.
+        assert len(trial.target.arrivals) <= int(restarted)
+
+    _run(tmp_path, main)
+
+
+def test_target_that_starts_again_gets_calls_after_it_left(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main(trial: _Trial) -> None:
+        trial.target.statements = {"Server-Leaving": "1"}
+        await trial.load(0.5)
+        trial.target.statements = {}
+        trial.target.born += 1000
+        trial.target.sequence = 0
+        await asyncio.sleep(1)
+        trial.target.arrivals.clear()
+        await trial.load(1)
+        assert trial.target.arrivals
+
+    _run(tmp_path, main)
