Reject what other writers encode badly in one place

Entries that are nested 100,000 deep, or hold numbers or ports out of range, ended tasks and requests of the node: RecursionError is none of the errors that the decoders were guarded against, and neither is OverflowError, for which a port of 99,999,999 is enough at the next connect. With such rows in the store a node never came into service, as the task that exchanges with peers had ended; with a bomb among the operators' orders the configuration was no longer followed. Both without a line that said so.

Addresses are checked when they are decoded. Members from a peer are unpacked up to a limit. The loops that follow the store and exchange with peers log an unexpected error and go on.

--- a/packages/core/src/balsamramp_core/configuration_codec.py
+++ b/packages/core/src/balsamramp_core/configuration_codec.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from balsamramp_core import configuration
+from balsamramp_core import decoding
 from balsamramp_core import resource
 from balsamramp_core import resources
 
@@ -21,14 +22,6 @@
     "snapshot_to_bytes",
 ]
 
-DECODE_ERRORS = (
-    KeyError,
-    RecursionError,
-    TypeError,
-    ValueError,
-    msgspec.MsgspecError,
-)
-
 
 def changes_to_bytes(changes: abc.Iterable[configuration.Change]) -> bytes:
     """Encode ``changes`` as one row of the log in storage."""
@@ -46,7 +39,7 @@
         return result.Success(
             [_change_from_document(item) for item in documents]
         )
-    except DECODE_ERRORS as error:
+    except decoding.MALFORMED_ERRORS as error:
         return result.Failure(f"malformed changes: {error!r}")
 
 
@@ -59,7 +52,7 @@
     """Decode the output of ``change_to_bytes``."""
     try:
         return result.Success(_change_from_document(msgspec.json.decode(data)))
-    except DECODE_ERRORS as error:
+    except decoding.MALFORMED_ERRORS as error:
         return result.Failure(f"malformed change: {error!r}")
 
 
@@ -145,7 +138,7 @@
                 encoded,
                 type=list[kind_type],  # type: ignore[valid-type]
             )
-    except (*DECODE_ERRORS, resources.KindNotFoundError) as error:
+    except (*decoding.MALFORMED_ERRORS, resources.KindNotFoundError) as error:
         return result.Failure(f"malformed snapshot: {error!r}")
     merged = configuration.merge(
         configuration.EMPTY, document.version, items, ()
--- a/packages/core/src/balsamramp_core/settings.py
+++ b/packages/core/src/balsamramp_core/settings.py
@@ -46,6 +46,10 @@
 # Name that no section has; it disables the default section of configparser.
 NO_SECTION = "\0"
 PORT_MAX = 65535
+# Names of hosts have labels of at most 63 characters.
+ADDRESS_HOST = re.compile(
+    r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63}){0,7}\.?"
+)
 HOST_PATTERN = re.compile(r"[A-Za-z0-9._-]+")
 TRUE_WORDS = frozenset(["true", "yes", "on", "1"])
 FALSE_WORDS = frozenset(["false", "no", "off", "0"])
@@ -57,8 +61,12 @@
 class Address:
     """An IP address or host with a TCP port."""
 
-    host: str
-    port: int
+    host: str = attrs.field(
+        validator=attrs.validators.matches_re(ADDRESS_HOST)
+    )
+    port: int = attrs.field(
+        validator=[attrs.validators.ge(0), attrs.validators.le(PORT_MAX)]
+    )
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- a/packages/node/src/balsamramp_node/configuration/accepted_log.py
+++ b/packages/node/src/balsamramp_node/configuration/accepted_log.py
@@ -14,6 +14,7 @@
 
 from balsamramp_core import configuration
 from balsamramp_core import configuration_codec
+from balsamramp_core import decoding
 from balsamramp_core import storage
 
 __all__ = ["AcceptedLog", "Head", "HeadRow", "log_key"]
@@ -84,8 +85,8 @@
         if row is None:
             return result.Success(HeadRow(Head(), 0))
         try:
-            head = msgspec.json.decode(row.value, type=Head)
-        except msgspec.MsgspecError as error:
+            head = decoding.decode_json(row.value, Head)
+        except decoding.DecodingError as error:
             kind = storage.StorageErrorKind.UNAVAILABLE
             text = f"{HEAD_KEY} is not a valid head row: {error}"
             return result.Failure(storage.StorageError(kind, text))
--- a/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
@@ -92,6 +92,15 @@
         return {"reachable": self._reachable, "last_read": self._read_at}
 
     async def _run(self) -> None:
+        while True:
+            try:
+                await self._follow()
+            except Exception:
+                logging.exception("following the store failed; starting again")
+                self._source.restart()
+                await self._clock.sleep(RETRY_MAX)
+
+    async def _follow(self) -> None:
         while True:
             if await self._feed.wait_until_read_needed():
                 self._source.restart()
--- a/packages/node/src/balsamramp_node/inbound/control_server.py
+++ b/packages/node/src/balsamramp_node/inbound/control_server.py
@@ -3,6 +3,7 @@
 from absl import logging
 import msgspec
 
+from balsamramp_core import decoding
 from balsamramp_wire import control_transport
 from balsamramp_wire import messages
 
@@ -37,8 +38,10 @@
             )
             return messages.ControlAnswer(call.number, False)
         try:
-            request = self._decoders[call.method].decode(call.body)
-        except msgspec.MsgspecError as error:
+            request = decoding.decode_with(
+                self._decoders[call.method].decode, call.body
+            )
+        except decoding.DecodingError as error:
             logging.warning(
                 "control request %s is malformed; not served: %s",
                 call.method,
--- a/packages/node/src/balsamramp_node/membership/anti_entropy.py
+++ b/packages/node/src/balsamramp_node/membership/anti_entropy.py
@@ -4,9 +4,11 @@
 import datetime
 import random
 
+from absl import logging
 from returns import result
 
 from balsamramp_core import clock
+from balsamramp_core import decoding
 from balsamramp_core import settings
 from balsamramp_node.configuration import transfer_rate_limiter
 from balsamramp_node.membership import member_codec
@@ -77,7 +79,14 @@
         sent = await self._transport.send(peer, request, REQUEST_TIMEOUT)
         if isinstance(sent, result.Failure) or sent.unwrap().busy:
             return False
-        for member in member_codec.unpack(sent.unwrap().packed):
+        try:
+            members = member_codec.unpack(sent.unwrap().packed)
+        except decoding.DecodingError as error:
+            logging.warning(
+                "ignoring malformed members from %s: %s", peer, error
+            )
+            return False
+        for member in members:
             self._on_member(member)
         return True
 
--- a/packages/node/src/balsamramp_node/membership/member_codec.py
+++ b/packages/node/src/balsamramp_node/membership/member_codec.py
@@ -5,11 +5,13 @@
 
 import msgspec
 
+from balsamramp_core import decoding
 from balsamramp_wire import messages
 
 __all__ = ["pack", "unpack"]
 
 COMPRESSION_LEVEL = 1
+UNPACKED_MAX_BYTES = 16 * 1024 * 1024
 
 
 def pack(members: abc.Sequence[messages.Member]) -> bytes:
@@ -18,6 +20,16 @@
 
 
 def unpack(packed: bytes) -> list[messages.Member]:
-    """Return the members encoded by ``pack``."""
-    data = zlib.decompress(packed)
-    return msgspec.msgpack.decode(data, type=list[messages.Member])
+    """Return the members encoded by ``pack``; raises DecodingError."""
+    data = decoding.decode_with(_decompress, packed)
+    return decoding.decode_msgpack(data, list[messages.Member])
+
+
+def _decompress(packed: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    data = decompressor.decompress(packed, UNPACKED_MAX_BYTES)
+    if not decompressor.eof:
+        raise ValueError(
+            f"members are incomplete, or over {UNPACKED_MAX_BYTES} bytes"
+        )
+    return data
--- a/packages/node/src/balsamramp_node/membership/membership.py
+++ b/packages/node/src/balsamramp_node/membership/membership.py
@@ -250,7 +250,11 @@
     async def _run(self) -> None:
         await self._clock.sleep(self._interval * self._random.random() / 4)
         while True:
-            reached = await self._run_round()
+            try:
+                reached = await self._run_round()
+            except Exception:
+                logging.exception("an exchange failed; the next one follows")
+                reached = False
             self._rounds += 1
             if reached or self._rounds >= ROUNDS_UNTIL_PEERS_TRIED:
                 self._readiness.record_peers_tried()
--- a/packages/node/src/balsamramp_node/membership/object_store_discovery.py
+++ b/packages/node/src/balsamramp_node/membership/object_store_discovery.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from balsamramp_core import clock
+from balsamramp_core import decoding
 from balsamramp_core import service_manager
 from balsamramp_core import settings
 from balsamramp_core import storage
@@ -81,8 +82,8 @@
         if data is None:
             return []
         try:
-            return msgspec.json.decode(data, type=list[settings.Address])
-        except msgspec.MsgspecError as error:
+            return decoding.decode_json(data, list[settings.Address])
+        except decoding.DecodingError as error:
             logging.warning(
                 "ignoring object %s, which is not a list of addresses: %s",
                 key,
--- a/packages/node/src/balsamramp_node/membership/table_discovery.py
+++ b/packages/node/src/balsamramp_node/membership/table_discovery.py
@@ -15,6 +15,7 @@
 from returns import result
 
 from balsamramp_core import clock
+from balsamramp_core import decoding
 from balsamramp_core import service_manager
 from balsamramp_core import settings
 from balsamramp_core import storage
@@ -99,8 +100,8 @@
             if row.key == self._key:
                 continue
             try:
-                entry = msgspec.json.decode(row.value, type=_Row)
-            except msgspec.MsgspecError as error:
+                entry = decoding.decode_json(row.value, _Row)
+            except decoding.DecodingError as error:
                 logging.warning(
                     "ignoring row %s, which is not a valid entry: %s",
                     row.key,
--- a/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
+++ b/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns import result
 
+from balsamramp_core import decoding
 from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_node.inbound import control_server
@@ -57,10 +58,10 @@
         if not response.served:
             return _failure(peer, "the peer has no handler for it")
         try:
-            reply: typing.Any = msgspec.msgpack.decode(
-                response.body, type=request.reply
+            reply: typing.Any = decoding.decode_msgpack(
+                response.body, request.reply
             )
-        except msgspec.MsgspecError as error:
+        except decoding.DecodingError as error:
             return _failure(peer, f"malformed reply: {error}")
         return result.Success(reply)
 
--- a/packages/node/src/balsamramp_node/process/http_storage.py
+++ b/packages/node/src/balsamramp_node/process/http_storage.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns import result
 
+from balsamramp_core import decoding
 from balsamramp_core import service_manager
 from balsamramp_core import storage
 
@@ -17,13 +18,6 @@
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
-DECODE_ERRORS = (
-    KeyError,
-    RecursionError,
-    TypeError,
-    ValueError,
-    msgspec.MsgspecError,
-)
 
 ValueT = typing.TypeVar("ValueT")
 
@@ -194,8 +188,9 @@
     as UNAVAILABLE.
     """
     try:
-        return result.Success(parse(msgspec.json.decode(body)))
-    except DECODE_ERRORS as error:
+        document = decoding.decode_json(body, object)
+        return result.Success(decoding.decode_with(parse, document))
+    except decoding.DecodingError as error:
         kind = storage.StorageErrorKind.UNAVAILABLE
         text = f"malformed response: {error!r}"
         return result.Failure(storage.StorageError(kind, text))
--- a/packages/node/src/balsamramp_node/process/request_bodies.py
+++ b/packages/node/src/balsamramp_node/process/request_bodies.py
@@ -4,7 +4,8 @@
 
 import falcon
 import falcon.asgi
-import msgspec
+
+from balsamramp_core import decoding
 
 __all__ = ["read_json"]
 
@@ -27,8 +28,8 @@
             title=f"body is over {max_bytes} bytes"
         )
     try:
-        document = msgspec.json.decode(body)
-    except (RecursionError, msgspec.DecodeError) as error:
+        document = decoding.decode_json(body, object)
+    except decoding.DecodingError as error:
         raise falcon.HTTPBadRequest(
             title="malformed JSON", description=str(error)
         ) from error
--- a/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
@@ -4,10 +4,12 @@
 import datetime
 import random
 
+from absl import logging
 import msgspec
 from returns import result
 
 from balsamramp_core import clock
+from balsamramp_core import decoding
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
 from balsamramp_core import storage
@@ -97,9 +99,7 @@
             if isinstance(scanned, result.Failure):
                 return False
             self._scanned_services.add(service)
-            self._rollouts.merge(
-                [_decode(row.value) for row in scanned.unwrap()]
-            )
+            self._rollouts.merge(_decode_states(scanned.unwrap()))
         self._rollouts.expire_unknown_history(service)
         return True
 
@@ -110,8 +110,7 @@
         if isinstance(read, result.Failure):
             return False
         row = read.unwrap()
-        if row is not None:
-            stored = _decode(row.value)
+        for stored in _decode_states([row] if row is not None else []):
             self._rollouts.merge([stored])
             state = rollout_state.merge_states(state, stored)
             if _phases(stored) >= _phases(state):
@@ -145,5 +144,12 @@
     )
 
 
-def _decode(value: bytes) -> State:
-    return msgspec.msgpack.decode(value, type=State)
+def _decode_states(rows: list[storage.Row]) -> list[State]:
+    """Return the states in ``rows``, without malformed ones."""
+    states = []
+    for row in rows:
+        try:
+            states.append(decoding.decode_msgpack(row.value, State))
+        except decoding.DecodingError as error:
+            logging.warning("ignoring malformed row %s: %s", row.key, error)
+    return states
--- a/packages/wire/src/balsamramp_wire/frames.py
+++ b/packages/wire/src/balsamramp_wire/frames.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from balsamramp_core import decoding
 from balsamramp_wire import messages
 
 __all__ = ["FrameError", "FrameReader", "decode", "encode"]
@@ -69,8 +70,8 @@
     if decoder is None:
         raise FrameError(f"unknown frame kind {number}")
     try:
-        return decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_with(decoder.decode, payload)
+    except decoding.DecodingError as error:
         raise FrameError(f"malformed frame: {error}") from error
 
 
--- a/tests/users_platform/fake_store.py
+++ b/tests/users_platform/fake_store.py
@@ -58,6 +58,10 @@
         self._write((table, "", key), msgspec.json.encode(document))
         return self.version
 
+    def put_bytes(self, table: str, key: str, value: bytes) -> None:
+        """Write a row as another program does."""
+        self._write((table, "", key), value)
+
     def remove(self, table: str, key: str) -> None:
         """Drop a row as the operator does."""
         self._write((table, "", key), None)
