Don't take a copy of an earlier refusal for the next response

Reported by operators of systems like ours: a faulty target wrote an earlier refusal once more on a kept connection. Here callers would have been told that a request has not run, with 503, or it would have gone to a second target, while its target worked on it.

Cause: a response without the request's identifier counted as that of the request that is open. Bytes that arrive while none is open end the connection, but a copy that is read after the next request was sent, or a success of another request, did not.

On a connection on which the target has echoed one, a response without it now ends the connection, and the request may have run. On a new connection no earlier response can exist.

test_earlier_response_without_an_id_is_not_taken_for_the_next_one failed before: two copies of refusals were reported as not run, one of a success was delivered.

--- a/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
@@ -5,6 +5,7 @@
 import datetime
 import errno
 import typing
+import weakref
 
 from absl import logging
 import attrs
@@ -68,6 +69,9 @@
     refuses connections, ``on_misdirected`` with the name of a target at
     whose address another target responds. ``on_statement`` is called with
     what a target states in a response, and when its request was sent.
+
+    Targets echo the identifier of the request. On a connection on which one
+    did so, a response without it proves nothing about the request.
     """
 
     name = "target-client"
@@ -84,6 +88,8 @@
         self._clock = time
         self._metrics = counters
         self._idle: dict[str, list[_IdleConnection]] = {}
+        self._echoing: weakref.WeakSet[http_connection.HttpConnection]
+        self._echoing = weakref.WeakSet()
         self.on_connection_refused: TargetCallback = _ignore
         self.on_misdirected: TargetCallback = _ignore
         self.on_statement: StatementCallback = _ignore_statement
@@ -189,6 +195,20 @@
                 verdict.Reason.TRUNCATED,
                 f"no whole answer: {error}",
             )
+        if response.header(self._names.request_id) is not None:
+            self._echoing.add(connection)
+        elif connection in self._echoing:
+            # It may be a copy of the response to an earlier request.
+            connection.close()
+            self._metrics.count(
+                "target_answers_lost_total", ending="unidentified"
+            )
+            return _failure_result(
+                verdict.Verdict.MAY_HAVE_RUN,
+                verdict.Reason.TRUNCATED,
+                f"response with status {response.status} lacks the request's"
+                " identifier",
+            )
         self._return_to_pool(target.url, connection)
         if response.status != STATUS_MISDIRECTED:
             self._report_statement(target, response, sent_at)
