Soak: narrow links, and targets that state a limit or that they leave

Beside changes and stops of nodes it narrows all connections of a node to a link of 1 to 5 Mbit/s that they share, has targets state a limit, at times near 0, or that they leave though their heartbeats say ready, and checks the users' bound on the limit in any 4 s.

--- a/tests/users_platform/loopback_proxy.py
+++ b/tests/users_platform/loopback_proxy.py
@@ -42,7 +42,7 @@
         links: abc.Mapping[Direction, narrow_link.NarrowLink] | None = None,
         chunk_bytes: int = CHUNK_BYTES,
     ) -> None:
-        self._links_by_way = links or {}
+        self.links = dict(links or {})
         self._chunk_bytes = chunk_bytes
         self.delay = 0.0
         self.refusing = False
@@ -51,7 +51,8 @@
         self._open = {way: asyncio.Event() for way in Direction}
         self._links: set[_Link] = set()
         self._server: asyncio.Server | None = None
-        self.heal()
+        for event in self._open.values():
+            event.set()
 
     async def start(self, port: int = 0) -> None:
         """Listen on ``port`` of loopback, or on a free one."""
@@ -74,6 +75,7 @@
     def heal(self) -> None:
         """Pass everything on at once; silent connections stay silent."""
         self.delay = 0.0
+        self.links.clear()
         self.refusing = False
         for event in self._open.values():
             event.set()
@@ -121,8 +123,8 @@
     ) -> None:
         with contextlib.suppress(ConnectionError):
             async for data in _chunks(reader, self._chunk_bytes):
-                if way in self._links_by_way:
-                    await self._links_by_way[way].carry(len(data))
+                if way in self.links:
+                    await self.links[way].carry(len(data))
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 await self._open[way].wait()
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -40,6 +40,7 @@
 # What happens in a play.
 PROFILES: dict[str, tuple[type[soak_faults.Fault], ...]] = {
     "calm": (),
+    "demand": soak_faults.DEMAND,
     "mixed": soak_faults.FAULTS + soak_faults.PLANNED_WORK,
     "planned": soak_faults.PLANNED_WORK,
 }
--- a/tests/users_platform/soak_checks.py
+++ b/tests/users_platform/soak_checks.py
@@ -12,7 +12,7 @@
 import soak_records
 import soak_target
 
-__all__ = ["SoakHistory", "NoTrafficWindow"]
+__all__ = ["LimitWindow", "NoTrafficWindow", "SoakHistory"]
 
 # Statuses that say that a request has not run and never will.
 NOT_RUN = frozenset([408, 421, 429, 503])
@@ -22,6 +22,11 @@
 DRAIN_BOUND = 2.0
 EVACUATION_BOUND = 5.0
 APPLY_BOUND = 2.0
+# Of a stated rate limit: the window, and what may exceed the rate in it.
+LIMIT_WINDOW = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5
+LIMIT_NOTICE = 3.0
 TOUCH = 3.0
 # Of what is sent once all faults are over, so much is served at least.
 RECOVERED_PART = 0.9
@@ -36,6 +41,20 @@
     until: float = float("inf")
 
 
+@attrs.frozen
+class LimitWindow:
+    """What reached a target while it stated a rate limit.
+
+    It first did so at ``at``; ``arrivals`` are the times of requests until
+    the limit ended.
+    """
+
+    target: str
+    rate: float
+    at: float
+    arrivals: list[float]
+
+
 @attrs.define
 class SoakHistory:
     """All that was seen in one soak.
@@ -50,6 +69,7 @@
     exchanges: list[soak_records.Exchange] = attrs.field(factory=list)
     runs: list[soak_target.Run] = attrs.field(factory=list)
     drained: list[NoTrafficWindow] = attrs.field(factory=list)
+    limits: list[LimitWindow] = attrs.field(factory=list)
     evacuated: list[NoTrafficWindow] = attrs.field(factory=list)
     fault_windows: dict[str, list[tuple[float, float]]] = attrs.field(
         factory=dict
@@ -80,6 +100,7 @@
         if bounds:
             found += self._in_force()
             found += self._drains()
+            found += self._limits()
             found += self._evacuations()
         return found
 
@@ -216,6 +237,23 @@
             if run.target == mark.place and run.at > mark.at + DRAIN_BOUND
         ]
 
+    def _limits(self) -> list[str]:
+        found = []
+        for limit in self.limits:
+            due = limit.at + LIMIT_NOTICE
+            times = [item for item in limit.arrivals if item > due]
+            for number, first in enumerate(times):
+                window = first + LIMIT_WINDOW
+                count = sum(item <= window for item in times[number:])
+                allowed = limit.rate * LIMIT_WINDOW * LIMIT_OVERAGE
+                if count > allowed + LIMIT_SLACK:
+                    found.append(
+                        f"{limit.target} got {count} requests in"
+                        f" {LIMIT_WINDOW:.0f} s at a limit of {limit.rate}"
+                    )
+                    break
+        return found
+
     def _evacuations(self) -> list[str]:
         nodes = {item.request_id: item for item in self.exchanges}
         found = []
--- a/tests/users_platform/soak_faults.py
+++ b/tests/users_platform/soak_faults.py
@@ -6,14 +6,18 @@
 import typing
 
 import loopback_proxy
+import narrow_link
+import soak_checks
 import soak_harness
 
-__all__ = ["FAULTS", "Fault", "PLANNED_WORK"]
+__all__ = ["DEMAND", "FAULTS", "Fault", "PLANNED_WORK"]
 
 Node = soak_harness.Node
 
 BUSY_CHECKS = 50
 BUSY_CHECK_SECONDS = 0.02
+# A node needs some of it for its own messages and for the configuration.
+LINK_BYTES_PER_SECOND = (125_000, 625_000)
 # Routes that one change adds.
 GROWN_BY = (100, 400)
 
@@ -331,6 +335,70 @@
             await asyncio.sleep(self.rng.uniform(0.0, 0.3))
 
 
+class NarrowLink(_Connections):
+    """All connections of a node share a link of a few Mbit/s."""
+
+    lasts = (2.0, 6.0)
+    # The promises hold, as far as the link carries what they need.
+    planned = True
+
+    def affected_nodes(self) -> collections_abc.Sequence[Node]:
+        return [self.node]
+
+    async def begin(self) -> None:
+        rate = self.rng.uniform(*LINK_BYTES_PER_SECOND)
+        egress = narrow_link.NarrowLink(rate)
+        ingress = narrow_link.NarrowLink(rate)
+        there, back = loopback_proxy.Direction
+        self.node.stream_proxy.links = {there: ingress, back: egress}
+        self.node.store_proxy.links = {there: egress, back: ingress}
+
+    async def end(self) -> None:
+        self.node.stream_proxy.heal()
+        self.node.store_proxy.heal()
+
+
+class StateLimit(Fault):
+    """A target states how many requests it takes, at times near 0."""
+
+    lasts = (5.0, 9.0)
+    planned = True
+
+    async def begin(self) -> None:
+        self._rate = self.rng.choice([0.2, 3.0, self.rng.uniform(1.0, 30.0)])
+        self._target = self.node.target
+        self._target.arrivals.clear()
+        self._target.state(**{"Server-Limit": f"{self._rate:.2f}"})
+
+    async def end(self) -> None:
+        at = self._target.first_stated_at
+        if at is not None:
+            limit = soak_checks.LimitWindow(
+                self._target.name, self._rate, at, self._target.arrivals
+            )
+            self.world.ledger.limits.append(limit)
+        self._target.arrivals = []
+        self._target.state()
+
+
+class StateLeaving(Fault):
+    """A target states that it leaves, though its heartbeats say ready."""
+
+    lasts = (3.0, 6.0)
+    planned = True
+
+    async def begin(self) -> None:
+        self._target = self.node.target
+        self._target.state(**{"Server-Leaving": "1"})
+
+    async def end(self) -> None:
+        at = self._target.first_stated_at
+        if at is not None:
+            mark = soak_checks.NoTrafficWindow(self._target.name, at)
+            self.world.ledger.drained.append(mark)
+        await self.node.replace_target()
+
+
 # What nobody plans.
 FAULTS: tuple[type[Fault], ...] = (
     CrashTarget,
@@ -359,3 +427,15 @@
     StopInSeries,
     StopNode,
 )
+# Targets that state what they take, and links that carry little.
+DEMAND: tuple[type[Fault], ...] = (
+    ChangeConfiguration,
+    GrowConfiguration,
+    NarrowLink,
+    ReloadInSeries,
+    SlowTarget,
+    StateLeaving,
+    StateLimit,
+    StopBusyNode,
+    StopNode,
+)
--- a/tests/users_platform/soak_target.py
+++ b/tests/users_platform/soak_target.py
@@ -72,8 +72,14 @@
         self.crossed = 0.0
         self.failing = 0.0
         self.busy = 0
+        self.first_stated_at: float | None = None
         self._random = rng
 
+    def state(self, **statements: str) -> None:
+        """Have all answers from now on hold these headers."""
+        self.statements = statements
+        self.first_stated_at = None
+
     def inject_faults(
         self,
         lost: float = 0.0,
@@ -100,6 +106,10 @@
         expected = request.headers.get(HEADER_PREFIX + "Target-Instance")
         if expected not in (None, self.name):
             return web.Response(status=421, headers=headers)
+        self.arrivals.append(time.monotonic())
+        if self.statements and self.first_stated_at is None:
+            self.first_stated_at = time.monotonic()
+        headers.update(self.statements)
         body = await request.read()
         if self.busy >= self.slots:
             headers[HEADER_PREFIX + "Not-Executed"] = "1"
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -72,6 +72,26 @@
     assert any(item.status == 200 for item in outcome.exchanges)
 
 
+def test_promises_hold_while_targets_state_what_they_take(
+    tmp_path: pathlib.Path,
+) -> None:
+    outcome = asyncio.run(
+        soak.run_soak(1, tmp_path, 8.0, SHORT_NODES, profile="demand")
+    )
+    assert not outcome.problems, str(outcome)
+    assert any(item.status == 200 for item in outcome.exchanges)
+
+
+def test_more_calls_than_a_stated_limit_are_found() -> None:
+    times = [10.0 + number / 10 for number in range(60)]
+    kept = soak_checks.LimitWindow("i-n0-0", 10.0, 5.0, times)
+    assert _problems([SENT], [RUN], limits=[kept]) == []
+    broken = attrs.evolve(kept, rate=5.0)
+    assert _problems([SENT], [RUN], limits=[broken])
+    noticed = attrs.evolve(broken, at=15.0)
+    assert _problems([SENT], [RUN], limits=[noticed]) == []
+
+
 def test_a_kept_promise_is_no_problem() -> None:
     assert _problems([SENT], [RUN]) == []
 
