--- a/packages/node/src/balsamramp_node/configuration/distribution.py
+++ b/packages/node/src/balsamramp_node/configuration/distribution.py
@@ -44,9 +44,10 @@
     version or another digest in a gossip exchange and fetches the missing
     changes, or a snapshot if the peer's history differs from its own.
 
-    With ``fetch_delay`` every node reads from the external store itself.
-    Nothing is pushed then, and a node fetches from a peer only after it
-    has been behind for that long, or at once if it has no configuration.
+    With ``fetch_delay`` an external store orders the versions, and changes
+    come from there or from the zone's feed. Nothing is pushed then, and a
+    node fetches from a peer only after it has been behind for that long, or
+    at once if it has no configuration.
     """
 
     name = "distribution"
--- a/packages/node/src/balsamramp_node/configuration/zone_feed.py
+++ b/packages/node/src/balsamramp_node/configuration/zone_feed.py
@@ -35,8 +35,8 @@
 # Long-poll time of a node that is not told. A poll that begins while the
 # store is away is never answered, so it must not last long.
 OWN_POLL_TIME = datetime.timedelta(seconds=1)
-# A node that has not been told for this long reads by itself. It leaves more
-# than a second of the two within which a change has to be in force.
+# A node that has not been told for this long reads by itself, which leaves
+# time for a read before a change has to be in force.
 SILENCE_MAX = datetime.timedelta(milliseconds=1200)
 # Further silence, for each better reader, after which a node also tells the
 # others what it reads.
--- a/packages/node/src/balsamramp_node/inbound/reply_scheduler.py
+++ b/packages/node/src/balsamramp_node/inbound/reply_scheduler.py
@@ -33,7 +33,6 @@
 BLOCKED_CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
 NONE = datetime.timedelta()
 
-
 Reply = call_transport.Reply | messages.ControlAnswer
 
 
