Leave a call that waits for a slot the time to be answered

Callers got 504 at their deadline for requests that no target had seen: they waited for a slot until nothing but the service time was left, got it, and then the deadline passed on the way to the target. Seen in test_target_statements beside load, "deadline passed while connecting to the target" after 899 of 900 ms: a target that states a limit of 10 a second has 9 calls queued, and the last of them starts at the very end.

A call now has to start before 0.9 of the time that it had is over, less the service time. One that can't is refused at once, while it can be retried.

test_slot_comes_while_there_is_time_to_respond failed before for an objective at or after the deadline: 0 ms were left.

--- a/packages/node/src/balsamramp_node/inbound/queue_disciplines/priority.py
+++ b/packages/node/src/balsamramp_node/inbound/queue_disciplines/priority.py
@@ -10,6 +10,9 @@
 # objective. After that a retry is better for the caller than waiting for a
 # slot that may not become free.
 LATE_WAIT_SHARE = 0.5
+# Share of its remaining time by which a call has to start, less the service
+# time. The rest is for the way to the target and back.
+START_SHARE = 0.9
 # Service times vary by about half of their mean. Half of the calls that start
 # with only the mean left until their objective would be late.
 SERVICE_MARGIN = 1.5
@@ -46,7 +49,7 @@
     def max_wait(
         self, call: queue_discipline.QueuedCall, now: datetime.timedelta
     ) -> datetime.timedelta:
-        remaining = call.deadline - call.service_time - now
+        remaining = (call.deadline - now) * START_SHARE - call.service_time
         punctual = min(self._latest_start(call) - now, remaining)
         return max(punctual, remaining * LATE_WAIT_SHARE)
 
--- a/packages/node/tests/test_queue_disciplines.py
+++ b/packages/node/tests/test_queue_disciplines.py
@@ -14,9 +14,11 @@
 import pytest
 
 from balsamramp_node.inbound import concurrency_limit
+from balsamramp_node.inbound import queue_discipline
 from balsamramp_node.inbound import queue_disciplines
 from balsamramp_node.inbound import targets
 from balsamramp_node.inbound.limiters import slot_limiter
+from balsamramp_node.inbound.queue_disciplines import priority
 from balsamramp_node.outbound import retry_after_jitter
 from balsamramp_testing import virtual_time
 from balsamramp_wire import messages
@@ -155,3 +157,17 @@
     totals = _run_load("worth", seed)
     assert totals.longest <= DEADLINE
     assert totals.started_calls == totals.on_time + totals.late + totals.failed
+
+
+@pytest.mark.parametrize("objective_ms", [100, 900, 5000])
+def test_slot_comes_while_there_is_time_to_respond(objective_ms: int) -> None:
+    call = queue_discipline.QueuedCall(
+        number=1,
+        arrived_at=0 * MS,
+        objective_at=objective_ms * MS,
+        deadline=900 * MS,
+        service_time=2 * MS,
+    )
+    wait = priority.PriorityDiscipline().max_wait(call, 0 * MS)
+    time_to_respond = 900 * MS - wait - call.service_time
+    assert time_to_respond >= 50 * MS
