Sum up the wait for rates from the lowest one

Two rates can limit the calls to a target, that of its warm-up and the one that it states. The wait for the calls ahead is that at the lower rate, which the code had reached by taking the longest of several sums.

--- a/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
+++ b/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
@@ -259,21 +259,21 @@
             if self._discipline.rank(entry.call, now) < own_rank:
                 work_ahead += entry.call.service_time
                 calls_ahead += 1
-        expected_wait = work_ahead / self._slots
+        pacing_wait = self._required_delay(now)
+        rates = self._current_rates(now)
+        if rates:
+            pacing_wait += datetime.timedelta(seconds=calls_ahead / min(rates))
+        return max(work_ahead / self._slots, pacing_wait)
+
+    def _current_rates(self, now: datetime.timedelta) -> list[float]:
+        """Return the limits on the calls per second that hold now."""
         rates = []
-        if self._warm_up.is_cold(now):
-            rates.append(self._current_warm_up_rate())
+        warm_up_rate = self._current_warm_up_rate()
+        if warm_up_rate and self._warm_up.is_cold(now):
+            rates.append(warm_up_rate)
         if self._stated_rate.rate is not None:
             rates.append(self._stated_rate.rate)
-        pacing_wait = self._required_delay(now)
-        for rate in rates:
-            if rate:
-                pacing_wait = max(
-                    pacing_wait,
-                    self._required_delay(now)
-                    + datetime.timedelta(seconds=calls_ahead / rate),
-                )
-        return max(expected_wait, pacing_wait)
+        return rates
 
     def _required_delay(self, now: datetime.timedelta) -> datetime.timedelta:
         """Return the wait for the rates at which the target takes calls."""
