Test: take out the wait of a shutdown where it is now

test_mechanisms takes the waiting of a stopping node out by a limit of 0 s for its connections to peers.

--- a/packages/testing/tests/test_mechanisms.py
+++ b/packages/testing/tests/test_mechanisms.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections import abc
 import contextlib
-import datetime
 import typing
 from unittest import mock
 
@@ -150,6 +149,10 @@
     return TRANSACTION((), writes)
 
 
+async def _abort(server: object, connection: typing.Any) -> None:
+    connection.writer.transport.abort()
+
+
 async def _at_once(*_: typing.Any) -> None:
     """Wait for nothing."""
 
@@ -253,7 +256,7 @@
         SLOW.format("stop node b1"),
         (
             (inbound_handler.InboundHandler, "wait_until_idle", _at_once),
-            (stream_server, "FLUSH_TIMEOUT", datetime.timedelta()),
+            (stream_server.StreamServer, "_drain_and_close", _abort),
         ),
     ),
     _Mechanism(
