Place requests by what recent reports tell of the others

Cause: a target whose load report was older than a second counted as idle, and one that was never asked as one of 100 ms. With more targets than a node asks in a second, most reports are old, so that all nodes sent to the same few targets: those that had been the fastest, or were unknown. The 8 ms that a target of another zone costs were less than the jitter of the estimate for calls of some hundred ms, so that more than half of the requests left their zone.

Change: targets without a recent report are taken to be as busy as the others of their zone, a random three of each zone are compared with those whose load is known, and another zone costs half a service time. A target of the own zone that was never asked counts as fast, so that it is asked.

Ruled out: more exploration alone (the jitter), which makes more requests cross.

--- a/packages/node/src/balsamramp_node/outbound/pickers/expected_finish.py
+++ b/packages/node/src/balsamramp_node/outbound/pickers/expected_finish.py
@@ -2,30 +2,55 @@
 
 from collections import abc
 import datetime
+import random
+
+import attrs
 
 from balsamramp_node.outbound import picker
 
 __all__ = ["ExpectedFinish"]
 
-# Age at which a load report no longer counts: a target in use sends about ten
-# responses in that time.
-LOAD_AGE_MAX = datetime.timedelta(seconds=1)
-SERVICE_TIME_DEFAULT = datetime.timedelta(milliseconds=100)
+# Age at which a load report counts as much as none. Calls that were queued
+# when it was sent have been served by then.
+LOAD_AGE_MAX_SECONDS = 1.0
+# Age at which a report no longer tells how busy its zone is.
+ZONE_LOAD_AGE_MAX_SECONDS = 4.0
+# Assumed while no target of a service has reported a load.
+SERVICE_SECONDS_DEFAULT = 0.1
+OCCUPANCY_DEFAULT = 0.5
 # Assumed for targets that do not report their number of slots.
 SLOTS_DEFAULT = 8
-# Cost of a target in another zone: the round trip, and for large responses the
-# traffic between zones, which operators pay for.
-CROSS_ZONE_COST = datetime.timedelta(milliseconds=8)
-CROSS_ZONE_COST_LARGE = datetime.timedelta(milliseconds=200)
+# Cost of a target in another zone: the round trip, and the traffic between
+# zones, which operators pay for, as a share of the mean service time.
+CROSS_ZONE_SECONDS = 0.008
+CROSS_ZONE_SECONDS_LARGE = 0.2
+CROSS_ZONE_SHARE = 0.5
 # Cost of a failed or refused call to its caller: another attempt.
-FAILURE_COST = datetime.timedelta(milliseconds=400)
-REFUSAL_COST = datetime.timedelta(milliseconds=100)
+FAILURE_SECONDS = 0.4
+REFUSAL_SECONDS = 0.1
 REFUSAL_PENALTY_WINDOW = datetime.timedelta(milliseconds=200)
 # Fraction by which a target slows down when all its slots are in use.
 OCCUPANCY_SLOWDOWN = 0.3
 # Jitter of the estimates, so that callers with the same data pick different
 # targets.
 ESTIMATE_JITTER = 0.1
+# Targets of a zone that are compared although their load is not known. With
+# more, all callers would pick those few that once were the fastest.
+UNKNOWN_SAMPLE_SIZE = 3
+
+
+@attrs.define
+class _ServiceLoad:
+    """What recent reports tell about the targets that did not report.
+
+    ``occupancy`` is the mean share of busy slots, by zone. The mean service
+    time of a call is ``service_seconds``, and at the fastest target
+    ``fastest_seconds``.
+    """
+
+    occupancy: dict[str, float]
+    service_seconds: float = SERVICE_SECONDS_DEFAULT
+    fastest_seconds: float = SERVICE_SECONDS_DEFAULT
 
 
 class ExpectedFinish(picker.TargetPicker):
@@ -35,6 +60,10 @@
     estimate is the sum of the wait for a slot, the target's service time,
     the network path, and the expected cost of failures and refusals. Load
     reports arrive with replies; in between, this node adds its own calls.
+
+    In a large fleet a node hears of most targets too rarely to know their
+    load. Such targets are taken to be as busy as others of their zone, and
+    only a random few of them are compared with those whose load is known.
     """
 
     name = "expected-finish"
@@ -46,66 +75,143 @@
         now: datetime.timedelta,
         pick_info: picker.PickInfo = picker.DEFAULT_PICK_INFO,
     ) -> picker.Candidate:
+        if len(candidates) == 1:
+            return candidates[0]
         available = [
             item for item in candidates if not item.stats.is_ejected(now)
         ]
+        compared = available or candidates
+        known = _estimate_service_load(compared, now)
         best = candidates[0]
-        lowest_cost: datetime.timedelta | None = None
-        for item in available or candidates:
+        lowest_cost: float | None = None
+        for item in _sample(compared, now, self._random):
             jitter = 1 + ESTIMATE_JITTER * (self._random.random() - 0.5)
-            cost = self._cost(item, now, pick_info) * jitter
+            cost = self._finish_seconds(item, now, known) * jitter
+            cost += self._path_seconds(item, known, pick_info)
+            cost += _failure_seconds(item, now)
             if lowest_cost is None or cost < lowest_cost:
                 best, lowest_cost = item, cost
         return best
 
-    def _cost(
+    def _finish_seconds(
         self,
         item: picker.Candidate,
         now: datetime.timedelta,
-        pick_info: picker.PickInfo,
-    ) -> datetime.timedelta:
-        busy, slots = _occupancy(item, now)
-        service_time = _service_time(item, now)
+        known: _ServiceLoad,
+    ) -> float:
+        """Return the expected time until a response in the target's zone.
+
+        A target of the own zone that was never asked is taken to be fast, so
+        that it is asked.
+        """
+        busy, slots = _occupancy(item, now, known)
+        load = item.stats.load
+        if load is not None and load.service:
+            service = load.service.total_seconds()
+        elif item.member.zone == self._zone:
+            service = known.fastest_seconds
+        else:
+            service = known.service_seconds
         excess = max(0.0, busy + 1 - slots)
         slowdown = 1 + OCCUPANCY_SLOWDOWN * min(busy / slots, 1.0)
-        cost = service_time * (slowdown + excess / slots)
-        if item.member.zone != self._zone:
-            cost += (
-                CROSS_ZONE_COST_LARGE if pick_info.large else CROSS_ZONE_COST
-            )
+        return service * (slowdown + excess / slots)
+
+    def _path_seconds(
+        self,
+        item: picker.Candidate,
+        known: _ServiceLoad,
+        pick_info: picker.PickInfo,
+    ) -> float:
+        load = item.stats.load
+        cost = 0.0
+        if pick_info.large and load is not None:
+            cost = load.link_wait.total_seconds()
+        if item.member.zone == self._zone:
+            return cost
+        if pick_info.large:
+            cost += CROSS_ZONE_SECONDS_LARGE
+        return (
+            cost
+            + CROSS_ZONE_SECONDS
+            + CROSS_ZONE_SHARE * known.service_seconds
+        )
+
+
+def _estimate_service_load(
+    candidates: abc.Sequence[picker.Candidate], now: datetime.timedelta
+) -> _ServiceLoad:
+    """Return the means of the reports, weighted by how recent they are."""
+    busy: dict[str, float] = {}
+    weights: dict[str, float] = {}
+    service_times = []
+    for item in candidates:
         load = item.stats.load
-        if load is not None:
-            cost += FAILURE_COST * load.failing
-            if pick_info.large:
-                cost += load.link_wait
-        refused_at = item.stats.refused_at
-        if (
-            refused_at is not None
-            and now - refused_at < REFUSAL_PENALTY_WINDOW
-        ):
-            cost += REFUSAL_COST
-        return cost
+        if load is None:
+            continue
+        if load.service:
+            service_times.append(load.service.total_seconds())
+        weight = 1 - _report_age(item, now) / ZONE_LOAD_AGE_MAX_SECONDS
+        if weight <= 0:
+            continue
+        zone = item.member.zone
+        share = (load.in_flight + load.queued) / max(load.limit, 1)
+        busy[zone] = busy.get(zone, 0.0) + weight * share
+        weights[zone] = weights.get(zone, 0.0) + weight
+    occupancy = {zone: busy[zone] / weights[zone] for zone in busy}
+    if not service_times:
+        return _ServiceLoad(occupancy)
+    mean = sum(service_times) / len(service_times)
+    return _ServiceLoad(occupancy, mean, min(service_times))
+
+
+def _sample(
+    candidates: abc.Sequence[picker.Candidate],
+    now: datetime.timedelta,
+    rng: random.Random,
+) -> list[picker.Candidate]:
+    """Return the targets with a recent report, and a few of the others."""
+    sample = []
+    unknown: dict[str, list[picker.Candidate]] = {}
+    for item in candidates:
+        if _report_age(item, now) < LOAD_AGE_MAX_SECONDS:
+            sample.append(item)
+        else:
+            unknown.setdefault(item.member.zone, []).append(item)
+    for items in unknown.values():
+        sample += rng.sample(items, min(UNKNOWN_SAMPLE_SIZE, len(items)))
+    return sample
+
+
+def _report_age(item: picker.Candidate, now: datetime.timedelta) -> float:
+    """Return the age of the load report in seconds."""
+    if item.stats.load is None:
+        return float("inf")
+    return (now - item.stats.load_received_at).total_seconds()
 
 
 def _occupancy(
-    item: picker.Candidate, now: datetime.timedelta
+    item: picker.Candidate, now: datetime.timedelta, known: _ServiceLoad
 ) -> tuple[float, int]:
     """Return the calls at a target, running and queued, and its slots."""
     stats = item.stats
     load = stats.load
     slots = item.record.slots or SLOTS_DEFAULT
+    expected = known.occupancy.get(item.member.zone, OCCUPANCY_DEFAULT)
     if load is None:
-        return stats.in_flight, slots
-    others = load.in_flight + load.queued - stats.in_flight_at_load
-    age = (now - stats.load_received_at) / LOAD_AGE_MAX
-    others_now = max(others, 0) * max(0.0, 1.0 - age)
-    return others_now + stats.in_flight, max(load.limit, 1)
-
-
-def _service_time(
-    item: picker.Candidate, now: datetime.timedelta
-) -> datetime.timedelta:
-    load = item.stats.load
-    if load is None or not load.service:
-        return SERVICE_TIME_DEFAULT
-    return load.service
+        return expected * slots + stats.in_flight, slots
+    slots = max(load.limit, 1)
+    others = max(load.in_flight + load.queued - stats.in_flight_at_load, 0)
+    age = min(_report_age(item, now) / LOAD_AGE_MAX_SECONDS, 1.0)
+    others_now = others * (1 - age) + expected * slots * age
+    return others_now + stats.in_flight, slots
+
+
+def _failure_seconds(item: picker.Candidate, now: datetime.timedelta) -> float:
+    stats = item.stats
+    cost = 0.0
+    if stats.load is not None:
+        cost += FAILURE_SECONDS * stats.load.failing
+    refused_at = stats.refused_at
+    if refused_at is not None and now - refused_at < REFUSAL_PENALTY_WINDOW:
+        cost += REFUSAL_SECONDS
+    return cost
