Forward no request late in a long grace

Cause: requests were forwarded until half of the grace, whatever its length. With 10 s that is 5 s after the signal, although the callers' port closes after 2.5 s. A request whose last bytes came so late, on a connection that was kept for it, was sent to a target and cut off when calls end.

Change: requests are forwarded for half a second after the port has closed, which is for those in transit, and refused after that as not run.

Result: test_no_request_is_forwarded_late_in_a_long_grace fails before for graces of 10 s and 600 s and passes. For a grace of 6 s nothing changes.

--- a/packages/node/src/balsamramp_node/process/shutdown_schedule.py
+++ b/packages/node/src/balsamramp_node/process/shutdown_schedule.py
@@ -12,6 +12,9 @@
 # Shares of the grace, counted from the signal.
 NOTICE_SHARE_MAX = 5 / 12
 FORWARD_SHARE = 1 / 2
+# Time for requests in transit when the callers' port closes. Later ones might
+# not be answered in the rest of the grace.
+FORWARD_PERIOD = datetime.timedelta(milliseconds=500)
 CALLS_SHARE = 0.85
 ANSWERS_SHARE = 0.88
 CLOSE_SHARE = 0.91
@@ -63,7 +66,8 @@
     @property
     def forward_end(self) -> datetime.timedelta:
         """Return until when received requests are sent to targets."""
-        return self._get_start() + self._grace * FORWARD_SHARE
+        end = self.notice_end + FORWARD_PERIOD
+        return min(end, self._get_start() + self._grace * FORWARD_SHARE)
 
     @property
     def calls_end(self) -> datetime.timedelta:
--- a/packages/node/tests/test_shutdown_schedule.py
+++ b/packages/node/tests/test_shutdown_schedule.py
@@ -42,3 +42,16 @@
 @pytest.mark.parametrize("seconds", [1, 3, 6, 600])
 def test_phases_are_counted_from_the_first_signal(seconds: int) -> None:
     virtual_time.run(_check_phases(seconds * SECOND))
+
+
+@pytest.mark.parametrize("seconds", [6, 10, 600])
+def test_no_request_is_forwarded_late_in_a_long_grace(seconds: int) -> None:
+    """Guards against requests that are passed on and cut off at the end."""
+
+    async def main() -> None:
+        clock = virtual_time.VirtualClock()
+        schedule = shutdown_schedule.ShutdownSchedule(clock, seconds * SECOND)
+        schedule.begin()
+        assert schedule.forward_end <= clock.monotonic() + 3 * SECOND
+
+    virtual_time.run(main())
