Shrink the load of a zone towards that of all zones

Cause: the load of a zone was the mean of its recent reports, and a node hears from another zone rarely and mostly from targets that it chose as free. One such report made the whole zone look idle.

Change: two reports' weight of the mean over all zones is added.

--- a/packages/node/src/balsamramp_node/outbound/pickers/expected_finish.py
+++ b/packages/node/src/balsamramp_node/outbound/pickers/expected_finish.py
@@ -15,6 +15,8 @@
 LOAD_AGE_MAX_SECONDS = 1.0
 # Age at which a report no longer tells how busy its zone is.
 ZONE_LOAD_AGE_MAX_SECONDS = 4.0
+# Recent reports of a zone that count as much as the mean of all zones.
+ZONE_PRIOR_REPORTS = 2
 # Assumed while no target of a service has reported a load.
 SERVICE_SECONDS_DEFAULT = 0.1
 OCCUPANCY_DEFAULT = 0.5
@@ -157,7 +159,13 @@
         share = (load.in_flight + load.queued) / max(load.limit, 1)
         busy[zone] = busy.get(zone, 0.0) + weight * share
         weights[zone] = weights.get(zone, 0.0) + weight
-    occupancy = {zone: busy[zone] / weights[zone] for zone in busy}
+    total = sum(weights.values())
+    mean_share = sum(busy.values()) / total if total else OCCUPANCY_DEFAULT
+    occupancy = {
+        zone: (busy[zone] + ZONE_PRIOR_REPORTS * mean_share)
+        / (weights[zone] + ZONE_PRIOR_REPORTS)
+        for zone in busy
+    }
     if not service_times:
         return _ServiceLoad(occupancy)
     mean = sum(service_times) / len(service_times)
