Check the groups of a service's targets, not each target, for each call

Change: the index holds targets by zone and labels; a call is checked against these few groups. Without a recent refusal the proxy passes the list on as it is.

Result: service_candidates for 100 and 200 targets 104 and 205 us before, 9 and 10 us after, with stand-ins for rollouts and zones (timeit, this machine). test_checks_do_not_grow_with_the_number_of_targets fails before: 350 checks of 350 targets, 10 allowed.

--- a/packages/node/src/balsamramp_node/outbound/entry_proxy.py
+++ b/packages/node/src/balsamramp_node/outbound/entry_proxy.py
@@ -285,10 +285,14 @@
     def _find_candidates(
         self, progress: _Progress, now: datetime.timedelta
     ) -> list[picker.Candidate]:
-        candidates = []
-        for candidate in self._router.service_candidates(
+        found = self._router.service_candidates(
             progress.service, {}, progress.call_id, progress.offers > 0
-        ):
+        )
+        refused_any = self._refusals.any_recent(now)
+        if not (progress.tried or self._leaving or refused_any):
+            return found
+        candidates = []
+        for candidate in found:
             if candidate.record.target in progress.tried:
                 continue
             if self._leaving.has_left(candidate.record):
--- a/packages/node/src/balsamramp_node/outbound/leaving_targets.py
+++ b/packages/node/src/balsamramp_node/outbound/leaving_targets.py
@@ -21,6 +21,9 @@
         self._instances: collections.OrderedDict[str, str]
         self._instances = collections.OrderedDict()
 
+    def __len__(self) -> int:
+        return len(self._instances)
+
     def add(self, record: messages.TargetRecord) -> None:
         """Remember that this start of a target leaves."""
         if not record.instance:
--- a/packages/node/src/balsamramp_node/outbound/recent_refusals.py
+++ b/packages/node/src/balsamramp_node/outbound/recent_refusals.py
@@ -43,6 +43,12 @@
 
     def __init__(self) -> None:
         self._refusals: dict[_RefusalKey, _Refusal] = {}
+        self._latest_at: datetime.timedelta | None = None
+
+    def any_recent(self, now: datetime.timedelta) -> bool:
+        """Return whether any target is skipped at ``now``."""
+        latest = self._latest_at
+        return latest is not None and now - latest < REFUSAL_TTL
 
     def record_refusal(
         self,
@@ -58,6 +64,7 @@
         slot.
         """
         key = (target, entry)
+        self._latest_at = now
         refusal = self._refusals.pop(key, None)
         if refusal is not None and now - refusal.refused_at < REFUSAL_TTL:
             time_left = max(time_left, refusal.time_left)
--- a/packages/node/src/balsamramp_node/outbound/router.py
+++ b/packages/node/src/balsamramp_node/outbound/router.py
@@ -39,6 +39,19 @@
     route: route.Route
 
 
+@attrs.frozen
+class _TargetGroup:
+    """Targets of a service that no rule distinguishes.
+
+    They share availability zone and labels, so that each call is checked
+    against a few groups and not against each target.
+    """
+
+    zone: str
+    labels: abc.Mapping[str, str]
+    candidates: list[picker.Candidate]
+
+
 class Router(service_manager.Service):
     """Resolves calls to services and routes, and lists their targets."""
 
@@ -67,7 +80,7 @@
         self._unknown_counts: dict[str, int] = {}
         self._stats: dict[str, picker.TargetStats] = {}
         self._generation = -1
-        self._by_service: dict[str, list[picker.Candidate]] = {}
+        self._groups: dict[str, list[_TargetGroup]] = {}
         self._configurations = configurations
         configurations.listen_changes(self._apply_changes)
 
@@ -162,38 +175,42 @@
         retried: bool = False,
     ) -> list[picker.Candidate]:
         """Return the targets of service ``name``, as ``candidates`` does."""
-        matching = self._candidates(name, selector, call_id, retried)
+        matching = self._matching_groups(name, selector, call_id, retried)
         if not matching:
-            matching = self._candidates(name, selector, call_id, not retried)
+            matching = self._matching_groups(
+                name, selector, call_id, not retried
+            )
         allowed = [
-            candidate
-            for candidate in matching
-            if self._zones.admits(candidate.member.zone, call_id)
+            group
+            for group in matching
+            if self._zones.admits(group.zone, call_id)
         ]
-        return allowed or matching
+        found: list[picker.Candidate] = []
+        for group in allowed or matching:
+            found += group.candidates
+        return found
 
-    def _candidates(
+    def _matching_groups(
         self,
         name: str,
         selector: abc.Mapping[str, str],
         call_id: str,
         retried: bool,
-    ) -> list[picker.Candidate]:
+    ) -> list[_TargetGroup]:
         if self._generation != self._members.generation:
             self._rebuild_index()
         matching = []
-        for candidate in self._by_service.get(name, ()):
-            if candidate.member.zone in self._zones.out:
+        for group in self._groups.get(name, ()):
+            if group.zone in self._zones.out:
                 continue
-            target_labels = self.effective_labels(candidate.record)
-            if not _matches(selector, target_labels):
+            if not _matches(selector, group.labels):
                 continue
-            version = target_labels.get("version", "")
+            version = group.labels.get("version", "")
             if not self._rollouts.is_version_allowed(
                 name, version, call_id, retried
             ):
                 continue
-            matching.append(candidate)
+            matching.append(group)
         return matching
 
     def effective_labels(
@@ -232,6 +249,7 @@
             elif key.kind == labels.Labels.kind:
                 overrides = item and typing.cast(labels.Labels, item).labels
                 _set_or_remove(self._labels, key.name, overrides)
+                self._generation = -1
             elif key.kind == zone.Zone.kind:
                 self._zones.put(key.name, typing.cast(zone.Zone, item))
             elif key.kind == entry.Entry.kind:
@@ -269,7 +287,8 @@
         items.sort(key=lambda known: (-len(known.path_prefix), known.name))
 
     def _rebuild_index(self) -> None:
-        by_service: dict[str, list[picker.Candidate]] = {}
+        groups: dict[tuple[typing.Any, ...], _TargetGroup] = {}
+        by_service: dict[str, list[_TargetGroup]] = {}
         stats: dict[str, picker.TargetStats] = {}
         for member in self._members.members():
             if member.state is not messages.MemberState.ALIVE:
@@ -280,8 +299,19 @@
                 key = f"{member.node}/{member.incarnation}/{record.target}"
                 stats[key] = self._stats.get(key) or picker.TargetStats()
                 candidate = picker.Candidate(member, record, stats[key])
-                by_service.setdefault(record.service, []).append(candidate)
-        self._by_service = by_service
+                found = self.effective_labels(record)
+                group_key = (
+                    record.service,
+                    member.zone,
+                    frozenset(found.items()),
+                )
+                group = groups.get(group_key)
+                if group is None:
+                    group = _TargetGroup(member.zone, found, [])
+                    groups[group_key] = group
+                    by_service.setdefault(record.service, []).append(group)
+                group.candidates.append(candidate)
+        self._groups = by_service
         self._stats = stats
         self._generation = self._members.generation
 
