Test: leave calls in the queue the time that the test needs

Cause, from the log of the node: the queue keeps a call for half of its time left after the service time of the route. The first request of the test took 231 ms instead of about 5, as the process had just started, so that this was 1.19 s; the test needs 1.2 s.

Change: requests take 0.5 s instead of 0.6, so that the last of them waits 1.0 s. What is checked is the same: a change in the middle of the first pair cuts neither requests that run nor those that wait.

--- a/tests/users_platform/test_change_beside_traffic.py
+++ b/tests/users_platform/test_change_beside_traffic.py
@@ -16,7 +16,7 @@
 HEADER_PREFIX = "X-Balsamramp-"
 SLOTS = 2
 REQUESTS = 6
-RUN_SECONDS = 0.6
+RUN_SECONDS = 0.5
 LIMITS_SHRUNK = {
     "maxHeaderBytes": 512,
     "maxBodyBytes": 16,
