Follow the owners of keys only where calls have keys

Cause: a sidecar listed all targets of the fleet twice a second to know who owned an idempotency key before, although no call there has a key: 32 of 380 ms that a node of 194 used in 7 s, by profile.

Change: the store of keys follows owners only if its node receives keys.

Result: test_owners_are_followed_only_where_calls_have_keys; without the condition the members are listed at every start.

--- a/packages/node/src/balsamramp_node/inbound/idempotency_store.py
+++ b/packages/node/src/balsamramp_node/inbound/idempotency_store.py
@@ -70,7 +70,9 @@
         time: clock.Clock,
         counters: metrics.Metrics,
         retention: datetime.timedelta,
+        receives_keys: bool = True,
     ) -> None:
+        self._receives_keys = receives_keys
         self._node = node
         self._members = members
         self._peers = peers
@@ -84,6 +86,8 @@
         peers.handle(messages.KeyClaimRequest, self._serve_claim)
 
     async def start(self) -> None:
+        if not self._receives_keys:
+            return
         self._task = asyncio.create_task(self._refresh_periodically())
 
     async def stop(self) -> None:
--- a/packages/node/src/balsamramp_node/process/node_services.py
+++ b/packages/node/src/balsamramp_node/process/node_services.py
@@ -65,6 +65,8 @@
     """
 
     response_cache_max_bytes = response_cache.RESPONSE_CACHE_MAX_BYTES
+    # Whether calls carry idempotency keys.
+    receives_keys = True
     fetch_delay: datetime.timedelta | None = None
 
     def __init__(
@@ -264,6 +266,7 @@
             self._clock,
             self._metrics,
             self._settings.duration("calls", "key_retention"),
+            self.receives_keys,
         )
         self.inbound_handler = inbound_handler.InboundHandler(
             self.identity.incarnation,
--- a/packages/node/src/balsamramp_node/process/sidecar_services.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_services.py
@@ -50,6 +50,7 @@
     # Responses are kept for calls that are sent again after a lost connection;
     # memory is the scarcest resource of a small VM.
     response_cache_max_bytes = 2 * 1024 * 1024
+    receives_keys = False
     # The store gets half of the time within which a change has to be in
     # force; after that the node fetches the change from a peer.
     fetch_delay = datetime.timedelta(seconds=1)
--- a/packages/node/tests/test_idempotency_store.py
+++ b/packages/node/tests/test_idempotency_store.py
@@ -7,11 +7,13 @@
 
 import datetime
 import itertools
+import typing
 
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from balsamramp_core import metrics
 from balsamramp_core import verdict
 from balsamramp_node.inbound import idempotency_store
 from balsamramp_node.inbound import key_owners
@@ -182,3 +184,45 @@
     )
     with pytest.raises(AssertionError):
         _check(KNOWN_STEPS[0])
+
+
+class _Members:
+    """Counts how often the members are listed."""
+
+    def __init__(self) -> None:
+        self.listed = 0
+
+    def members(self) -> list[messages.Member]:
+        self.listed += 1
+        return []
+
+
+class _Peers:
+    def handle(self, *handler: object) -> None:
+        """Ignore the handler."""
+
+
+@pytest.mark.parametrize("receives_keys", [True, False])
+def test_owners_are_followed_only_where_calls_have_keys(
+    receives_keys: bool,
+) -> None:
+    """Guards against work for each target of the fleet that nobody needs."""
+
+    async def main() -> None:
+        members = _Members()
+        clock = virtual_time.VirtualClock()
+        key_store = idempotency_store.IdempotencyStore(
+            "n",
+            typing.cast(typing.Any, members),
+            typing.cast(typing.Any, _Peers()),
+            clock,
+            metrics.Metrics(),
+            SETTLE_TIME,
+            receives_keys,
+        )
+        await key_store.start()
+        await clock.sleep(SETTLE_TIME)
+        await key_store.stop()
+        assert bool(members.listed) is receives_keys
+
+    virtual_time.run(main())
