--- a/packages/node/src/balsamramp_node/process/caller_server.py
+++ b/packages/node/src/balsamramp_node/process/caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server on the port for callers."""
 
 import asyncio
+import datetime
 import socket
 
 from absl import logging
@@ -23,7 +24,7 @@
     Connections that callers opened before the listening socket closes are
     drained too, also those that the process had not accepted yet.
     Connections with requests still in progress when the time for responses
-    is over are aborted.
+    is over, or ``drain_timeout`` if that is set, are aborted.
     """
 
     def __init__(
@@ -35,7 +36,9 @@
         requires: tuple[str, ...],
         shutdown: shutdown_schedule.ShutdownSchedule,
         log: caller_connection_log.CallerConnectionLog | None = None,
+        drain_timeout: datetime.timedelta | None = None,
     ) -> None:
+        self._drain_timeout = drain_timeout
         self.name = name  # type: ignore[misc]
         self.requires = requires  # type: ignore[misc]
         self._handler = handler
@@ -85,6 +88,8 @@
         open_count = len(self._connections)
         aborted = 0
         timeout = self._shutdown.seconds_until(self._shutdown.answers_end)
+        if self._drain_timeout is not None:
+            timeout = min(timeout, self._drain_timeout.total_seconds())
         try:
             async with asyncio.timeout(timeout):
                 while self._connections:
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -14,6 +14,7 @@
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import settings
+from balsamramp_core.resources import caller_limits
 from balsamramp_node.inbound import control_server
 from balsamramp_node.inbound import pooled_target_client
 from balsamramp_node.inbound import reply_scheduler
@@ -24,15 +25,14 @@
 from balsamramp_node.outbound import retry_after_jitter
 from balsamramp_node.outbound import stream_client
 from balsamramp_node.outbound import stream_control_transport
+from balsamramp_node.process import asgi_handler
 from balsamramp_node.process import caller_connection_log
 from balsamramp_node.process import caller_server
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import event_loop_monitor
-from balsamramp_node.process import http_server
 from balsamramp_node.process import node_dependencies
 from balsamramp_node.process import node_services
 from balsamramp_node.process import platform_adapter
-from balsamramp_node.process import port_dispatcher
 from balsamramp_node.process import shutdown_log
 from balsamramp_node.process import shutdown_schedule
 from balsamramp_node.process import sidecar_services
@@ -42,8 +42,11 @@
 __all__ = ["Sidecar"]
 
 GC_THRESHOLDS = (20_000, 20, 50)
-# Time for the open requests of the side server when it stops.
+# Time for the open requests of the side servers when they stop.
 SIDE_TIMEOUT = datetime.timedelta(seconds=0.7)
+SIDE_LIMITS = caller_limits.CallerLimits(
+    name="side", body_max_bytes=1024 * 1024
+)
 # Connections between nodes are idle for tenths of a second, and a VM under CPU
 # pressure responds with a delay of that order; shorter timeouts would treat
 # both as unresponsive.
@@ -153,7 +156,8 @@
         target_client.on_statement = (
             self._services.inbound_handler.record_statement
         )
-        self._services.service_manager.add(self._make_side_server(adapter))
+        for server in self._make_side_servers(adapter):
+            self._services.service_manager.add(server)
         peer_server = stream_server.StreamServer(
             hello,
             self._listen_address("stream_port"),
@@ -194,7 +198,6 @@
         )
         await self._services.service_manager.start()
         self._serving = True
-        gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
 
@@ -303,31 +306,29 @@
             ),
         )
 
-    def _make_side_server(
+    def _make_side_servers(
         self, adapter: platform_adapter.PlatformAdapter
-    ) -> http_server.HttpServer:
-        """Return the server for readiness, heartbeats, metrics and dump."""
-        ready = self._parse_address("ready")
-        announcements_address = self._parse_address("announcements")
-        metrics_address = self._listen_address("metrics_port")
-        dispatcher = port_dispatcher.PortDispatcher(
-            {
-                ready.port: self._serve_readiness,
-                announcements_address.port: adapter.heartbeat_api(
-                    self._services.targets
-                ),
-                metrics_address.port: self._serve_metrics_and_dump,
-            }
-        )
-        return http_server.HttpServer(
-            "side",
-            dispatcher,
-            ready,
-            ("source", "targets"),
-            extra_addresses=(announcements_address, metrics_address),
-            shutdown_timeout=SIDE_TIMEOUT,
-            shutdown=self._shutdown,
-        )
+    ) -> abc.Iterator[caller_server.CallerServer]:
+        """Return the servers for readiness, heartbeats, metrics and dump."""
+        heartbeats = adapter.heartbeat_api(self._services.targets)
+        for name, application, address in (
+            ("ready", self._serve_readiness, self._parse_address("ready")),
+            ("heartbeats", heartbeats, self._parse_address("announcements")),
+            (
+                "metrics",
+                self._serve_metrics_and_dump,
+                self._listen_address("metrics_port"),
+            ),
+        ):
+            yield caller_server.CallerServer(
+                name,
+                asgi_handler.AsgiHandler(application).handle_request,
+                lambda: SIDE_LIMITS,
+                address,
+                ("source", "targets"),
+                self._shutdown,
+                drain_timeout=SIDE_TIMEOUT,
+            )
 
     async def _serve_readiness(
         self, scope: typing.Any, receive: typing.Any, send: Send
--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -81,7 +81,6 @@
     logging.set_verbosity(logging.INFO)
     root = std_logging.getLogger()
     root.handlers[:] = [decision_log.DecisionHandler(decisions)]
-    std_logging.getLogger("uvicorn").setLevel(std_logging.WARNING)
 
 
 def start_exit_timer(seconds: float, sink: decision_log.FileSink) -> None:
