--- a/packages/node/src/balsamramp_node/outbound/pickers/expected_finish.py
+++ b/packages/node/src/balsamramp_node/outbound/pickers/expected_finish.py
@@ -19,6 +19,8 @@
 ZONE_PRIOR_REPORTS = 2
 # Assumed while no target of a service has reported a load.
 SERVICE_SECONDS_DEFAULT = 0.1
+# Assumed for a zone without a recent report, so that it is tried when the
+# others are full.
 OCCUPANCY_DEFAULT = 0.5
 # Assumed for targets that do not report their number of slots.
 SLOTS_DEFAULT = 8
--- a/packages/node/src/balsamramp_node/process/caller_server.py
+++ b/packages/node/src/balsamramp_node/process/caller_server.py
@@ -1,4 +1,4 @@
-"""HTTP server on the port for callers."""
+"""HTTP server on one port, without an application framework."""
 
 import asyncio
 import datetime
