--- a/packages/node/tests/test_router.py
+++ b/packages/node/tests/test_router.py
@@ -8,11 +8,11 @@
 
 from balsamramp_core import metrics
 from balsamramp_core import resource
-from balsamramp_core import settings
 from balsamramp_core.resources import labels
 from balsamramp_core.resources import zone
 from balsamramp_node.configuration import store
 from balsamramp_node.outbound import router
+from balsamramp_testing import member_fixture
 from balsamramp_wire import messages
 
 ZONES = ("a", "b", "c", "d", "e")
@@ -53,24 +53,14 @@
 
 
 def _member(number: int) -> messages.Member:
-    address = settings.Address("h", 1)
     record = messages.TargetRecord(
         target=f"t{number}",
         service="s",
         labels={"version": "2" if number % 7 == 0 else "1"},
         state=messages.TargetState.READY,
     )
-    return messages.Member(
-        node=f"n{number}",
-        zone=ZONES[number % len(ZONES)],
-        region="r",
-        stream=address,
-        control=address,
-        admin=address,
-        incarnation=1,
-        sequence=1,
-        state=messages.MemberState.ALIVE,
-        targets=(record,),
+    return member_fixture.make_member(
+        f"n{number}", zone=ZONES[number % len(ZONES)], targets=(record,)
     )
 
 
--- a/packages/testing/src/balsamramp_testing/placement_trial.py
+++ b/packages/testing/src/balsamramp_testing/placement_trial.py
@@ -14,7 +14,6 @@
 from returns import result
 
 from balsamramp_core import metrics
-from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_core.resources import entry
 from balsamramp_node.inbound import concurrency_limit
@@ -27,6 +26,7 @@
 from balsamramp_node.outbound import pickers
 from balsamramp_node.outbound import retry_budget
 from balsamramp_node.process import decision_log
+from balsamramp_testing import member_fixture
 from balsamramp_testing import virtual_time
 from balsamramp_wire import messages
 
@@ -329,18 +329,7 @@
 
 
 def _candidate(target: _Target, load: Load) -> picker.Candidate:
-    address = settings.Address(target.name, 1)
-    member = messages.Member(
-        node=target.name,
-        zone=target.zone,
-        region="r",
-        stream=address,
-        control=address,
-        admin=address,
-        incarnation=1,
-        sequence=1,
-        state=messages.MemberState.ALIVE,
-    )
+    member = member_fixture.make_member(target.name, zone=target.zone)
     record = messages.TargetRecord(
         target=target.name,
         service=SERVICE,
