--- a/packages/node/tests/test_expected_finish.py
+++ b/packages/node/tests/test_expected_finish.py
@@ -115,3 +115,16 @@
     assert not unreachable.stats.is_ejected(
         NOW + 2 * picker.BASE_EJECTION_TIME
     )
+
+
+def test_one_report_does_not_speak_for_a_whole_zone() -> None:
+    """Guards against leaving a busy zone for one that was heard once."""
+    busy = [
+        _candidate(f"near-{n}", in_flight=SLOTS, queued=4) for n in range(5)
+    ]
+    idle = [_candidate(f"far-{n}", "far") for n in range(6)]
+    for item in idle[1:]:
+        item.stats.load = None
+    for item in (*busy, idle[0]):
+        item.stats.load_received_at = NOW - 1500 * MS
+    assert _most_picked_target(*busy, *idle).startswith("near")
