--- a/review/harness/callers.py
+++ b/review/harness/callers.py
@@ -21,6 +21,7 @@
     """One request and what became of it; status 0 is no answer."""
 
     request_id: str
+    kind: str
     machine: str
     sent_at: float
     status: int
@@ -86,6 +87,7 @@
             status = 0
         answer = Answer(
             request_id=request_id,
+            kind=kind,
             machine=machine.name,
             sent_at=sent_at,
             status=status,
--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -113,7 +113,7 @@
             run_by = ", ".join(runs.get(answer.request_id, ["none"]))
             self._record.write(
                 f"{answer.sent_at - self._began_at:8.3f} {answer.request_id}"
-                f" at {answer.machine}: {answer.status or 'no answer'} after"
+                f" /{answer.kind}/ at {answer.machine}: {answer.status or 'no answer'} after"
                 f" {answer.milliseconds} ms, run by {run_by}\n"
             )
 
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -113,6 +113,11 @@
             return False
         return answer.status == 200
 
+    async def wait_until_ready(self) -> None:
+        """Wait until the sidecar says that it is ready."""
+        while not await self.ready():  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+
 
 class Fleet:
     """The machines of one deployment; ends only what it started."""
@@ -171,8 +176,7 @@
         """Wait until all sidecars are ready; raises TimeoutError."""
         async with asyncio.timeout(START_SECONDS):
             for machine in self.machines:
-                while not await machine.ready():
-                    await asyncio.sleep(0.1)
+                await machine.wait_until_ready()
 
     async def stop(self) -> None:
         """Kill all sidecars that run."""
