--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -111,9 +111,10 @@
             self.callers.answers, key=lambda item: item.sent_at
         ):
             run_by = ", ".join(runs.get(answer.request_id, ["none"]))
+            status = answer.status or "no answer"
             self._record.write(
                 f"{answer.sent_at - self._began_at:8.3f} {answer.request_id}"
-                f" /{answer.kind}/ at {answer.machine}: {answer.status or 'no answer'} after"
+                f" /{answer.kind}/ at {answer.machine}: {status} after"
                 f" {answer.milliseconds} ms, run by {run_by}\n"
             )
 
