--- a/review/harness/backend.py
+++ b/review/harness/backend.py
@@ -23,7 +23,8 @@
     """Runs requests and announces itself to the sidecar of its machine.
 
     ``runs`` lists the identifiers of the requests that it ran, with the
-    time of each.
+    time of each. Every second request fails with ``failure_status``, if that
+    is set; ``failures`` has the times.
     """
 
     def __init__(
@@ -39,6 +40,8 @@
         self.name = name
         self.version = version
         self.work_seconds = 0.005
+        self.failure_status = 0
+        self.failures: list[float] = []
         self.runs: list[tuple[float, str]] = []
         self._service = service
         self._address = address
@@ -109,4 +112,7 @@
         self.runs.append((time.monotonic(), request_id))
         await asyncio.sleep(self.work_seconds)
         headers[header("response-signature")] = "3e1b.07.5a2.600.0.c9f2a4d1"
+        if self.failure_status and len(self.runs) % 2:
+            self.failures.append(time.monotonic())
+            return http1.Response(self.failure_status, headers, b"failure")
         return http1.Response(200, headers, b"answer of " + self.name.encode())
