--- a/review/harness/backend.py
+++ b/review/harness/backend.py
@@ -1,7 +1,6 @@
 """Stand-in of a backend beside its sidecar."""
 
 import asyncio
-import contextlib
 import json
 import time
 
@@ -42,6 +41,7 @@
         self.work_seconds = 0.005
         self.failure_status = 0
         self.failures: list[float] = []
+        self.calls: list[tuple[float, str, str, int]] = []
         self.runs: list[tuple[float, str]] = []
         self._service = service
         self._address = address
@@ -65,17 +65,33 @@
         if self._task is not None:
             self._task.cancel()
 
+    async def leave(self, exit_seconds: float) -> None:
+        """Shut down as planned, without an ack after ``exit_seconds``."""
+        if self._task is not None:
+            self._task.cancel()
+        await self.tell("heartbeat", "draining")
+        await asyncio.sleep(exit_seconds)
+        await self.tell("deregister", "draining")
+        self._server.stop()
+        self._server = http1.Server(self._handle)
+        self._sequence = 0
+
     async def _announce(self) -> None:
         while True:
-            with contextlib.suppress(
-                OSError, TimeoutError, asyncio.IncompleteReadError
-            ):
-                async with asyncio.timeout(ACK_SECONDS):
-                    await self.send_heartbeat()
+            await self.tell("heartbeat", "ready")
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
-    async def send_heartbeat(self, state: str = "ready") -> int:
-        """Send one heartbeat and return the status of the answer."""
+    async def tell(self, call: str, state: str) -> int:
+        """Make a call to the sidecar; return the status, 0 without an ack."""
+        try:
+            async with asyncio.timeout(ACK_SECONDS):
+                status = await self._post(call, state)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            status = 0
+        self.calls.append((time.monotonic(), call, state, status))
+        return status
+
+    async def _post(self, call: str, state: str) -> int:
         self._sequence += 1
         host, port = self._address
         document = {
@@ -92,7 +108,7 @@
         answer = await http1.exchange(
             self._control,
             "POST",
-            f"/v1/instances/{self.name}/heartbeat",
+            f"/v1/instances/{self.name}/{call}",
             {"host": "control", "content-type": "application/json"},
             json.dumps(document).encode(),
         )
--- a/review/harness/callers.py
+++ b/review/harness/callers.py
@@ -21,6 +21,7 @@
     """One request and what became of it; status 0 is no answer."""
 
     request_id: str
+    service: str
     kind: str
     machine: str
     sent_at: float
@@ -87,6 +88,7 @@
             status = 0
         answer = Answer(
             request_id=request_id,
+            service=service,
             kind=kind,
             machine=machine.name,
             sent_at=sent_at,
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -90,8 +90,12 @@
 
     def kill(self) -> None:
         """Kill the sidecar of the machine."""
+        self.send_signal(signal.SIGKILL)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the sidecar of the machine, if it runs."""
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signal.SIGKILL)
+            self.process.send_signal(number)
 
     async def dump(self) -> dict[str, typing.Any]:
         """Return the dump that the sidecar serves beside its metrics."""
