--- a/review/harness/backend.py
+++ b/review/harness/backend.py
@@ -49,7 +49,8 @@
         self._zone = zone
         self._slots = slots
         self._sequence = 0
-        self._born = 0
+        self._born = int(time.time() * 1000)
+        self._cold_until = 0.0
         self._server = http1.Server(self._handle)
         self._task: asyncio.Task[None] | None = None
 
@@ -101,7 +102,7 @@
             "version": self.version,
             "slots": self._slots,
             "state": state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": self._cold_ms(),
             "sequence": self._sequence,
             "born": self._born,
         }
@@ -114,9 +115,21 @@
         )
         return answer.status
 
+    def turn_cold(self, seconds: float) -> None:
+        """Be cold from now on, as heartbeats and health responses say."""
+        self._cold_until = time.monotonic() + seconds
+
+    def _cold_ms(self) -> int:
+        left = max(self._cold_until - time.monotonic(), 0.0)
+        return int(left * 1000)
+
     async def _handle(self, request: http1.Request) -> http1.Response:
         if request.path == "/health":
-            return http1.Response(200, {header("instance-id"): self.name})
+            headers = {
+                header("instance-id"): self.name,
+                header("warmup-ms"): str(self._cold_ms()),
+            }
+            return http1.Response(200, headers)
         request_id = request.headers.get(header("request-id"), "")
         headers = {
             header("request-id"): request_id,
