--- a/review/harness/backend.py
+++ b/review/harness/backend.py
@@ -39,6 +39,8 @@
         self.name = name
         self.version = version
         self.work_seconds = 0.005
+        self.unhealthy_until = 0.0
+        self.failed_probes = 0
         self.failure_status = 0
         self.failures: list[float] = []
         self.calls: list[tuple[float, str, str, int]] = []
@@ -125,6 +127,9 @@
 
     async def _handle(self, request: http1.Request) -> http1.Response:
         if request.path == "/health":
+            if time.monotonic() < self.unhealthy_until:
+                self.failed_probes += 1
+                return http1.Response(503, {header("instance-id"): self.name})
             headers = {
                 header("instance-id"): self.name,
                 header("warmup-ms"): str(self._cold_ms()),
