--- a/review/harness/backend.py
+++ b/review/harness/backend.py
@@ -22,8 +22,8 @@
     """Runs requests and announces itself to the sidecar of its machine.
 
     ``runs`` lists the identifiers of the requests that it ran, with the
-    time of each. Every second request fails with ``failure_status``, if that
-    is set; ``failures`` has the times.
+    time of each, and ``calls`` what it told the sidecar. Until
+    ``unhealthy_until`` its health responses say that it fails or leaves.
     """
 
     def __init__(
@@ -41,8 +41,6 @@
         self.work_seconds = 0.005
         self.unhealthy_until = 0.0
         self.failed_probes = 0
-        self.failure_status = 0
-        self.failures: list[float] = []
         self.calls: list[tuple[float, str, str, int]] = []
         self.runs: list[tuple[float, str]] = []
         self._service = service
@@ -52,7 +50,6 @@
         self._slots = slots
         self._sequence = 0
         self._born = int(time.time() * 1000)
-        self._cold_until = 0.0
         self._server = http1.Server(self._handle)
         self._task: asyncio.Task[None] | None = None
 
@@ -68,16 +65,10 @@
         if self._task is not None:
             self._task.cancel()
 
-    async def leave(self, exit_seconds: float) -> None:
-        """Shut down as planned, without an ack after ``exit_seconds``."""
+    def stop_announcing(self) -> None:
+        """Send no further heartbeats."""
         if self._task is not None:
             self._task.cancel()
-        await self.tell("heartbeat", "draining")
-        await asyncio.sleep(exit_seconds)
-        await self.tell("deregister", "draining")
-        self._server.stop()
-        self._server = http1.Server(self._handle)
-        self._sequence = 0
 
     async def _announce(self) -> None:
         while True:
@@ -88,13 +79,14 @@
         """Make a call to the sidecar; return the status, 0 without an ack."""
         try:
             async with asyncio.timeout(ACK_SECONDS):
-                status = await self._post(call, state)
+                status = await self.deliver(call, self.compose(state))
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             status = 0
         self.calls.append((time.monotonic(), call, state, status))
         return status
 
-    async def _post(self, call: str, state: str) -> int:
+    def compose(self, state: str) -> bytes:
+        """Return the body of the next call to the sidecar."""
         self._sequence += 1
         host, port = self._address
         document = {
@@ -104,37 +96,29 @@
             "version": self.version,
             "slots": self._slots,
             "state": state,
-            "warmupLeftMs": self._cold_ms(),
+            "warmupLeftMs": 0,
             "sequence": self._sequence,
             "born": self._born,
         }
+        return json.dumps(document).encode()
+
+    async def deliver(self, call: str, body: bytes) -> int:
+        """Bring a call to the sidecar and return the status of the answer."""
         answer = await http1.exchange(
             self._control,
             "POST",
             f"/v1/instances/{self.name}/{call}",
             {"host": "control", "content-type": "application/json"},
-            json.dumps(document).encode(),
+            body,
         )
         return answer.status
 
-    def turn_cold(self, seconds: float) -> None:
-        """Be cold from now on, as heartbeats and health responses say."""
-        self._cold_until = time.monotonic() + seconds
-
-    def _cold_ms(self) -> int:
-        left = max(self._cold_until - time.monotonic(), 0.0)
-        return int(left * 1000)
-
     async def _handle(self, request: http1.Request) -> http1.Response:
         if request.path == "/health":
             if time.monotonic() < self.unhealthy_until:
                 self.failed_probes += 1
                 return http1.Response(503, {header("instance-id"): self.name})
-            headers = {
-                header("instance-id"): self.name,
-                header("warmup-ms"): str(self._cold_ms()),
-            }
-            return http1.Response(200, headers)
+            return http1.Response(200, {header("instance-id"): self.name})
         request_id = request.headers.get(header("request-id"), "")
         headers = {
             header("request-id"): request_id,
@@ -146,7 +130,4 @@
         self.runs.append((time.monotonic(), request_id))
         await asyncio.sleep(self.work_seconds)
         headers[header("response-signature")] = "3e1b.07.5a2.600.0.c9f2a4d1"
-        if self.failure_status and len(self.runs) % 2:
-            self.failures.append(time.monotonic())
-            return http1.Response(self.failure_status, headers, b"failure")
         return http1.Response(200, headers, b"answer of " + self.name.encode())
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -16,6 +16,8 @@
 NODE_TABLE = "balsamramp"
 ROWS_MAX = 500
 STATUS_REJECTED = 503
+# As on the sites.
+ANSWER_SECONDS = 0.004
 STATUS_CONFLICT = 412
 
 
@@ -41,6 +43,7 @@
             if machine in self.rejected:
                 self.rejected_calls += 1
                 return http1.Response(STATUS_REJECTED)
+            await asyncio.sleep(ANSWER_SECONDS)
             return await self._handle(request)
 
         server = http1.Server(handle)
