Fix: a target that fails one health check is used again when it is well

Cause: a node probes a target that is older than itself once, and took any status other than 2xx for a target that leaves. That drained the target for the rest of its start: no later announcement ends DRAINING, and there was no second probe. A state that passes was kept as one that lasts.

Ruled out: that the probe was never sent, or the announcements rejected. The record of the case has one 503 for each target, and 200 for each heartbeat.

Change: Health.UNHEALTHY is a result of its own. Probes go on, at 250 ms to 2 s, until the target serves, leaves, or says itself that it drains. A target whose health checks go on failing although it announces itself gets calls 10 s after the start of the process, when its announcements can't be late ones any more. Another target at the address, and a target that states that it leaves, still end the start, now over the end of the lease too.

--- a/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
@@ -159,7 +159,7 @@
             return targets.Health.LEAVING
         if response.status in STATUS_SUCCESS:
             return targets.Health.SERVING
-        return targets.Health.LEAVING
+        return targets.Health.UNHEALTHY
 
     async def _exchange(
         self,
--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -23,6 +23,11 @@
 # Number of withdrawn targets whose late announcements are recognised.
 WITHDRAWN_TARGETS_MAX = 64
 EXPIRY_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
+# An announcement that arrives later than this after the start of the process
+# was not sent to the previous process.
+ANNOUNCEMENT_DELAY_MAX = datetime.timedelta(seconds=10)
+PROBE_INTERVAL_MIN = datetime.timedelta(milliseconds=250)
+PROBE_INTERVAL_MAX = datetime.timedelta(seconds=2)
 
 
 @attrs.frozen(kw_only=True)
@@ -75,11 +80,18 @@
 
 @attrs.define
 class LocalTarget:
-    """A target of this VM and the time when its lease expires."""
+    """A target of this VM and the time when its lease expires.
+
+    ``unverified`` is whether it gets no calls until a health check or a later
+    announcement shows that it takes them; ``health`` is the result of its
+    last check.
+    """
 
     announcement: Announcement
     state: messages.TargetState
     expires_at: datetime.timedelta
+    unverified: bool = False
+    health: "Health | None" = None
 
     def record(self) -> messages.TargetRecord:
         """Return the record that is sent to other nodes."""
@@ -98,9 +110,14 @@
 
 
 class Health(enum.Enum):
-    """The result of a health check of a target."""
+    """The result of a health check of a target.
+
+    ``UNHEALTHY`` may pass, ``LEAVING`` holds until the next start of the
+    target.
+    """
 
     SERVING = "serving"
+    UNHEALTHY = "unhealthy"
     LEAVING = "leaving"
     UNKNOWN = "unknown"
 
@@ -113,8 +130,10 @@
 
     A target that started before this process may have told the previous
     process that it is leaving, and its announcement may be late. So
-    ``probe_health`` checks it before it gets calls. If its health is
-    unknown, it gets calls from its second announcement on.
+    ``probe_health`` checks it before it gets calls, again and again until it
+    serves or leaves. If its health is unknown, it gets calls from its second
+    announcement on. If it is unhealthy although it goes on to announce
+    itself, it gets calls as soon as its announcements can't be late ones.
     """
 
     name = "targets"
@@ -129,7 +148,7 @@
     ) -> None:
         self.probe_health: HealthProbe | None = None
         self._process_started_ms = int(time.now().timestamp() * 1000)
-        self._unverified_sequences: dict[str, int] = {}
+        self._process_started_at = time.monotonic()
         self._probes: set[asyncio.Task[None]] = set()
         self._members = members
         self._clock = time
@@ -157,9 +176,12 @@
         self._task = asyncio.create_task(self._expire_periodically())
 
     async def stop(self) -> None:
+        tasks = [*self._probes]
         if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            tasks.append(self._task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def announce(
         self, announcement: Announcement
@@ -187,8 +209,11 @@
                 self.drain(announcement.target)
             else:
                 self._probe_if_older(local_target)
-        elif local_target.state is messages.TargetState.STARTING:
-            self._resume_if_newer(local_target, announcement)
+        elif (
+            local_target.state is messages.TargetState.STARTING
+            and self._shows_readiness(local_target, announcement)
+        ):
+            self._resume(local_target)
         local_target.announcement = announcement
         local_target.expires_at = expires_at
         self._publish()
@@ -202,43 +227,67 @@
         if announcement.started_ms >= self._process_started_ms:
             return
         local_target.state = messages.TargetState.STARTING
-        self._unverified_sequences[announcement.target] = announcement.sequence
+        local_target.unverified = True
         task = asyncio.create_task(
-            self._probe(local_target, self.probe_health)
+            self._verify(local_target, self.probe_health)
         )
         self._probes.add(task)
         task.add_done_callback(self._probes.discard)
 
-    async def _probe(
+    async def _verify(
         self, local_target: LocalTarget, probe_health: HealthProbe
+    ) -> None:
+        """Probe a target until it serves, leaves or is verified otherwise."""
+        interval = PROBE_INTERVAL_MIN
+        while True:
+            health = await probe_health(local_target.announcement)
+            if not self._awaits_verification(local_target):
+                return
+            self._record_health(local_target, health)
+            if not local_target.unverified:
+                return
+            await self._clock.sleep(interval)
+            if not self._awaits_verification(local_target):
+                return
+            interval = min(2 * interval, PROBE_INTERVAL_MAX)
+
+    def _awaits_verification(self, local_target: LocalTarget) -> bool:
+        target = local_target.announcement.target
+        return (
+            self._targets.get(target) is local_target
+            and local_target.unverified
+        )
+
+    def _record_health(
+        self, local_target: LocalTarget, health: Health
     ) -> None:
         target = local_target.announcement.target
-        health = await probe_health(local_target.announcement)
-        logging.info("health check of target %s: %s", target, health.value)
-        if self._targets.get(target) is not local_target:
-            return
+        if health is not local_target.health:
+            logging.info("health check of target %s: %s", target, health.value)
+        local_target.health = health
         if health is Health.LEAVING:
-            self.drain(target)
-        if health is not Health.SERVING:
-            return
-        self._unverified_sequences.pop(target, None)
-        if local_target.state is messages.TargetState.STARTING:
-            local_target.state = messages.TargetState.READY
+            self.drain_for_good(local_target.announcement)
+        elif health is Health.SERVING:
+            self._resume(local_target)
             self._publish()
 
-    def _resume_if_newer(
-        self, local_target: LocalTarget, announcement: Announcement
-    ) -> None:
-        """Make a suspended target ready again after a new announcement."""
-        probed_sequence = self._unverified_sequences.get(announcement.target)
-        if (
-            probed_sequence is not None
-            and announcement.sequence <= probed_sequence
-        ):
-            return
-        self._unverified_sequences.pop(announcement.target, None)
+    def _resume(self, local_target: LocalTarget) -> None:
+        local_target.unverified = False
         local_target.state = messages.TargetState.READY
 
+    def _shows_readiness(
+        self, local_target: LocalTarget, announcement: Announcement
+    ) -> bool:
+        """Return whether ``announcement`` lets a target get calls again."""
+        if not local_target.unverified:
+            return True
+        if announcement.sequence <= local_target.announcement.sequence:
+            return False
+        if local_target.health is not Health.UNHEALTHY:
+            return True
+        process_age = self._clock.monotonic() - self._process_started_at
+        return process_age > ANNOUNCEMENT_DELAY_MAX
+
     def _rejection(self, announcement: Announcement) -> str:
         """Return why the announcement is outdated, or an empty string."""
         withdrawn_ms = self._withdrawn_ms.get(announcement.target)
@@ -281,7 +330,7 @@
         local_target = self._targets.get(target)
         if local_target is None:
             return False
-        self._unverified_sequences.pop(target, None)
+        local_target.unverified = False
         if local_target.state is messages.TargetState.DRAINING:
             return True
         local_target.state = messages.TargetState.DRAINING
--- a/packages/node/tests/test_local_targets.py
+++ b/packages/node/tests/test_local_targets.py
@@ -169,6 +169,7 @@
     [
         (targets.Health.SERVING, READY, READY),
         (targets.Health.LEAVING, DRAINING, DRAINING),
+        (targets.Health.UNHEALTHY, STARTING, STARTING),
         (targets.Health.UNKNOWN, STARTING, READY),
     ],
 )
@@ -200,6 +201,103 @@
     virtual_time.run(main())
 
 
+@attrs.define
+class _Probe:
+    """Health checks that give ``health``, and how many there were."""
+
+    health: targets.Health
+    count: int = 0
+
+    async def check(
+        self, announcement: targets.Announcement
+    ) -> targets.Health:
+        self.count += 1
+        return self.health
+
+
+async def _announce_for(
+    vm: _Vm, duration: datetime.timedelta, sequence: int
+) -> int:
+    """Announce i-1 each second, and return the next sequence number."""
+    end = vm.clock.monotonic() + duration
+    while vm.clock.monotonic() < end:
+        await vm.clock.sleep(datetime.timedelta(seconds=1))
+        assert vm.announce(sequence=sequence)
+        sequence += 1
+    return sequence
+
+
+def test_target_that_fails_its_first_probe_is_ready_once_it_serves() -> None:
+    """Guards against a target that is drained for good by a failed probe."""
+
+    async def main() -> None:
+        vm = _Vm()
+        probe = _Probe(targets.Health.UNHEALTHY)
+        vm.local.probe_health = probe.check
+        assert vm.announce()
+        sequence = await _announce_for(vm, datetime.timedelta(seconds=5), 2)
+        assert vm.state() is STARTING
+        probe.health = targets.Health.SERVING
+        await vm.clock.sleep(targets.PROBE_INTERVAL_MAX)
+        assert vm.state() is READY
+        assert vm.members.published[0].state is READY
+        checks = probe.count
+        await _announce_for(vm, datetime.timedelta(seconds=20), sequence)
+        assert probe.count == checks
+
+    virtual_time.run(main())
+
+
+def test_target_that_goes_on_to_announce_itself_is_used_though_unhealthy() -> (
+    None
+):
+    """Guards against a false health check that shuts a target out."""
+
+    async def main() -> None:
+        vm = _Vm()
+        probe = _Probe(targets.Health.UNHEALTHY)
+        vm.local.probe_health = probe.check
+        assert vm.announce()
+        delay_max = targets.ANNOUNCEMENT_DELAY_MAX
+        sequence = await _announce_for(vm, delay_max, 2)
+        assert vm.state() is STARTING
+        await _announce_for(vm, datetime.timedelta(seconds=2), sequence)
+        assert vm.state() is READY
+
+    virtual_time.run(main())
+
+
+def test_target_that_says_that_it_drains_is_not_probed_further() -> None:
+    async def main() -> None:
+        vm = _Vm()
+        probe = _Probe(targets.Health.UNHEALTHY)
+        vm.local.probe_health = probe.check
+        assert vm.announce()
+        await _run_pending_tasks()
+        vm.local.drain("i-1")
+        probe.health = targets.Health.SERVING
+        await _announce_for(vm, datetime.timedelta(seconds=15), 2)
+        assert probe.count == 1
+        assert vm.state() is DRAINING
+
+    virtual_time.run(main())
+
+
+def test_target_at_whose_address_another_responds_stays_out() -> None:
+    async def main() -> None:
+        vm = _Vm()
+        probe = _Probe(targets.Health.LEAVING)
+        vm.local.probe_health = probe.check
+        assert vm.announce()
+        await _run_pending_tasks()
+        probe.health = targets.Health.SERVING
+        await _announce_for(vm, datetime.timedelta(seconds=15), 2)
+        assert probe.count == 1
+        assert vm.state() is DRAINING
+
+    virtual_time.run(main())
+
+
 def test_target_younger_than_its_node_is_not_probed() -> None:
     async def main() -> None:
         vm = _Vm()
--- a/tests/users_platform/fake_target.py
+++ b/tests/users_platform/fake_target.py
@@ -18,7 +18,8 @@
     ``runs`` lists the ids of the requests that it ran. ``delay`` is how
     long one takes, in seconds, ``status`` what it answers, and ``padding``
     what it adds to the body. ``statements`` are headers of all its answers,
-    and ``arrivals`` the times at which requests came.
+    ``arrivals`` the times at which requests came, and ``health_status`` the
+    status of its health checks.
     """
 
     def __init__(self, name: str, service: str, version: str = "v1") -> None:
@@ -29,6 +30,7 @@
         self.sequence = 0
         self.delay = 0.0
         self.status = 200
+        self.health_status = 200
         self.padding = b""
         self.statements: dict[str, str] = {}
         self.arrivals: list[float] = []
@@ -83,7 +85,8 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         if request.path == "/health":
             return web.Response(
-                headers={HEADER_PREFIX + "Instance-Id": self.name}
+                status=self.health_status,
+                headers={HEADER_PREFIX + "Instance-Id": self.name},
             )
         expected = request.headers.get(HEADER_PREFIX + "Target-Instance")
         request_id = request.headers.get(HEADER_PREFIX + "Request-Id", "")
