Fix: an outcome is reported only once it is stored, by any node

Cause: a promise was published before what it promises was stored. The reporter has a fallback for coordinators that don't reach the store; the writer of the outcome had none, and its pause grew to 30 s. While the store rejected both coordinators, another node reported "completed", and nothing was stored. After the restart no node knew the history of the order, which excludes its version: the only one that still ran.

Ruled out: that the coordinators reached the store. By the record they had 503 for each call from 5.3 s before the report until the kill.

Change: - A final state is published only when it is marked as stored. The mark is set after a commit that succeeded, or when the row was read back, and travels with the state. So the order holds for each writer, for rollbacks as for completions, and where the response to the write is lost. - Nodes that are no coordinators store and read outcomes after 1.5 to 3 s, as they report them. That a service has no row is a mark too, so that not every node looks for it. - The pause after a failure is 3 s at most; a phase that is entered is written at once.

--- a/packages/node/src/balsamramp_node/rollouts/outcome_reporter.py
+++ b/packages/node/src/balsamramp_node/rollouts/outcome_reporter.py
@@ -11,6 +11,7 @@
 from balsamramp_core import service_manager
 from balsamramp_node.process import decision_log
 from balsamramp_node.rollouts import rollout_controller
+from balsamramp_node.rollouts import rollout_coordinators
 from balsamramp_node.rollouts import rollout_gossip
 from balsamramp_node.rollouts import rollout_state
 from balsamramp_wire import rollout_messages
@@ -18,10 +19,6 @@
 __all__ = ["OutcomeReporter"]
 
 REPORT_INTERVAL = datetime.timedelta(milliseconds=250)
-# A node that is not a coordinator of the service publishes a state that is
-# still unpublished after this delay: the coordinators may not reach the
-# outcome publisher.
-FALLBACK_DELAY = datetime.timedelta(seconds=1.5)
 RETRY_DELAY = datetime.timedelta(seconds=1)
 PHASE = rollout_state.RolloutPhase
 RUNNING = "running"
@@ -34,7 +31,9 @@
 
     The coordinators of a service publish at once, other nodes after a
     delay. A published state is gossiped as a mark of the rollout, so that
-    other nodes do not publish it again.
+    other nodes do not publish it again. A final state is published only once
+    it is stored: operators act on it, and a restart of all nodes must not
+    undo it.
     """
 
     name = "outcome-reporter"
@@ -83,14 +82,17 @@
             state, reported_state
         ):
             return
+        if reported_state != RUNNING and not rollout_state.is_stored(state):
+            return
         now = self._clock.monotonic()
         first_seen = self._first_seen.setdefault(
             (state.intent, reported_state), now
         )
         is_coordinator = self._gossip.is_coordinator(state.service)
-        if not is_coordinator and now - first_seen < FALLBACK_DELAY * (
+        delay = rollout_coordinators.FALLBACK_DELAY * (
             1 + self._random.random()
-        ):
+        )
+        if not is_coordinator and now - first_seen < delay:
             return
         if now < self._retry_at.get(state.intent, now):
             return
--- a/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
@@ -189,7 +189,7 @@
     def expire_unknown_history(self, service: str) -> None:
         """Expire rollouts of ``service`` past their deadline without history.
 
-        Call it after the stored outcomes of ``service`` were read.
+        Only those expire for which a node has looked for a row in vain.
         """
         now = self._clock.now()
         for intent_id in list(self._by_service.get(service, ())):
@@ -199,6 +199,8 @@
                 continue
             if rollout_state.is_history_known(state):
                 continue
+            if not rollout_state.is_history_absent(state):
+                continue
             expired = rollout_state.enter_phase(
                 state,
                 PHASE.EXPIRED,
@@ -236,6 +238,30 @@
             rollout_state.mark_reported(state, reported_state, now)
         )
 
+    def mark_stored(self, intent_id: str, phases: frozenset[str]) -> None:
+        """Record that the table has ``phases`` of an intent."""
+        state = self._states.get(intent_id)
+        if state is None:
+            return
+        now = self._clock.now()
+        marked = rollout_state.mark_stored(state, phases, now)
+        if marked != state:
+            self._store_state(marked)
+
+    def mark_history_absent(self, service: str) -> None:
+        """Record that the table has no row of intents of unknown history.
+
+        Call it after all stored outcomes of ``service`` were merged.
+        """
+        now = self._clock.now()
+        for intent_id in list(self._by_service.get(service, ())):
+            state = self._states[intent_id]
+            if rollout_state.is_history_known(state):
+                continue
+            marked = rollout_state.mark_history_absent(state, now)
+            if marked != state:
+                self._store_state(marked)
+
     def has_short_rollouts(self) -> bool:
         """Return whether an unfinished rollout is planned for under 1 min."""
         for intent_id, intent in self._intents.items():
--- a/packages/node/src/balsamramp_node/rollouts/rollout_coordinators.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_coordinators.py
@@ -9,9 +9,12 @@
 from balsamramp_node.membership import membership
 from balsamramp_wire import messages
 
-__all__ = ["RolloutCoordinators"]
+__all__ = ["FALLBACK_DELAY", "RolloutCoordinators"]
 
 INDEX_INTERVAL = datetime.timedelta(seconds=1)
+# After this delay, and up to as much again, other nodes do what coordinators
+# have not done: these may reach their peers but not the platform.
+FALLBACK_DELAY = datetime.timedelta(seconds=1.5)
 UNREACHABLE_TIMEOUT = datetime.timedelta(seconds=5)
 
 Zones = dict[str, list[messages.Member]]
--- a/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
@@ -1,6 +1,7 @@
 """Persists rollout outcomes in the transactional table."""
 
 import asyncio
+import contextlib
 import datetime
 import random
 
@@ -14,6 +15,7 @@
 from balsamramp_core import service_manager
 from balsamramp_core import storage
 from balsamramp_node.rollouts import rollout_controller
+from balsamramp_node.rollouts import rollout_coordinators
 from balsamramp_node.rollouts import rollout_gossip
 from balsamramp_node.rollouts import rollout_state
 from balsamramp_wire import rollout_messages
@@ -23,8 +25,9 @@
 KEY_PREFIX = "outcomes/"
 SYNC_INTERVAL = datetime.timedelta(seconds=1)
 SCAN_ROWS_MAX = 256
-RETRY_INTERVAL_MAX = datetime.timedelta(seconds=30)
-PHASE = rollout_state.RolloutPhase
+# A rollout whose outcome is not stored, or not read, holds up calls and
+# reports, so a table that returns is noticed soon.
+RETRY_INTERVAL_MAX = datetime.timedelta(seconds=3)
 
 State = rollout_messages.RolloutState
 
@@ -32,10 +35,12 @@
 class RolloutPersistence(service_manager.Service):
     """Reads rollout outcomes from the table and writes them.
 
-    Only the coordinators of a service do so. They scan its rows once and
-    write a row when a phase is entered. Concurrent writers are safe, since
-    each merges its state with the stored one. An intent that started
-    before all nodes and has no row is granted no step and expires.
+    The coordinators of a service do so at once, other nodes after a delay.
+    They scan its rows once and write a row when a phase is entered. What is
+    stored, and that there is no row to read, is gossiped as a mark of the
+    rollout, so that other nodes leave it. Concurrent writers are safe, since
+    each merges its state with the stored one. An intent that started before
+    all nodes and has no row is granted no step and expires.
     """
 
     name = "rollout-record"
@@ -57,9 +62,11 @@
         self._metrics = counters
         self._random = rng
         self._scanned_services: set[str] = set()
-        self._written_phases: dict[str, frozenset[str]] = {}
+        self._fallback_at: dict[str, datetime.timedelta] = {}
         self._interval = SYNC_INTERVAL
+        self._has_unstored = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
+        controller.listen(self._on_changed_state)
 
     async def start(self) -> None:
         self._task = asyncio.create_task(self._run())
@@ -69,40 +76,73 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def _on_changed_state(self, state: State) -> None:
+        if rollout_state.is_stored(state):
+            return
+        if self._gossip.is_coordinator(state.service):
+            self._has_unstored.set()
+
     async def _run(self) -> None:
         while True:
+            self._has_unstored.clear()
             reachable = await self._synchronise()
             self._interval = min(2 * self._interval, RETRY_INTERVAL_MAX)
             if reachable:
                 self._interval = SYNC_INTERVAL
             jitter = 0.5 + self._random.random()
-            await self._clock.sleep(self._interval * jitter)
+            with contextlib.suppress(TimeoutError):
+                wait = self._interval * jitter
+                async with asyncio.timeout(wait.total_seconds()):
+                    await self._has_unstored.wait()
 
     async def _synchronise(self) -> bool:
         for state in self._rollouts.states():
-            if not self._gossip.is_coordinator(state.service):
+            if not self._acts_on(state):
                 continue
-            if not await self._read_service(state.service):
+            if not await self._read_service(state):
                 return False
-            phases = _phases(state)
-            if self._written_phases.get(state.intent, frozenset()) >= phases:
+            self._rollouts.expire_unknown_history(state.service)
+            current = self._rollouts.state(state.intent)
+            if current is None or rollout_state.is_stored(current):
                 continue
-            if not await self._write_state(state):
+            if not await self._write_state(current):
                 return False
         return True
 
-    async def _read_service(self, service: str) -> bool:
-        """Scan the stored outcomes of ``service``, unless already done."""
-        if service not in self._scanned_services:
-            prefix = f"{KEY_PREFIX}{service}/"
-            scanned = await self._table.scan(prefix, "", SCAN_ROWS_MAX)
-            if isinstance(scanned, result.Failure):
-                return False
-            self._scanned_services.add(service)
-            self._rollouts.merge(_decode_states(scanned.unwrap()))
-        self._rollouts.expire_unknown_history(service)
+    def _acts_on(self, state: State) -> bool:
+        """Return whether this node reads or writes the row of ``state``."""
+        if self._gossip.is_coordinator(state.service):
+            return True
+        if _is_settled(state):
+            self._fallback_at.pop(state.intent, None)
+            return False
+        now = self._clock.monotonic()
+        delay = rollout_coordinators.FALLBACK_DELAY * (
+            1 + self._random.random()
+        )
+        return now >= self._fallback_at.setdefault(state.intent, now + delay)
+
+    async def _read_service(self, state: State) -> bool:
+        """Read the stored outcomes of the service, if any may be missing."""
+        service = state.service
+        if service in self._scanned_services and _is_history_settled(state):
+            return True
+        prefix = f"{KEY_PREFIX}{service}/"
+        scanned = await self._table.scan(prefix, "", SCAN_ROWS_MAX)
+        if isinstance(scanned, result.Failure):
+            return False
+        self._scanned_services.add(service)
+        for stored in _decode_states(scanned.unwrap()):
+            self._merge_stored(stored)
+        self._rollouts.mark_history_absent(service)
         return True
 
+    def _merge_stored(self, stored: State) -> None:
+        self._rollouts.merge([stored])
+        self._rollouts.mark_stored(
+            stored.intent, rollout_state.outcome_phases(stored)
+        )
+
     async def _write_state(self, state: State) -> bool:
         """Write ``state``, merged with the stored row if there is one."""
         key = f"{KEY_PREFIX}{state.service}/{state.intent}"
@@ -111,10 +151,10 @@
             return False
         row = read.unwrap()
         for stored in _decode_states([row] if row is not None else []):
-            self._rollouts.merge([stored])
+            self._merge_stored(stored)
             state = rollout_state.merge_states(state, stored)
-            if _phases(stored) >= _phases(state):
-                self._written_phases[state.intent] = _phases(state)
+            phases = rollout_state.outcome_phases(state)
+            if rollout_state.outcome_phases(stored) >= phases:
                 return True
         return await self._commit(key, row, state)
 
@@ -130,18 +170,21 @@
         ok = isinstance(committed, result.Success)
         self._metrics.count("outcome_writes_total", ok=str(ok).lower())
         if ok:
-            self._written_phases[state.intent] = _phases(state)
+            phases = rollout_state.outcome_phases(state)
+            self._rollouts.mark_stored(state.intent, phases)
             return True
         kind = storage.StorageErrorKind.UNAVAILABLE
         return committed.failure().kind is not kind
 
 
-def _phases(state: State) -> frozenset[str]:
-    return frozenset(
-        phase.value
-        for phase in PHASE
-        if phase.value in state.marks and phase is not PHASE.PROGRESSING
-    )
+def _is_history_settled(state: State) -> bool:
+    return rollout_state.is_history_known(
+        state
+    ) or rollout_state.is_history_absent(state)
+
+
+def _is_settled(state: State) -> bool:
+    return _is_history_settled(state) and rollout_state.is_stored(state)
 
 
 def _decode_states(rows: list[storage.Row]) -> list[State]:
--- a/packages/node/src/balsamramp_node/rollouts/rollout_state.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_state.py
@@ -21,22 +21,29 @@
     "hash_of",
     "intent_id",
     "is_reported",
+    "is_history_absent",
     "is_history_known",
+    "is_stored",
     "merge_states",
     "mark_late",
     "mark_reported",
+    "mark_stored",
     "phase",
     "advance_to_step",
     "step",
     "step_started_at",
+    "mark_history_absent",
     "mark_history_known",
+    "outcome_phases",
 ]
 
 BUCKETS = 64
 LATE_MARK = "late"
 REPORTED_PREFIX = "reported-"
 STEP_PREFIX = "step-"
+STORED_PREFIX = "stored-"
 HISTORY_KNOWN_MARK = "vouched"
+HISTORY_ABSENT_MARK = "unrecorded"
 
 State = rollout_messages.RolloutState
 
@@ -183,6 +190,41 @@
     return REPORTED_PREFIX + reported_state in state.marks
 
 
+def outcome_phases(state: State) -> frozenset[str]:
+    """Return the names of the phases in ``state`` that are to be stored."""
+    return frozenset(
+        item.value
+        for item in RolloutPhase
+        if item.value in state.marks and item is not RolloutPhase.PROGRESSING
+    )
+
+
+def mark_stored(
+    state: State, phases: frozenset[str], at: datetime.datetime
+) -> State:
+    """Return ``state`` with its ``phases`` marked as stored in the table."""
+    for name in sorted(phases):
+        state = _add_mark(state, STORED_PREFIX + name, at)
+    return state
+
+
+def is_stored(state: State) -> bool:
+    """Return whether the table has all of the state's outcome phases."""
+    return all(
+        STORED_PREFIX + name in state.marks for name in outcome_phases(state)
+    )
+
+
+def mark_history_absent(state: State, at: datetime.datetime) -> State:
+    """Return ``state`` marked as having no row in the table."""
+    return _add_mark(state, HISTORY_ABSENT_MARK, at)
+
+
+def is_history_absent(state: State) -> bool:
+    """Return whether a node has looked for the intent's row in vain."""
+    return HISTORY_ABSENT_MARK in state.marks
+
+
 def mark_history_known(state: State, at: datetime.datetime) -> State:
     """Return ``state`` marked as having its full history."""
     return _add_mark(state, HISTORY_KNOWN_MARK, at)
--- a/packages/testing/tests/test_rollout_scenarios.py
+++ b/packages/testing/tests/test_rollout_scenarios.py
@@ -10,12 +10,14 @@
 from balsamramp_node.rollouts import rollout_persistence
 from balsamramp_node.rollouts import sequential_test
 from balsamramp_node.rollouts.policies import evidence
+from balsamramp_testing import memory_network
 from balsamramp_testing import rollout_trial
 from balsamramp_wire import messages
 
 NEW = (rollout_trial.NEW,)
 STOP_BOUND_SECONDS = 2.0
 CAP = 0.05
+STORED_WITHIN_SECONDS = 5.0
 FAILS = rollout_trial.Fault(versions=NEW, failing=1.0)
 NIGHT = rollout_trial.TrialConfig(
     calls_per_second=2.0,
@@ -206,6 +208,32 @@
     assert runs > 0
 
 
+async def _cut_deciders_from_platform(trial: rollout_trial.Trial) -> None:
+    """Nodes that don't decide store the outcome; all nodes restart then."""
+    await trial.wait_until(20.0)
+    cut = [
+        name
+        for name, node in sorted(trial.world.nodes.items())
+        if node.core.rollout_gossip.is_coordinator(rollout_trial.SERVICE)
+    ]
+    assert len(cut) < len(trial.world.nodes)
+    for name in cut:
+        trial.world.network.partition(name, memory_network.PLATFORM)
+    while trial.report().phase != "finished":
+        await trial.wait(0.5)
+    await trial.wait(STORED_WITHIN_SECONDS)
+    for name in cut:
+        trial.world.network.heal(name, memory_network.PLATFORM)
+    await _restart_all(trial)
+    assert trial.report().phase == "finished"
+    assert trial.new_runs
+
+
+def test_completed_is_kept_though_deciders_do_not_reach_the_platform() -> None:
+    """Guards against a completed version that a restart of all excludes."""
+    rollout_trial.run(rollout_trial.TrialConfig(), _cut_deciders_from_platform)
+
+
 async def _condemn_and_restart(trial: rollout_trial.Trial) -> None:
     await trial.wait_until(20.0)
     assert trial.report().phase == "taken-back"
