Fix: stored outcomes are read to the last page

Cause: the scan stopped after 256 rows and never asked for the next page.

Change: the scan goes on after the last key of a page until a page is empty. A page shorter than the limit is not taken for the last one: the store also cuts pages by their size, and malformed rows are left out.

Test failed before: test_outcome_is_found_among_many_earlier_ones, "RolloutPhase.WAITING is RolloutPhase.FINISHED". It passes now.

--- a/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
@@ -128,12 +128,19 @@
         if service in self._scanned_services and _is_history_settled(state):
             return True
         prefix = f"{KEY_PREFIX}{service}/"
-        scanned = await self._table.scan(prefix, "", SCAN_ROWS_MAX)
-        if isinstance(scanned, result.Failure):
-            return False
+        after = ""
+        while True:
+            scanned = await self._table.scan(prefix, after, SCAN_ROWS_MAX)
+            if isinstance(scanned, result.Failure):
+                return False
+            # A page may be shorter than the limit although others follow.
+            rows = scanned.unwrap()
+            if not rows:
+                break
+            after = rows[-1].key
+            for stored in _decode_states(rows):
+                self._merge_stored(stored)
         self._scanned_services.add(service)
-        for stored in _decode_states(scanned.unwrap()):
-            self._merge_stored(stored)
         self._rollouts.mark_history_absent(service)
         return True
 
--- a/packages/node/tests/test_outcome_order.py
+++ b/packages/node/tests/test_outcome_order.py
@@ -10,6 +10,7 @@
 import typing
 
 import attrs
+import msgspec
 import pytest
 from returns import result
 
@@ -33,6 +34,7 @@
     PHASE.ROLLED_BACK: outcome_reporter.ROLLED_BACK,
 }
 PHASES_IN_TURN = (PHASE.COMPLETED, PHASE.REVALIDATING, PHASE.FINISHED)
+EARLIER_ROLLOUTS = 600
 # Both fallbacks in a row, and a tick of each service.
 FALLBACK_SECONDS = 8.0
 
@@ -189,6 +191,31 @@
     _run(True, script)
 
 
+def test_outcome_is_found_among_many_earlier_ones() -> None:
+    """Guards against outcomes that are stored beyond the first page."""
+
+    async def main() -> None:
+        node = _Node(True)
+        state = node.controller.state(INTENT_ID)
+        assert state is not None
+        finished = rollout_state.mark_history_known(
+            rollout_state.enter_phase(state, PHASE.FINISHED, state.start),
+            state.start,
+        )
+        names = [f"a{number:04}" for number in range(EARLIER_ROLLOUTS)]
+        for name in [*names, INTENT_ID]:
+            stored = attrs.evolve(finished, intent=name)
+            key = f"{rollout_persistence.KEY_PREFIX}caja/{name}"
+            write = storage.Write(key, msgspec.msgpack.encode(stored))
+            await node.table.commit(storage.Transaction((), (write,)))
+        await node.persistence._synchronise()
+        found = node.controller.state(INTENT_ID)
+        assert found is not None
+        assert rollout_state.phase(found) is PHASE.FINISHED
+
+    virtual_time.run(main())
+
+
 def test_both_orders_of_a_tick_give_the_same() -> None:
     """The reporter may run just before the outcome is stored, or after."""
 
