Fix: late announcements after a restart do not bring a target back

Cause: a related path of the failed health check. A check without a result (no configuration yet, no slot free, no response) left it to the second announcement to show that the target is there, though that may be as old as the first. No check followed.

The row (UNKNOWN, STARTING, READY) of test_target_older_than_its_node_is_probed_first asked for the fault itself; it asks for STARTING now, and the tests beside it for what follows.

Tests failed before: that row, test_late_announcements_do_not_restore_a_target_that_has_left and test_target_that_goes_on_to_announce_itself_is_used_without_a_check[UNKNOWN], each with "READY is STARTING".

--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -131,9 +131,8 @@
     A target that started before this process may have told the previous
     process that it is leaving, and its announcement may be late. So
     ``probe_health`` checks it before it gets calls, again and again until it
-    serves or leaves. If its health is unknown, it gets calls from its second
-    announcement on. If it is unhealthy although it goes on to announce
-    itself, it gets calls as soon as its announcements can't be late ones.
+    serves or leaves. A target that goes on to announce itself without a
+    successful check gets calls as soon as its announcements can't be late.
     """
 
     name = "targets"
@@ -283,8 +282,6 @@
             return True
         if announcement.sequence <= local_target.announcement.sequence:
             return False
-        if local_target.health is not Health.UNHEALTHY:
-            return True
         process_age = self._clock.monotonic() - self._process_started_at
         return process_age > ANNOUNCEMENT_DELAY_MAX
 
--- a/packages/node/tests/test_local_targets.py
+++ b/packages/node/tests/test_local_targets.py
@@ -170,7 +170,7 @@
         (targets.Health.SERVING, READY, READY),
         (targets.Health.LEAVING, DRAINING, DRAINING),
         (targets.Health.UNHEALTHY, STARTING, STARTING),
-        (targets.Health.UNKNOWN, STARTING, READY),
+        (targets.Health.UNKNOWN, STARTING, STARTING),
     ],
 )
 def test_target_older_than_its_node_is_probed_first(
@@ -248,14 +248,17 @@
     virtual_time.run(main())
 
 
-def test_target_that_goes_on_to_announce_itself_is_used_though_unhealthy() -> (
-    None
-):
+@pytest.mark.parametrize(
+    "health", [targets.Health.UNHEALTHY, targets.Health.UNKNOWN]
+)
+def test_target_that_goes_on_to_announce_itself_is_used_without_a_check(
+    health: targets.Health,
+) -> None:
     """Guards against a false health check that shuts a target out."""
 
     async def main() -> None:
         vm = _Vm()
-        probe = _Probe(targets.Health.UNHEALTHY)
+        probe = _Probe(health)
         vm.local.probe_health = probe.check
         assert vm.announce()
         delay_max = targets.ANNOUNCEMENT_DELAY_MAX
@@ -267,6 +270,26 @@
     virtual_time.run(main())
 
 
+def test_late_announcements_do_not_restore_a_target_that_has_left() -> None:
+    """Guards against two late announcements after a restart of the node."""
+
+    async def main() -> None:
+        vm = _Vm()
+        probe = _Probe(targets.Health.UNKNOWN)
+        vm.local.probe_health = probe.check
+        for sequence in (1, 2, 3):
+            assert vm.announce(sequence=sequence)
+            await _run_pending_tasks()
+            assert vm.state() is STARTING
+        probe.health = targets.Health.UNHEALTHY
+        await vm.clock.sleep(LEASE / 2)
+        assert vm.state() is STARTING
+        await vm.clock.sleep(LEASE)
+        assert vm.state() is None
+
+    virtual_time.run(main())
+
+
 def test_target_that_says_that_it_drains_is_not_probed_further() -> None:
     async def main() -> None:
         vm = _Vm()
