Fix: all bodies of a process share one limit

A report of other operators: a faulty target sends bytes without end, and the node that called it keeps them until it runs out of memory; the requests of other callers end with it.

Here: each body has a limit of 16 MB and all bodies together had none, so that what is kept grows with the slots of the target. Measured with 60 requests at once, 40 slots: a peak of 481 MB (a body without a length) and 316 MB (chunks); four request bodies of 60 MiB at once: 577 MB. The smallest machines have 200 MB.

Change: a BodyBudget of a fifth of the setting [node] memory (200 MB if not set) is shared by the responses of targets, the requests of callers and what waits to be sent to callers and peers. When it is used up, the largest body that is still being received is given up: a response ends as one that was cut off, a request gets 503, as it has not run. The limits on a body and on heads stay.

Tests failed before: test_many_endless_bodies_fit_into_the_memory_of_a_process (480908 and 316112 KiB, 195312 allowed) and test_large_requests_at_once_fit_into_the_memory_of_a_process (577352).

--- a/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
@@ -20,6 +20,7 @@
 from balsamramp_node.inbound import target_client
 from balsamramp_node.inbound import target_statement
 from balsamramp_node.inbound import targets
+from balsamramp_node.process import body_budget
 from balsamramp_node.process import http_connection
 from balsamramp_wire import messages
 
@@ -82,8 +83,10 @@
         body_max_bytes: int,
         time: clock.Clock,
         counters: metrics.Metrics,
+        budget: body_budget.BodyBudget | None = None,
     ) -> None:
         self._names = names
+        self._budget = budget
         self._body_max_bytes = body_max_bytes
         self._clock = time
         self._metrics = counters
@@ -134,7 +137,7 @@
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT.total_seconds()):
                 connection = await http_connection.HttpConnection.open(
-                    address, self._body_max_bytes
+                    address, self._body_max_bytes, self._budget
                 )
                 response = await connection.send_request(
                     request.encode(),
@@ -305,7 +308,7 @@
         try:
             async with asyncio.timeout(wait.total_seconds()):
                 return await http_connection.HttpConnection.open(
-                    address, self._body_max_bytes
+                    address, self._body_max_bytes, self._budget
                 )
         except (OSError, TimeoutError) as error:
             if getattr(error, "errno", None) == errno.ECONNREFUSED:
--- a/packages/node/src/balsamramp_node/process/caller_connection.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from balsamramp_core.resources import caller_limits
+from balsamramp_node.process import body_budget
 from balsamramp_node.process import caller_connection_log
 
 __all__ = ["CallerConnection", "Handler", "RawRequest", "RawResponse"]
@@ -81,14 +82,24 @@
     headers_complete: bool = False
     body: list[bytes] = attrs.field(factory=list)
     body_bytes: int = 0
+    reservation: body_budget.Reservation | None = None
 
 
 @attrs.frozen
 class _ReceivedRequest:
-    """A complete request and the time of the event loop at its end."""
+    """A complete request and the time of the event loop at its end.
+
+    ``reservation`` is the memory of its body, until it has a response.
+    """
 
     request: RawRequest
     received_at: float
+    reservation: body_budget.Reservation | None = None
+
+    def release(self) -> None:
+        """Release the memory of the body."""
+        if self.reservation is not None:
+            self.reservation.release()
 
 
 class CallerConnection(asyncio.Protocol):
@@ -109,7 +120,9 @@
         limits: Limits,
         connections: set["CallerConnection"],
         log: caller_connection_log.CallerConnectionLog | None = None,
+        budget: body_budget.BodyBudget | None = None,
     ) -> None:
+        self._budget = budget
         self._handler = handler
         self._get_limits = limits
         self._connections = connections
@@ -145,12 +158,17 @@
             return True
         return self._partial is not None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how much of the responses is not sent yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     @property
     def unsent(self) -> bool:
         """Return whether a part of a response is not sent yet."""
-        if self._transport is None:
-            return False
-        return self._transport.get_write_buffer_size() > 0
+        return self.unsent_bytes > 0
 
     @property
     def closed(self) -> asyncio.Event:
@@ -204,7 +222,10 @@
         self._connections.discard(self)
         self._closed.set()
         self._record_unanswered(exc)
+        for received in self._pipelined:
+            received.release()
         self._pipelined.clear()
+        self._drop_partial()
         for timer in (self._header_timer, self._idle_timer):
             if timer is not None:
                 timer.cancel()
@@ -253,6 +274,8 @@
         """Start a new request (parser callback)."""
         self._has_received = True
         self._partial = _PartialRequest()
+        if self._budget is not None:
+            self._partial.reservation = self._budget.open(self._cut)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target (parser callback)."""
@@ -292,6 +315,19 @@
         partial.body_bytes += len(body)
         if partial.body_bytes > self._get_limits().body_max_bytes:
             self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif partial.reservation is not None and not (
+            partial.reservation.grow(len(body))
+        ):
+            self._cut()
+
+    def _cut(self) -> None:
+        """Reject the request being received for lack of memory."""
+        self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _drop_partial(self) -> None:
+        partial, self._partial = self._partial, None
+        if partial is not None and partial.reservation is not None:
+            partial.reservation.release()
 
     def on_message_complete(self) -> None:
         """Queue the complete request for the handler (parser callback)."""
@@ -306,7 +342,11 @@
             body=b"".join(partial.body),
             keep_alive=self._parser.should_keep_alive(),
         )
-        self._pipelined.append(_ReceivedRequest(request, self._loop.time()))
+        if partial.reservation is not None:
+            partial.reservation.keep()
+        self._pipelined.append(
+            _ReceivedRequest(request, self._loop.time(), partial.reservation)
+        )
         if (
             len(self._pipelined) > PIPELINED_REQUESTS_MAX
             and self._transport is not None
@@ -323,9 +363,10 @@
             and self._transport is not None
         ):
             self._transport.resume_reading()
-        self._task = self._loop.create_task(self._respond(received.request))
+        self._task = self._loop.create_task(self._respond(received))
 
-    async def _respond(self, request: RawRequest) -> None:
+    async def _respond(self, received: _ReceivedRequest) -> None:
+        request = received.request
         try:
             response = await self._handler(request)
         except Exception:
@@ -341,6 +382,7 @@
             response = self._failure_response(HandlerFailure.CANCELLED)
         finally:
             self._task = None
+            received.release()
         self._last_active_at = self._loop.time()
         self._write_response(request, response)
 
@@ -385,7 +427,7 @@
         transport = self._transport
         if transport is None or self._closing:
             return
-        self._partial = None
+        self._drop_partial()
         self._rejected = self._close_when_idle = True
         transport.pause_reading()
         if self._task is not None or self._pipelined:
@@ -399,7 +441,7 @@
         """Close for writing and wait for the caller to close its side."""
         assert self._transport is not None
         self._lingering = True
-        self._partial = None
+        self._drop_partial()
         self._transport.write_eof()
         self._transport.resume_reading()
         for timer in (self._header_timer, self._idle_timer):
--- a/packages/node/src/balsamramp_node/process/caller_server.py
+++ b/packages/node/src/balsamramp_node/process/caller_server.py
@@ -8,6 +8,7 @@
 
 from balsamramp_core import service_manager
 from balsamramp_core import settings
+from balsamramp_node.process import body_budget
 from balsamramp_node.process import caller_connection
 from balsamramp_node.process import caller_connection_log
 from balsamramp_node.process import shutdown_schedule
@@ -37,7 +38,9 @@
         shutdown: shutdown_schedule.ShutdownSchedule,
         log: caller_connection_log.CallerConnectionLog | None = None,
         drain_timeout: datetime.timedelta | None = None,
+        budget: body_budget.BodyBudget | None = None,
     ) -> None:
+        self._budget = budget
         self._drain_timeout = drain_timeout
         self.name = name  # type: ignore[misc]
         self.requires = requires  # type: ignore[misc]
@@ -57,6 +60,11 @@
         """Return the listen address with the port that was bound."""
         return self._address
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how much written data the sockets have not taken yet."""
+        return sum(item.unsent_bytes for item in self._connections)
+
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self._listener = socket.create_server(
@@ -119,7 +127,11 @@
 
     def _make_connection(self) -> caller_connection.CallerConnection:
         connection = caller_connection.CallerConnection(
-            self._handler, self._get_limits, self._connections, self._log
+            self._handler,
+            self._get_limits,
+            self._connections,
+            self._log,
+            self._budget,
         )
         self._connections.add(connection)
         if self._stopping:
--- a/packages/node/src/balsamramp_node/process/http_connection.py
+++ b/packages/node/src/balsamramp_node/process/http_connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from balsamramp_core import settings
+from balsamramp_node.process import body_budget
 
 __all__ = [
     "ExchangeProgress",
@@ -43,6 +44,7 @@
     LOST = "connection lost"
     MALFORMED = "bytes that are no answer"
     TOO_LARGE = "answer over the limit"
+    NO_ROOM = "no memory for the answer"
 
 
 class ResponseError(Exception):
@@ -102,11 +104,17 @@
     """Sends requests one at a time and parses their responses.
 
     Bytes received while no request is pending abort the connection, and so
-    does a response that is larger than the limits allow.
+    does a response that is larger than the limits allow, or than the room
+    that is left in ``budget``.
     """
 
-    def __init__(self, body_max_bytes: int) -> None:
+    def __init__(
+        self,
+        body_max_bytes: int,
+        budget: body_budget.BodyBudget | None = None,
+    ) -> None:
         self._body_max_bytes = body_max_bytes
+        self._reservation = None if budget is None else budget.open(self._cut)
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._partial = _PartialResponse()
@@ -167,12 +175,15 @@
 
     @classmethod
     async def open(
-        cls, address: settings.Address, body_max_bytes: int
+        cls,
+        address: settings.Address,
+        body_max_bytes: int,
+        budget: body_budget.BodyBudget | None = None,
     ) -> "HttpConnection":
         """Connect to ``address``; raises OSError."""
         loop = asyncio.get_running_loop()
         _, connection = await loop.create_connection(
-            lambda: cls(body_max_bytes), address.host, address.port
+            lambda: cls(body_max_bytes, budget), address.host, address.port
         )
         return connection
 
@@ -284,13 +295,13 @@
         self._fail(ResponseFailure.LOST)
         # The parser refers to the connection and keeps it until a garbage
         # collection.
-        self._partial = _PartialResponse()
+        self._start_response()
 
     def on_message_begin(self) -> None:
         """Start a new response (parser callback)."""
         if self._pending is None or self._pending.done():
             self._reusable = False
-        self._partial = _PartialResponse()
+        self._start_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header (parser callback)."""
@@ -310,6 +321,10 @@
         self._extend_timeout()
         if self._partial.body_bytes > self._body_max_bytes:
             self._fail(ResponseFailure.TOO_LARGE)
+        elif self._reservation is not None and not self._reservation.grow(
+            len(body)
+        ):
+            self._fail(ResponseFailure.NO_ROOM)
 
     def on_message_complete(self) -> None:
         """Complete the response (parser callback)."""
@@ -343,6 +358,7 @@
             ),
             body=b"".join(partial.body),
         )
+        self._start_response()
         if not self._accepts(response):
             self._reusable = False
             return
@@ -351,9 +367,18 @@
                 match = KEEP_ALIVE_PATTERN.search(value)
                 if match is not None:
                     self._keep_alive_seconds = int(match[1])
-        self._partial = _PartialResponse()
         self._pending.set_result(response)
 
+    def _start_response(self) -> None:
+        """Forget the parsed response, and what its body has reserved."""
+        self._partial = _PartialResponse()
+        if self._reservation is not None:
+            self._reservation.release()
+
+    def _cut(self) -> None:
+        self._fail(ResponseFailure.NO_ROOM)
+        self._partial = _PartialResponse()
+
     def _extend_timeout(self) -> None:
         """Allow the full pause before the next part of the body."""
         if self._timer is None:
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -26,6 +26,7 @@
 from balsamramp_node.outbound import stream_client
 from balsamramp_node.outbound import stream_control_transport
 from balsamramp_node.process import asgi_handler
+from balsamramp_node.process import body_budget
 from balsamramp_node.process import caller_connection_log
 from balsamramp_node.process import caller_server
 from balsamramp_node.process import decision_log
@@ -58,6 +59,10 @@
     connect_timeout=datetime.timedelta(milliseconds=250),
 )
 BYTES_PER_MEGABIT = 125_000
+BYTES_PER_MEGABYTE = 1_000_000
+# Share of the memory for bodies. The program itself needs about half on the
+# smallest VMs, and a body is copied when it is joined and when it is sent.
+BODIES_MEMORY_SHARE = 0.2
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
@@ -104,11 +109,16 @@
             hello, now, self._metrics, keepalive=KEEPALIVE
         )
         control_handlers = control_server.ControlServer()
+        memory_bytes = checked.number("node", "memory") * BYTES_PER_MEGABYTE
+        self._budget = body_budget.BodyBudget(
+            int(memory_bytes * BODIES_MEMORY_SHARE), self._metrics
+        )
         target_client = pooled_target_client.PooledTargetClient(
             adapter.dialect,
             checked.integer("calls", "body_max_bytes"),
             now,
             self._metrics,
+            self._budget,
         )
         replies = reply_scheduler.ReplyScheduler(
             checked.number("listen", "link_rate") * BYTES_PER_MEGABIT,
@@ -177,7 +187,16 @@
                 decisions,
             )
         )
-        self._services.service_manager.add(self._make_caller_server(adapter))
+        callers = self._make_caller_server(adapter)
+        self._services.service_manager.add(callers)
+        self._budget.count_unsent(
+            lambda: (
+                replies.queued_bytes
+                + streams.unsent_bytes
+                + peer_server.unsent_bytes
+                + callers.unsent_bytes
+            )
+        )
 
     @property
     def ready(self) -> bool:
@@ -304,6 +323,7 @@
             caller_connection_log.CallerConnectionLog(
                 self._metrics, self._decisions, adapter.dialect.request_id
             ),
+            budget=self._budget,
         )
 
     def _make_side_servers(
--- a/packages/node/src/balsamramp_node/process/sidecar_options.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_options.py
@@ -40,6 +40,16 @@
         kind="address",
         doc="address of the target on this VM",
     ),
+    settings.Option(
+        section="node",
+        name="memory",
+        kind="float",
+        unit="MB",
+        default="200",
+        low=100,
+        high=1_000_000,
+        doc="memory that the process may use; bounds what it keeps of bodies",
+    ),
     _node_option("listen", "host"),
     settings.Option(
         section="listen",
