Fix: bytes after the headers of a request are limited too

Seen in a test: trailers and chunk extensions without end are read for as long as a caller sends them; a single trailer is kept in the parser, which has no limit of its own. A body in chunks of one byte takes some 40 bytes of memory for each.

Cause: only the headers had a limit on what is not body, and the parts of a body were kept as they came.

Change: what is received after the headers and is not body may be as large as the headers, and 16 bytes more for each byte of body, as for responses; beyond that the request gets 431. Small parts are joined. Both sides of HTTP use BodyParts now.

Tests failed before: the four cases of test_endless_trailers_and_chunk_extensions_are_refused (TimeoutError: no response within 20 s) and test_body_in_chunks_of_one_byte_takes_little_memory. They pass now.

--- a/packages/node/src/balsamramp_node/process/caller_connection.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection.py
@@ -13,6 +13,7 @@
 
 from balsamramp_core.resources import caller_limits
 from balsamramp_node.process import body_budget
+from balsamramp_node.process import body_parts
 from balsamramp_node.process import caller_connection_log
 
 __all__ = ["CallerConnection", "Handler", "RawRequest", "RawResponse"]
@@ -72,7 +73,9 @@
     """The request that is being parsed.
 
     ``header_bytes`` counts the parsed header names and values,
-    ``received_bytes`` all bytes received before the headers were complete.
+    ``received_bytes`` all bytes received before the headers were complete,
+    and ``framing_bytes`` those received later that are not body: the framing
+    of chunks, and trailers.
     """
 
     target: bytes = b""
@@ -80,8 +83,8 @@
     header_bytes: int = 0
     received_bytes: int = 0
     headers_complete: bool = False
-    body: list[bytes] = attrs.field(factory=list)
-    body_bytes: int = 0
+    framing_bytes: int = 0
+    body: body_parts.BodyParts = attrs.field(factory=body_parts.BodyParts)
     reservation: body_budget.Reservation | None = None
 
 
@@ -244,6 +247,11 @@
             return
         self._last_active_at = self._loop.time()
         self._message_completed = False
+        received, body_bytes = self._partial, 0
+        if received is not None and received.headers_complete:
+            body_bytes = received.body.size
+        else:
+            received = None
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -254,6 +262,11 @@
             self._reject(http.HTTPStatus.BAD_REQUEST)
             return
         partial = self._partial
+        if partial is not None and partial is received:
+            # The data is body and framing of this request alone.
+            body_bytes = partial.body.size - body_bytes
+            self._add_framing(partial, len(data) - body_bytes)
+            return
         if partial is None or partial.headers_complete:
             return
         if self._message_completed:
@@ -270,6 +283,14 @@
                 delay, self._on_header_timeout
             )
 
+    def _add_framing(self, partial: _PartialRequest, size: int) -> None:
+        partial.framing_bytes += size
+        framing_max_bytes = self._get_limits().header_max_bytes + (
+            partial.body.size * body_parts.CHUNK_FRAMING_RATIO_MAX
+        )
+        if partial.framing_bytes > framing_max_bytes:
+            self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def on_message_begin(self) -> None:
         """Start a new request (parser callback)."""
         self._has_received = True
@@ -312,8 +333,7 @@
         if partial is None:
             return
         partial.body.append(body)
-        partial.body_bytes += len(body)
-        if partial.body_bytes > self._get_limits().body_max_bytes:
+        if partial.body.size > self._get_limits().body_max_bytes:
             self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif partial.reservation is not None and not (
             partial.reservation.grow(len(body))
@@ -339,7 +359,7 @@
             method=self._parser.get_method().decode("latin-1"),
             target=partial.target,
             headers=partial.headers,
-            body=b"".join(partial.body),
+            body=partial.body.join(),
             keep_alive=self._parser.should_keep_alive(),
         )
         if partial.reservation is not None:
--- a/packages/node/src/balsamramp_node/process/http_connection.py
+++ b/packages/node/src/balsamramp_node/process/http_connection.py
@@ -13,6 +13,7 @@
 
 from balsamramp_core import settings
 from balsamramp_node.process import body_budget
+from balsamramp_node.process import body_parts
 
 __all__ = [
     "ExchangeProgress",
@@ -25,13 +26,9 @@
 KEEP_ALIVE_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 BODILESS_STATUSES = frozenset([204, 304])
 STATUS_INFORMATIONAL_MAX = 199
-# Smaller parts of a body are joined: each has the overhead of an object.
-BODY_PART_MIN_BYTES = 1024
 # Bytes received for one request that are not body: status lines, headers,
 # trailers and chunk extensions, also of informational and skipped responses.
 RESPONSE_HEAD_MAX_BYTES = 64 * 1024
-# Additional bytes per byte of body for the framing of chunks.
-CHUNK_FRAMING_RATIO_MAX = 16
 # Bodies received for one request: its own and that of a skipped response.
 RESPONSE_BODIES_MAX = 2
 # The limits are checked each time that so much has been parsed.
@@ -87,18 +84,9 @@
     """The response that is being parsed."""
 
     headers: list[tuple[bytes, bytes]] = attrs.field(factory=list)
-    body: list[bytes] = attrs.field(factory=list)
-    body_bytes: int = 0
+    body: body_parts.BodyParts = attrs.field(factory=body_parts.BodyParts)
     headers_complete: bool = False
 
-    def append_body(self, data: bytes) -> None:
-        """Append a part of the body to the last part if that is small."""
-        self.body_bytes += len(data)
-        if self.body and len(self.body[-1]) < BODY_PART_MIN_BYTES:
-            self.body[-1] += data
-        else:
-            self.body.append(data)
-
 
 class HttpConnection(asyncio.Protocol):
     """Sends requests one at a time and parses their responses.
@@ -279,7 +267,9 @@
 
     def _exceeds_limits(self) -> bool:
         head_bytes = self._received_bytes - self._body_bytes
-        framing_max_bytes = self._body_bytes * CHUNK_FRAMING_RATIO_MAX
+        framing_max_bytes = (
+            self._body_bytes * body_parts.CHUNK_FRAMING_RATIO_MAX
+        )
         if head_bytes > RESPONSE_HEAD_MAX_BYTES + framing_max_bytes:
             return True
         return self._body_bytes > self._body_max_bytes * RESPONSE_BODIES_MAX
@@ -316,10 +306,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body (parser callback)."""
-        self._partial.append_body(body)
+        self._partial.body.append(body)
         self._body_bytes += len(body)
         self._extend_timeout()
-        if self._partial.body_bytes > self._body_max_bytes:
+        if self._partial.body.size > self._body_max_bytes:
             self._fail(ResponseFailure.TOO_LARGE)
         elif self._reservation is not None and not self._reservation.grow(
             len(body)
@@ -356,7 +346,7 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in partial.headers
             ),
-            body=b"".join(partial.body),
+            body=partial.body.join(),
         )
         self._start_response()
         if not self._accepts(response):
--- a/packages/node/tests/test_caller_connection.py
+++ b/packages/node/tests/test_caller_connection.py
@@ -8,9 +8,11 @@
 import socket
 import struct
 import time
+import tracemalloc
 import typing
 
 import attrs
+import pytest
 import uvloop
 
 from balsamramp_core import clock
@@ -33,6 +35,7 @@
 GET = b"GET /a/b?x=%2F HTTP/1.1\r\nHost: caja.example\r\n\r\n"
 # More than the socket buffers of both ends hold.
 LARGE_BODY = bytes(32 * 1024 * 1024)
+SMALL_CHUNKS = 200_000
 REQUEST_ID_HEADER = "x-request-id"
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -267,6 +270,57 @@
     assert b"x-late" not in dict(request.headers)
 
 
+@pytest.mark.parametrize(
+    "start",
+    [b"0\r\nx: ", b"1;", b"0\r\n" + b"x: y\r\n" * 10, b"1;x=y\r\na\r\n1;"],
+)
+def test_endless_trailers_and_chunk_extensions_are_refused(
+    start: bytes,
+) -> None:
+    """Guards against bytes without end after the headers of a request."""
+
+    async def scenario(env: _Environment) -> None:
+        reader, writer = await env.connect()
+        writer.write(
+            b"PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        )
+        await asyncio.sleep(0.05)
+        writer.write(start)
+        for _ in range(20):
+            await asyncio.sleep(0.002)
+            writer.write(b"y" * 50)
+        assert (await _read_response(reader))[0] == 431
+        assert await reader.read() == b""
+
+    assert not _run(scenario).requests
+
+
+def test_body_in_chunks_of_one_byte_takes_little_memory() -> None:
+    async def scenario(env: _Environment) -> None:
+        reader, writer = await env.connect()
+        writer.write(
+            b"PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        )
+        await _wait_until(lambda: env.connections)
+        (connection,) = env.connections
+        await _wait_until(lambda: connection._partial)
+        tracemalloc.start()
+        writer.write(b"1\r\ny\r\n" * SMALL_CHUNKS)
+        await _wait_until(
+            lambda: (
+                connection._partial
+                and connection._partial.body.size == SMALL_CHUNKS
+            )
+        )
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert kept_bytes < 4 * SMALL_CHUNKS
+        writer.write(b"0\r\n\r\n")
+        assert (await _read_response(reader))[0] == 200
+
+    _run(scenario, body_max_bytes=SMALL_CHUNKS)
+
+
 def test_body_in_one_read_with_the_headers_does_not_count_as_header() -> None:
     async def scenario(env: _Environment) -> None:
         reader, writer = await env.connect()
