Fix: a stray announcement does not shut the target at its address out

Cause: as with the failed health check, one event was taken for the end of a target's start, and nothing that came later could undo it.

Change: two targets at one address are not judged by the time of their start, which each states itself, where health checks exist: the one that comes second gets no calls until a check of it succeeds, and only that withdraws the other. A check that another target responds to ends the announced one. Without health checks the later start wins, as before.

Tests failed before: the six cases of test_announcement_of_another_writer_does_not_shut_a_target_out, test_target_gets_its_address_back_from_another_writer and test_target_that_serves_at_an_address_replaces_the_earlier_one.

--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -133,6 +133,11 @@
     ``probe_health`` checks it before it gets calls, again and again until it
     serves or leaves. A target that goes on to announce itself without a
     successful check gets calls as soon as its announcements can't be late.
+
+    Another writer may announce a target at an address that is in use, and a
+    target that has ended may seem to have started later. So a second target
+    at an address is checked first too, and only a successful check withdraws
+    the first. Without checks the later start wins.
     """
 
     name = "targets"
@@ -193,7 +198,8 @@
         if rejection:
             self._metrics.count("announcements_stale_total")
             return result.Failure(rejection)
-        self._withdraw_previous_at_url(announcement)
+        if self.probe_health is None:
+            self._withdraw_others_at_url(announcement)
         expires_at = self._clock.monotonic() + self._lease
         local_target = self._targets.get(announcement.target)
         if local_target is None or local_target.announcement.instance != (
@@ -207,7 +213,7 @@
             if self._draining_all or self.is_leaving(announcement):
                 self.drain(announcement.target)
             else:
-                self._probe_if_older(local_target)
+                self._verify_if_needed(local_target)
         elif (
             local_target.state is messages.TargetState.STARTING
             and self._shows_readiness(local_target, announcement)
@@ -218,12 +224,17 @@
         self._publish()
         return result.Success(local_target)
 
-    def _probe_if_older(self, local_target: LocalTarget) -> None:
-        """Send no calls to a target older than this process until probed."""
+    def _verify_if_needed(self, local_target: LocalTarget) -> None:
+        """Send no calls to a target yet if it may not be there any more.
+
+        This is so if it is older than this process, or if another target
+        has announced itself at its address.
+        """
         announcement = local_target.announcement
         if self.probe_health is None or not announcement.started_ms:
             return
-        if announcement.started_ms >= self._process_started_ms:
+        is_older = announcement.started_ms < self._process_started_ms
+        if not is_older and not self._others_at_url(announcement):
             return
         local_target.state = messages.TargetState.STARTING
         local_target.unverified = True
@@ -267,6 +278,7 @@
         if health is Health.LEAVING:
             self.drain_for_good(local_target.announcement)
         elif health is Health.SERVING:
+            self._withdraw_others_at_url(local_target.announcement)
             self._resume(local_target)
             self._publish()
 
@@ -282,6 +294,8 @@
             return True
         if announcement.sequence <= local_target.announcement.sequence:
             return False
+        if self._others_at_url(announcement):
+            return False
         process_age = self._clock.monotonic() - self._process_started_at
         return process_age > ANNOUNCEMENT_DELAY_MAX
 
@@ -305,22 +319,32 @@
                 )
             if earlier.url != announcement.url or not earlier.started_ms:
                 continue
+            if self.probe_health is not None:
+                # A health check decides which of them is there.
+                continue
             if announcement.started_ms < earlier.started_ms:
                 return (
                     f"target {earlier.target} started later at {earlier.url}"
                 )
         return ""
 
-    def _withdraw_previous_at_url(self, announcement: Announcement) -> None:
-        """Withdraw targets whose address ``announcement`` has taken over."""
+    def _others_at_url(self, announcement: Announcement) -> list[str]:
+        """Return the other targets announced at the same address."""
         if not announcement.started_ms:
-            return
-        for target, local_target in list(self._targets.items()):
+            return []
+        found = []
+        for target, local_target in self._targets.items():
             earlier = local_target.announcement
             if target == announcement.target or not earlier.started_ms:
                 continue
             if earlier.url == announcement.url:
-                self.withdraw(target)
+                found.append(target)
+        return found
+
+    def _withdraw_others_at_url(self, announcement: Announcement) -> None:
+        """Withdraw targets whose address ``announcement`` has taken over."""
+        for target in self._others_at_url(announcement):
+            self.withdraw(target)
 
     def drain(self, target: str) -> bool:
         """Accept no new calls to ``target``; return False if unknown."""
--- a/packages/node/tests/test_local_targets.py
+++ b/packages/node/tests/test_local_targets.py
@@ -321,6 +321,84 @@
     virtual_time.run(main())
 
 
+@pytest.mark.parametrize(
+    "stray_started_ms",
+    [1, 5000],
+    ids=["earlier start", "later start"],
+)
+@pytest.mark.parametrize(
+    "health",
+    [
+        targets.Health.UNKNOWN,
+        targets.Health.UNHEALTHY,
+        targets.Health.LEAVING,
+    ],
+)
+def test_announcement_of_another_writer_does_not_shut_a_target_out(
+    health: targets.Health, stray_started_ms: int
+) -> None:
+    """Guards against a stray announcement at the address of a target."""
+
+    async def main() -> None:
+        vm = _Vm()
+        vm.local.probe_health = _Probe(health).check
+        now_ms = int(vm.clock.now().timestamp() * 1000)
+        own = {"started_ms": now_ms + 1000, "instance": "own"}
+        stray = {
+            "target": "stray",
+            "service": "unknown",
+            "started_ms": now_ms + stray_started_ms,
+            "instance": "stray",
+        }
+        assert vm.announce(**own)
+        assert vm.announce(**stray)
+        for sequence in range(2, 20):
+            await vm.clock.sleep(datetime.timedelta(seconds=1))
+            vm.announce(sequence=sequence, **stray)
+            assert vm.announce(sequence=sequence, **own)
+            assert vm.state() is READY
+
+    virtual_time.run(main())
+
+
+def test_target_gets_its_address_back_from_another_writer() -> None:
+    """Guards against a stray announcement that comes before its own."""
+
+    async def main() -> None:
+        vm = _Vm()
+        vm.local.probe_health = _Probe(targets.Health.SERVING).check
+        now_ms = int(vm.clock.now().timestamp() * 1000)
+        assert vm.announce(
+            target="stray", started_ms=now_ms + 5000, instance="stray"
+        )
+        assert vm.announce(started_ms=now_ms + 1, instance="own")
+        await _run_pending_tasks()
+        assert vm.state() is READY
+        assert vm.state("stray") is None
+
+    virtual_time.run(main())
+
+
+def test_target_that_serves_at_an_address_replaces_the_earlier_one() -> None:
+    async def main() -> None:
+        vm = _Vm()
+        probe = _Probe(targets.Health.UNKNOWN)
+        vm.local.probe_health = probe.check
+        now_ms = int(vm.clock.now().timestamp() * 1000)
+        assert vm.announce(started_ms=now_ms + 1)
+        later = {"target": "i-2", "started_ms": now_ms + 5000}
+        assert vm.announce(**later)
+        await _run_pending_tasks()
+        assert vm.state("i-2") is STARTING
+        probe.health = targets.Health.SERVING
+        await vm.clock.sleep(targets.PROBE_INTERVAL_MAX)
+        assert vm.state("i-2") is READY
+        assert vm.state() is None
+        assert not vm.announce(started_ms=now_ms + 1, sequence=9)
+
+    virtual_time.run(main())
+
+
 def test_target_younger_than_its_node_is_not_probed() -> None:
     async def main() -> None:
         vm = _Vm()
