Rollouts: nodes that stand in for coordinators take turns

Cause: since any node may store an outcome, each of a large fleet would call the store within 1.5 s when it turns the coordinators away, and every 3 s after that. The reporter's fallback had the same herd before.

Change: the nodes of a zone wait for their turn by the ranking that selects coordinators, half a second apart, those with targets of the service first. Their pause after a failure grows to 8 s, that of coordinators to 3 s.

--- a/packages/node/src/balsamramp_node/rollouts/outcome_reporter.py
+++ b/packages/node/src/balsamramp_node/rollouts/outcome_reporter.py
@@ -11,7 +11,6 @@
 from balsamramp_core import service_manager
 from balsamramp_node.process import decision_log
 from balsamramp_node.rollouts import rollout_controller
-from balsamramp_node.rollouts import rollout_coordinators
 from balsamramp_node.rollouts import rollout_gossip
 from balsamramp_node.rollouts import rollout_state
 from balsamramp_wire import rollout_messages
@@ -29,8 +28,8 @@
 class OutcomeReporter(service_manager.Service):
     """Publishes the state of each order, and retries until it succeeds.
 
-    The coordinators of a service publish at once, other nodes after a
-    delay. A published state is gossiped as a mark of the rollout, so that
+    The coordinators of a service publish at once, other nodes in turn after
+    a delay. A published state is gossiped as a mark of the rollout, so that
     other nodes do not publish it again. A final state is published only once
     it is stored: operators act on it, and a restart of all nodes must not
     undo it.
@@ -89,11 +88,10 @@
             (state.intent, reported_state), now
         )
         is_coordinator = self._gossip.is_coordinator(state.service)
-        delay = rollout_coordinators.FALLBACK_DELAY * (
-            1 + self._random.random()
-        )
-        if not is_coordinator and now - first_seen < delay:
-            return
+        if not is_coordinator:
+            delay = self._gossip.fallback_delay(state.service)
+            if now - first_seen < delay:
+                return
         if now < self._retry_at.get(state.intent, now):
             return
         outcome = intents.Outcome(
--- a/packages/node/src/balsamramp_node/rollouts/rollout_coordinators.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_coordinators.py
@@ -9,12 +9,13 @@
 from balsamramp_node.membership import membership
 from balsamramp_wire import messages
 
-__all__ = ["FALLBACK_DELAY", "RolloutCoordinators"]
+__all__ = ["RolloutCoordinators"]
 
 INDEX_INTERVAL = datetime.timedelta(seconds=1)
-# After this delay, and up to as much again, other nodes do what coordinators
-# have not done: these may reach their peers but not the platform.
+# Other nodes do, one after the other, what coordinators have not done: these
+# may reach their peers but not the platform.
 FALLBACK_DELAY = datetime.timedelta(seconds=1.5)
+FALLBACK_STEP = datetime.timedelta(seconds=0.5)
 UNREACHABLE_TIMEOUT = datetime.timedelta(seconds=5)
 
 Zones = dict[str, list[messages.Member]]
@@ -59,6 +60,21 @@
             return ranked[0].node == own.node
         return self._is_only_reachable(service, zones)
 
+    def fallback_delay(self, service: str) -> datetime.timedelta:
+        """Return how long this node waits for the coordinators.
+
+        The nodes of a zone take turns, those with targets of the service
+        first, so that an outage of the platform does not make all of them
+        call it.
+        """
+        own = self._members.own
+        zone = self._zones(service).get(own.zone, [])
+        ranked = self._rank(service, zone)
+        ranked += self._rank(service, self._all_zones.get(own.zone, []))
+        turns = list(dict.fromkeys(member.node for member in ranked))
+        turn = turns.index(own.node) if own.node in turns else len(turns)
+        return FALLBACK_DELAY + turn * FALLBACK_STEP
+
     def other_coordinators(self, service: str) -> list[settings.Address]:
         """Return the control addresses of the other coordinators."""
         own = self._members.own
--- a/packages/node/src/balsamramp_node/rollouts/rollout_gossip.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_gossip.py
@@ -107,6 +107,10 @@
         """Return whether this node coordinates rollouts of ``service``."""
         return self._coordinators.is_coordinator(service)
 
+    def fallback_delay(self, service: str) -> datetime.timedelta:
+        """Return how long this node waits for the coordinators."""
+        return self._coordinators.fallback_delay(service)
+
     def dump(self) -> abc.Mapping[str, typing.Any]:
         services = {
             intent.service for intent in self._rollouts.intents.values()
--- a/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
@@ -15,7 +15,6 @@
 from balsamramp_core import service_manager
 from balsamramp_core import storage
 from balsamramp_node.rollouts import rollout_controller
-from balsamramp_node.rollouts import rollout_coordinators
 from balsamramp_node.rollouts import rollout_gossip
 from balsamramp_node.rollouts import rollout_state
 from balsamramp_wire import rollout_messages
@@ -25,9 +24,10 @@
 KEY_PREFIX = "outcomes/"
 SYNC_INTERVAL = datetime.timedelta(seconds=1)
 SCAN_ROWS_MAX = 256
-# A rollout whose outcome is not stored, or not read, holds up calls and
-# reports, so a table that returns is noticed soon.
-RETRY_INTERVAL_MAX = datetime.timedelta(seconds=3)
+# An outcome that is not stored, or not read, holds up calls and reports, so
+# coordinators notice soon that the table is back.
+COORDINATOR_INTERVAL_MAX = datetime.timedelta(seconds=3)
+OTHER_INTERVAL_MAX = datetime.timedelta(seconds=8)
 
 State = rollout_messages.RolloutState
 
@@ -35,7 +35,8 @@
 class RolloutPersistence(service_manager.Service):
     """Reads rollout outcomes from the table and writes them.
 
-    The coordinators of a service do so at once, other nodes after a delay.
+    The coordinators of a service do so at once, other nodes in turn after a
+    delay.
     They scan its rows once and write a row when a phase is entered. What is
     stored, and that there is no row to read, is gossiped as a mark of the
     rollout, so that other nodes leave it. Concurrent writers are safe, since
@@ -86,7 +87,7 @@
         while True:
             self._has_unstored.clear()
             reachable = await self._synchronise()
-            self._interval = min(2 * self._interval, RETRY_INTERVAL_MAX)
+            self._interval = min(2 * self._interval, self._interval_max())
             if reachable:
                 self._interval = SYNC_INTERVAL
             jitter = 0.5 + self._random.random()
@@ -95,6 +96,14 @@
                 async with asyncio.timeout(wait.total_seconds()):
                     await self._has_unstored.wait()
 
+    def _interval_max(self) -> datetime.timedelta:
+        for state in self._rollouts.states():
+            if _is_settled(state):
+                continue
+            if self._gossip.is_coordinator(state.service):
+                return COORDINATOR_INTERVAL_MAX
+        return OTHER_INTERVAL_MAX
+
     async def _synchronise(self) -> bool:
         for state in self._rollouts.states():
             if not self._acts_on(state):
@@ -117,10 +126,10 @@
             self._fallback_at.pop(state.intent, None)
             return False
         now = self._clock.monotonic()
-        delay = rollout_coordinators.FALLBACK_DELAY * (
-            1 + self._random.random()
-        )
-        return now >= self._fallback_at.setdefault(state.intent, now + delay)
+        if state.intent not in self._fallback_at:
+            delay = self._gossip.fallback_delay(state.service)
+            self._fallback_at[state.intent] = now + delay
+        return now >= self._fallback_at[state.intent]
 
     async def _read_service(self, state: State) -> bool:
         """Read the stored outcomes of the service, if any may be missing."""
