Health checks: keep no connection to a target that fails them

Cause: checks are repeated since, each on a new connection that went to the pool. A target that fails gets no calls, so that nothing took them out again until the target closed them.

Change: only the connection of a check that succeeds is kept. Health stands before the class that names it.

Test: test_health_check_tells_a_failure_from_an_end, for each result of a check; its three cases with status 503 failed before, as the connection was kept.

--- a/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
@@ -152,7 +152,10 @@
                 error,
             )
             return targets.Health.UNKNOWN
-        self._return_to_pool(target.url, connection)
+        if response.status in STATUS_SUCCESS:
+            self._return_to_pool(target.url, connection)
+        else:
+            connection.close()
         if response.header(self._names.not_run) is not None:
             return targets.Health.UNKNOWN
         answered_by = response.header(self._names.answered_by)
--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -78,6 +78,19 @@
         return self.sequence >= other.sequence
 
 
+class Health(enum.Enum):
+    """The result of a health check of a target.
+
+    ``UNHEALTHY`` may pass, ``LEAVING`` holds until the next start of the
+    target.
+    """
+
+    SERVING = "serving"
+    UNHEALTHY = "unhealthy"
+    LEAVING = "leaving"
+    UNKNOWN = "unknown"
+
+
 @attrs.define
 class LocalTarget:
     """A target of this VM and the time when its lease expires.
@@ -91,7 +104,7 @@
     state: messages.TargetState
     expires_at: datetime.timedelta
     unverified: bool = False
-    health: "Health | None" = None
+    health: Health | None = None
 
     def record(self) -> messages.TargetRecord:
         """Return the record that is sent to other nodes."""
@@ -109,19 +122,6 @@
         )
 
 
-class Health(enum.Enum):
-    """The result of a health check of a target.
-
-    ``UNHEALTHY`` may pass, ``LEAVING`` holds until the next start of the
-    target.
-    """
-
-    SERVING = "serving"
-    UNHEALTHY = "unhealthy"
-    LEAVING = "leaving"
-    UNKNOWN = "unknown"
-
-
 HealthProbe = abc.Callable[[Announcement], abc.Awaitable[Health]]
 
 
--- a/packages/node/tests/test_pooled_target_client.py
+++ b/packages/node/tests/test_pooled_target_client.py
@@ -386,3 +386,30 @@
         assert response.body == b"whole"
 
     _run_script([(COMPLETE, "keep"), (shed + COMPLETE, "keep")], main)
+
+
+@pytest.mark.parametrize(
+    ("status", "header", "health"),
+    [
+        (200, f"{NAMES.answered_by}: t", targets.Health.SERVING),
+        (200, f"{NAMES.answered_by}: other", targets.Health.LEAVING),
+        (200, f"{NAMES.leaving}: 1", targets.Health.LEAVING),
+        (503, f"{NAMES.answered_by}: t", targets.Health.UNHEALTHY),
+        (503, f"{NAMES.answered_by}: other", targets.Health.LEAVING),
+        (503, f"{NAMES.not_run}: 1", targets.Health.UNKNOWN),
+    ],
+)
+def test_health_check_tells_a_failure_from_an_end(
+    status: int, header: str, health: targets.Health
+) -> None:
+    data = f"HTTP/1.1 {status} x\r\n{header}\r\ncontent-length: 0\r\n\r\n"
+
+    async def main(fixture: _Fixture) -> None:
+        found = await fixture.client.check_health(
+            fixture.announcement, "/health"
+        )
+        assert found is health
+        kept = fixture.client.dump().get(fixture.announcement.url, 0)
+        assert kept == (status == 200)
+
+    _run_script([(data.encode(), "keep")], main)
