Soak: targets fail their health checks while their node is away

Why: no stand-in had a health check that fails, so that the soak could not find targets which a failed check shuts out for good.

--- a/tests/users_platform/soak_target.py
+++ b/tests/users_platform/soak_target.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+import aiohttp
 from aiohttp import web
 import attrs
 import fake_target
@@ -13,6 +14,7 @@
 
 HEADER_PREFIX = fake_target.HEADER_PREFIX
 SLOTS = 8
+UNWELL_SECONDS = 1.0
 
 
 @attrs.define(kw_only=True)
@@ -50,7 +52,8 @@
 
     Of the answers, ``lost`` is the part whose connection ends instead,
     ``cut`` the part that breaks off, ``crossed`` the part that is
-    followed by a second one, and ``failing`` the part with status 500.
+    followed by a second one, and ``failing`` the part with status 500. While
+    its node is away, and ``UNWELL_SECONDS`` more, its health checks fail.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         self.failing = 0.0
         self.busy = 0
         self.first_stated_at: float | None = None
+        self._unwell_until = 0.0
         self._random = rng
 
     def state(self, **statements: str) -> None:
@@ -93,10 +97,19 @@
         self.lost, self.cut, self.crossed = lost, cut, crossed
         self.failing, self.delay, self.slots = failing, delay, slots
 
+    async def send_heartbeat(self, control: str, state: str = "ready") -> int:
+        try:
+            return await super().send_heartbeat(control, state)
+        except aiohttp.ClientError:
+            self._unwell_until = time.monotonic() + UNWELL_SECONDS
+            raise
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         if request.path == "/health":
+            is_well = time.monotonic() >= self._unwell_until
             return web.Response(
-                headers={HEADER_PREFIX + "Instance-Id": self.name}
+                status=200 if is_well else 503,
+                headers={HEADER_PREFIX + "Instance-Id": self.name},
             )
         request_id = request.headers.get(HEADER_PREFIX + "Request-Id", "")
         headers = {
