Tests: outcomes are read after a restart of all nodes

Two cases beside those of the order of storing and reporting: a node that is no coordinator reads a stored outcome, and an order without one expires, is stored and only then reported.

--- a/packages/node/tests/test_outcome_order.py
+++ b/packages/node/tests/test_outcome_order.py
@@ -18,6 +18,7 @@
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_core import storage
+from balsamramp_core.resources import rollout
 from balsamramp_node.process import decision_log
 from balsamramp_node.rollouts import outcome_reporter
 from balsamramp_node.rollouts import rollout_coordinators
@@ -29,6 +30,12 @@
 from balsamramp_wire import messages
 
 INTENT = attrs.evolve(rollout_fixtures.SAMPLE_ROLLOUT, revision=7)
+# Began before the nodes started.
+EARLIER_INTENT = attrs.evolve(
+    INTENT,
+    start=rollout_fixtures.START - datetime.timedelta(seconds=30),
+    deadline=rollout_fixtures.START + datetime.timedelta(seconds=30),
+)
 INTENT_ID = rollout_state.intent_id(INTENT)
 PHASE = rollout_state.RolloutPhase
 OUTCOMES = {
@@ -77,12 +84,14 @@
 class _Node:
     """The services of a node that store and report outcomes."""
 
-    def __init__(self, coordinator: bool) -> None:
+    def __init__(
+        self, coordinator: bool, intent: rollout.Rollout = INTENT
+    ) -> None:
         self.clock = virtual_time.VirtualClock()
         self.faults = memory_platform.Faults()
         self.table = memory_platform.MemoryTable(self.faults, self.clock)
         self.publisher = _Publisher(self.table)
-        self.controller = rollout_fixtures.make_rollouts(self.clock, INTENT)
+        self.controller = rollout_fixtures.make_rollouts(self.clock, intent)
         gossip = typing.cast(typing.Any, _Gossip(coordinator))
         self.persistence = rollout_persistence.RolloutPersistence(
             self.table,
@@ -121,9 +130,10 @@
 def _run(
     coordinator: bool,
     script: typing.Callable[[_Node], typing.Coroutine[None, None, None]],
+    intent: rollout.Rollout = INTENT,
 ) -> None:
     async def main() -> None:
-        node = _Node(coordinator)
+        node = _Node(coordinator, intent)
         await node.persistence.start()
         await node.reporter.start()
         await script(node)
@@ -199,6 +209,52 @@
     _run(True, script)
 
 
+@pytest.mark.parametrize("coordinator", [True, False])
+def test_stored_outcome_is_read_after_a_restart_of_all_nodes(
+    coordinator: bool,
+) -> None:
+    """Guards against coordinators that reach no table after a restart."""
+
+    async def script(node: _Node) -> None:
+        state = node.controller.state(INTENT_ID)
+        assert state is not None
+        assert not rollout_state.is_history_known(state)
+        finished = rollout_state.mark_history_known(
+            rollout_state.enter_phase(state, PHASE.FINISHED, state.start),
+            state.start,
+        )
+        key = f"{rollout_persistence.KEY_PREFIX}caja/{INTENT_ID}"
+        write = storage.Write(key, msgspec.msgpack.encode(finished))
+        await node.table.commit(storage.Transaction((), (write,)))
+        await node.run(RECOVERY_SECONDS)
+        found = node.controller.state(INTENT_ID)
+        assert found is not None
+        assert rollout_state.phase(found) is PHASE.FINISHED
+
+    _run(coordinator, script, EARLIER_INTENT)
+
+
+@pytest.mark.parametrize("coordinator", [True, False])
+def test_order_without_a_stored_outcome_expires_at_its_deadline(
+    coordinator: bool,
+) -> None:
+    async def script(node: _Node) -> None:
+        await node.run(RECOVERY_SECONDS)
+        state = node.controller.state(INTENT_ID)
+        assert state is not None
+        assert rollout_state.phase(state) is PHASE.WAITING
+        await node.run(60.0)
+        if coordinator:
+            assert node.published[-1] == outcome_reporter.ROLLED_BACK
+            stored = node.publisher.published[-1][1]
+            assert PHASE.EXPIRED.value.encode() in stored
+            return
+        # The table was read once, for all nodes.
+        assert rollout_state.is_history_absent(state)
+
+    _run(coordinator, script, EARLIER_INTENT)
+
+
 def test_outcome_is_found_among_many_earlier_ones() -> None:
     """Guards against outcomes that are stored beyond the first page."""
 
