--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -60,8 +60,8 @@
 )
 BYTES_PER_MEGABIT = 125_000
 BYTES_PER_MEGABYTE = 1_000_000
-# Share of the memory for bodies. The program itself needs about half on the
-# smallest VMs, and a body is copied when it is joined and when it is sent.
+# Share of the memory for bodies. The rest is for the program, and for the
+# copies of a body that is joined or sent.
 BODIES_MEMORY_SHARE = 0.2
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
