Log how a process began and how it ended

The test of the exit timer checked that the log had one line; it now has two, and the test checks both.

--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -19,17 +19,16 @@
 from balsamramp_core import settings
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import platform_adapter
+from balsamramp_node.process import process_record
 from balsamramp_node.process import settings_watcher
 from balsamramp_node.process import sidecar
 from balsamramp_node.process import sidecar_options
 
 __all__ = ["run", "start_exit_timer"]
 
-EXIT_OK = 0
-EXIT_START = 1
-EXIT_SETTINGS = 2
-EXIT_FORCED = 3
 STDOUT_DESCRIPTOR = 1
+ADDRESS_OPTIONS = ("callers", "ready", "announcements")
+PORT_OPTIONS = ("stream_port", "metrics_port")
 
 AdapterFactory = abc.Callable[
     [settings.Settings], platform_adapter.PlatformAdapter
@@ -38,6 +37,8 @@
 
 def run(path: pathlib.Path, make_adapter: AdapterFactory) -> int:
     """Run a sidecar with the settings in ``path``; return the exit code."""
+    now = clock.SystemClock()
+    sink = decision_log.FileSink(STDOUT_DESCRIPTOR)
     text = settings.read_text(path)
     checked = text.bind(
         lambda content: settings.parse(
@@ -45,10 +46,15 @@
         )
     )
     if isinstance(checked, result.Failure):
-        print(f"balsamramp-sidecar: {checked.failure()}", file=sys.stderr)
-        return EXIT_SETTINGS
-    now = clock.SystemClock()
-    sink = decision_log.FileSink(STDOUT_DESCRIPTOR)
+        record = process_record.ProcessRecord(
+            decision_log.DecisionLog(sink, now), now
+        )
+        return _end(
+            record,
+            sink,
+            process_record.ExitCode.INVALID_SETTINGS,
+            str(checked.failure()),
+        )
     decisions = decision_log.DecisionLog(
         sink,
         now,
@@ -56,6 +62,9 @@
         zone=checked.unwrap().text("node", "zone"),
     )
     _redirect_logging(decisions)
+    record = process_record.ProcessRecord(decisions, now)
+    record.write_start(text.unwrap(), _describe_addresses(checked.unwrap()))
+    sink.flush()
     try:
         uvloop.run(
             _serve(
@@ -66,14 +75,50 @@
                 now,
                 decisions,
                 sink,
+                record,
             )
         )
     except service_manager.StartError as error:
-        print(f"balsamramp-sidecar: cannot start: {error}", file=sys.stderr)
-        return EXIT_START
-    finally:
-        sink.flush()
-    return EXIT_OK
+        return _end(
+            record,
+            sink,
+            process_record.ExitCode.START_FAILED,
+            f"cannot start: {error}",
+        )
+    except Exception as error:
+        logging.exception("unexpected error")
+        return _end(
+            record,
+            sink,
+            process_record.ExitCode.UNEXPECTED_ERROR,
+            f"unexpected error: {error!r}",
+        )
+    record.write_end(process_record.ExitCode.STOPPED, "stop signal")
+    sink.flush()
+    return process_record.ExitCode.STOPPED
+
+
+def _end(
+    record: process_record.ProcessRecord,
+    sink: decision_log.FileSink,
+    exit_code: process_record.ExitCode,
+    reason: str,
+) -> int:
+    """Tell operators why the process ends; return ``exit_code``."""
+    record.write_end(exit_code, reason)
+    sink.flush()
+    print(f"balsamramp-sidecar: {reason}", file=sys.stderr)
+    return exit_code
+
+
+def _describe_addresses(checked: settings.Settings) -> dict[str, str]:
+    addresses = {
+        name: checked.text("listen", name) for name in ADDRESS_OPTIONS
+    }
+    for name in PORT_OPTIONS:
+        port = checked.integer("listen", name)
+        addresses[name] = f"{checked.text('listen', 'host')}:{port}"
+    return addresses
 
 
 def _redirect_logging(decisions: decision_log.DecisionLog) -> None:
@@ -83,18 +128,17 @@
     root.handlers[:] = [decision_log.DecisionHandler(decisions)]
 
 
-def start_exit_timer(seconds: float, sink: decision_log.FileSink) -> None:
+def start_exit_timer(
+    seconds: float,
+    sink: decision_log.FileSink,
+    record: process_record.ProcessRecord,
+) -> None:
     """End the process after ``seconds`` even if the event loop is blocked."""
 
     def force_exit() -> None:
-        print(
-            "balsamramp-sidecar: still running at the end of the shutdown;"
-            " exiting",
-            file=sys.stderr,
-            flush=True,
-        )
-        sink.flush()
-        os._exit(EXIT_FORCED)
+        exit_code = process_record.ExitCode.FORCED
+        reason = "still running at the end of the shutdown; exiting"
+        os._exit(_end(record, sink, exit_code, reason))
 
     timer = threading.Timer(seconds, force_exit)
     timer.daemon = True
@@ -109,6 +153,7 @@
     now: clock.Clock,
     decisions: decision_log.DecisionLog,
     sink: decision_log.FileSink,
+    record: process_record.ProcessRecord,
 ) -> None:
     stop_requested = asyncio.Event()
 
@@ -138,7 +183,8 @@
         await stop_requested.wait()
         watch_task.cancel()
         shutdown = node.shutdown
-        start_exit_timer(shutdown.seconds_until(shutdown.exit_at), sink)
+        exit_in = shutdown.seconds_until(shutdown.exit_at)
+        start_exit_timer(exit_in, sink, record)
         await node.stop()
     finally:
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/packages/node/tests/test_sidecar_cmdline.py
+++ b/packages/node/tests/test_sidecar_cmdline.py
@@ -1,17 +1,24 @@
 """A process whose event loop is blocked ends before its grace is over."""
 
+import json
 import subprocess
 import sys
 
-from balsamramp_node.process import sidecar_cmdline
+from balsamramp_node.process import process_record
 
 BLOCKED_PROCESS = """
 import time
+from balsamramp_core import clock
 from balsamramp_node.process import decision_log
+from balsamramp_node.process import process_record
 from balsamramp_node.process import sidecar_cmdline
 sink = decision_log.FileSink(1)
 sink.write(b"last line")
-sidecar_cmdline.start_exit_timer(0.2, sink)
+now = clock.SystemClock()
+record = process_record.ProcessRecord(
+    decision_log.DecisionLog(sink, now), now
+)
+sidecar_cmdline.start_exit_timer(0.2, sink, record)
 time.sleep(60)
 """
 
@@ -23,6 +30,10 @@
         timeout=30,
         check=False,
     )
-    assert ended.returncode == sidecar_cmdline.EXIT_FORCED
-    assert ended.stdout == b"last line\n"
+    assert ended.returncode == process_record.ExitCode.FORCED
+    first, last = ended.stdout.splitlines()
+    assert first == b"last line"
+    record = json.loads(last)
+    assert record["event"] == "process_end"
+    assert record["exit_code"] == process_record.ExitCode.FORCED
     assert b"still running" in ended.stderr
