Open closed standard streams on the null device

Operators whose supervisor hands over closed streams saw a node end with status 1 at its start (standard output closed) or -6 in its stop (input or error closed). FileSink sets descriptor 1 to non-blocking mode, and a socket got the number of a closed stream; libuv asserts that it closes no such number. The same ended balsamrampd.

Before, for sidecars and for balsamrampd:

OSError: [Errno 9] Bad file descriptor uv__close: Assertion `fd > STDERR_FILENO' failed. (assert -6 == 0)

The descriptors are opened before the program opens anything else, and sys.stdin, sys.stdout and sys.stderr, which are None then, get a stream, as libraries write to them. Each of 0, 1, 2 and all: starts, serves, exit 0.

--- a/packages/node/src/balsamramp_node/process/cmdline.py
+++ b/packages/node/src/balsamramp_node/process/cmdline.py
@@ -20,6 +20,7 @@
 from balsamramp_core import settings
 from balsamramp_node.process import app
 from balsamramp_node.process import options
+from balsamramp_node.process import process_setup
 
 __all__ = ["main"]
 
@@ -66,6 +67,7 @@
 
 def main(arguments: abc.Sequence[str] | None = None) -> int:
     """Run the node until a stop signal; return the exit code."""
+    process_setup.open_standard_streams()
     parsed = _parser().parse_args(arguments)
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
