Stop signals at the edges of a start: failing tests

SIGTERM during the imports, or between the line process_start and the handlers of the event loop, ends a process with -15 and without process_end, which looks like a kill. A supervisor that repeats SIGTERM meets the same while the loop closes, as that restores the default action.

AssertionError: assert -15 == 0

--- a/tests/users_platform/test_start_edges.py
+++ b/tests/users_platform/test_start_edges.py
@@ -15,6 +15,7 @@
 import signal
 import subprocess
 import sys
+import time
 import typing
 
 import pytest
@@ -44,6 +45,18 @@
         os.kill(os.getpid(), _signal.SIGHUP)
 
 
+sys.addaudithook(on_event)
+"""
+STOP_AT_IMPORT = """
+import os, sys
+import _signal
+
+
+def on_event(event, arguments):
+    if event == "import" and arguments[0] == "uvloop":
+        os.kill(os.getpid(), _signal.SIGTERM)
+
+
 sys.addaudithook(on_event)
 """
 TRY_THREAD = """
@@ -83,19 +96,14 @@
         super().__init__(folder)
         self._spoil = spoil
         self._options: dict[str, typing.Any] = {"preexec_fn": prepare}
-        self._path = [str(path)] if path else []
+        self._path = [path] if path else []
 
     async def _launch(
         self, settings: pathlib.Path
     ) -> asyncio.subprocess.Process:
         if self._spoil is not None:
             self._spoil(settings)
-        path = [*self._path, os.environ.get("PYTHONPATH", "")]
-        environment = {
-            **os.environ,
-            "BALSAMRAMP_BOOT": str(settings),
-            "PYTHONPATH": os.pathsep.join(filter(None, path)),
-        }
+        environment = _environment(settings, *self._path)
         with settings.with_suffix(".log").open("ab") as log:
             return await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -155,15 +163,25 @@
     return text
 
 
+def _environment(
+    settings: pathlib.Path, *path: pathlib.Path
+) -> dict[str, str]:
+    parts = [*map(str, path), os.environ.get("PYTHONPATH", "")]
+    return {
+        **os.environ,
+        "BALSAMRAMP_BOOT": str(settings),
+        "PYTHONPATH": os.pathsep.join(filter(None, parts)),
+    }
+
+
 def _run_program(
-    settings: pathlib.Path, **options: typing.Any
+    settings: pathlib.Path, *path: pathlib.Path
 ) -> "subprocess.Popen[bytes]":
     return subprocess.Popen(
         [sys.executable, str(ROOT / "platform" / "sidecar.py")],
-        env={**os.environ, "BALSAMRAMP_BOOT": str(settings)},
+        env=_environment(settings, *path),
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
-        **options,
     )
 
 
@@ -273,10 +291,9 @@
 def test_stop_signal_ends_a_start_that_waits(tmp_path: pathlib.Path) -> None:
     settings = tmp_path / "node.ini"
     _write_settings(settings)
-    path = [str(ROOT / "platform"), os.environ.get("PYTHONPATH", "")]
     with subprocess.Popen(
         [sys.executable, "-c", HANGING_START, str(settings)],
-        env={**os.environ, "PYTHONPATH": os.pathsep.join(path)},
+        env=_environment(settings, ROOT / "platform"),
         stdout=subprocess.PIPE,
     ) as process:
         assert process.stdout is not None
@@ -304,6 +321,34 @@
     asyncio.run(_start_and_stop(_Fleet(tmp_path, block)))
 
 
+def test_stop_signal_during_the_imports_ends_with_a_line(
+    tmp_path: pathlib.Path,
+) -> None:
+    (tmp_path / "sitecustomize.py").write_text(STOP_AT_IMPORT)
+    settings = tmp_path / "node.ini"
+    _write_settings(settings)
+    with _run_program(settings, tmp_path) as process:
+        _, errors = process.communicate(timeout=END_TIMEOUT_SECONDS)
+    assert process.returncode == 0
+    assert b"stop signal" in errors
+
+
+def test_repeated_stop_signals_cut_no_stop_short(
+    tmp_path: pathlib.Path,
+) -> None:
+    settings = tmp_path / "node.ini"
+    _write_settings(settings)
+    with _run_program(settings) as process:
+        assert process.stdout is not None
+        assert b'"event":"process_start"' in process.stdout.readline()
+        while process.poll() is None:
+            process.terminate()
+            time.sleep(0.001)
+        output = process.stdout.read()
+    assert process.returncode == 0
+    assert b'"event":"process_end","exit_code":0' in output
+
+
 def test_libraries_of_another_kind_are_named_in_one_line(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -312,19 +357,9 @@
     (tmp_path / "balsamramp-build.json").write_text(
         '{"python": "cpython-39", "machine": "mips", "requirements": "f00"}'
     )
-    ended = subprocess.run(
-        [sys.executable, str(ROOT / "platform" / "sidecar.py")],
-        env={
-            **os.environ,
-            "BALSAMRAMP_BOOT": str(tmp_path / "node.ini"),
-            "PYTHONPATH": str(tmp_path),
-        },
-        capture_output=True,
-        text=True,
-        timeout=END_TIMEOUT_SECONDS,
-        check=False,
-    )
-    assert ended.returncode == 5
-    (line,) = ended.stderr.splitlines()
+    with _run_program(tmp_path / "node.ini", tmp_path) as process:
+        _, errors = process.communicate(timeout=END_TIMEOUT_SECONDS)
+    assert process.returncode == 5
+    (line,) = errors.decode().splitlines()
     for word in ("_core", sys.implementation.cache_tag, "cpython-39", "mips"):
         assert word in line
