Hear stop signals from the first imports to the last line

Operators saw a node that ignores SIGTERM until it is killed, where its supervisor had left the signal blocked in the inherited mask; and nodes that end with -15 and without process_end when SIGTERM came before the event loop's handlers or came again while the loop closed, which restores the default action.

The mask is lifted first. Until process_start is written a stop signal ends the process with 0 and a line on standard error, as nothing was started; from then on a handler of the process, not of the loop, keeps the request until the node can be told. The test of the wait for settings now wants exit code 0 in process_end: any line had satisfied it.

--- a/packages/node/src/balsamramp_node/process/cmdline.py
+++ b/packages/node/src/balsamramp_node/process/cmdline.py
@@ -21,6 +21,7 @@
 from balsamramp_node.process import app
 from balsamramp_node.process import options
 from balsamramp_node.process import process_setup
+from balsamramp_node.process import stop_signals
 
 __all__ = ["main"]
 
@@ -44,7 +45,7 @@
         return super().format(prefixed)
 
 
-class _StopSignals:
+class _StopRequests:
     """Stops gracefully on the first signal, exits at once on the second."""
 
     def __init__(self) -> None:
@@ -68,6 +69,7 @@
 def main(arguments: abc.Sequence[str] | None = None) -> int:
     """Run the node until a stop signal; return the exit code."""
     process_setup.open_standard_streams()
+    stop_signals.unblock_signals()
     parsed = _parser().parse_args(arguments)
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
@@ -132,17 +134,17 @@
     checked: settings.Settings, addresses: pathlib.Path | None
 ) -> None:
     node = app.Node(checked, clock.SystemClock())
-    stop_signals = _StopSignals()
+    requests = _StopRequests()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stop_signals.on_signal)
+        loop.add_signal_handler(number, requests.on_signal)
     loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
     await node.start()
     if addresses is not None:
         partial = addresses.with_suffix(".partial")
         partial.write_bytes(msgspec.json.encode(node.addresses()))
         partial.replace(addresses)
-    await stop_signals.wait()
+    await requests.wait()
     await node.stop()
 
 
--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -23,6 +23,7 @@
 from balsamramp_node.process import settings_watcher
 from balsamramp_node.process import sidecar
 from balsamramp_node.process import sidecar_options
+from balsamramp_node.process import stop_signals
 
 __all__ = ["run", "start_exit_timer"]
 
@@ -62,6 +63,8 @@
         zone=checked.unwrap().text("node", "zone"),
     )
     _redirect_logging(decisions)
+    signals = stop_signals.StopSignals()
+    signals.listen()
     record = process_record.ProcessRecord(decisions, now)
     record.write_start(text.unwrap(), _describe_addresses(checked.unwrap()))
     sink.flush()
@@ -76,6 +79,7 @@
                 decisions,
                 sink,
                 record,
+                signals,
             )
         )
     except service_manager.StartError as error:
@@ -154,6 +158,7 @@
     decisions: decision_log.DecisionLog,
     sink: decision_log.FileSink,
     record: process_record.ProcessRecord,
+    signals: stop_signals.StopSignals,
 ) -> None:
     stop_requested = asyncio.Event()
 
@@ -162,10 +167,9 @@
         stop_requested.set()
 
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, on_stop_signal)
     flush_task = asyncio.create_task(sink.run(now))
     node = sidecar.Sidecar(checked, make_adapter(checked), now, decisions)
+    signals.tell(lambda: loop.call_soon_threadsafe(on_stop_signal))
     watcher = settings_watcher.SettingsWatcher(
         path, text, sidecar_options.OPTIONS, node.reload, now
     )
@@ -188,4 +192,5 @@
         await node.stop()
     finally:
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        signals.ignore()
     flush_task.cancel()
--- a/packages/node/tests/test_process_setup.py
+++ b/packages/node/tests/test_process_setup.py
@@ -60,3 +60,12 @@
             os.close(descriptor)
 
     assert _start_and_stop(tmp_path, close) == 0
+
+
+def test_balsamrampd_hears_signals_that_were_blocked(
+    tmp_path: pathlib.Path,
+) -> None:
+    def block() -> None:
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGTERM])
+
+    assert _start_and_stop(tmp_path, block) == 0
--- a/tests/users_platform/test_start_edges.py
+++ b/tests/users_platform/test_start_edges.py
@@ -272,7 +272,7 @@
         process.terminate()
         output, _ = process.communicate(timeout=END_TIMEOUT_SECONDS)
     assert process.returncode == 0
-    assert b'"event":"process_end"' in output
+    assert b'"event":"process_end","exit_code":0' in output
 
 
 def test_invalid_settings_end_the_process_after_the_wait(
