End a blocked process in time without a thread

Where no thread may be created, start_exit_timer raised "RuntimeError: can't start new thread" at the stop signal, which skipped the graceful stop. The new case of the test, before: exit 1 instead of 3, with that traceback. SIGALRM is used then, with a log line; the case ends with 3 and the log is written.

--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -28,6 +28,8 @@
 __all__ = ["run", "start_exit_timer"]
 
 STDOUT_DESCRIPTOR = 1
+# A timer of 0 would be none.
+MIN_TIMER_SECONDS = 0.001
 ADDRESS_OPTIONS = ("callers", "ready", "announcements")
 PORT_OPTIONS = ("stream_port", "metrics_port")
 
@@ -146,7 +148,14 @@
 
     timer = threading.Timer(seconds, force_exit)
     timer.daemon = True
-    timer.start()
+    try:
+        timer.start()
+    except RuntimeError as error:
+        logging.warning(
+            "no thread for the exit timer: %s; using SIGALRM", error
+        )
+        signal.signal(signal.SIGALRM, lambda number, frame: force_exit())
+        signal.setitimer(signal.ITIMER_REAL, max(seconds, MIN_TIMER_SECONDS))
 
 
 async def _serve(
--- a/packages/node/tests/test_sidecar_cmdline.py
+++ b/packages/node/tests/test_sidecar_cmdline.py
@@ -4,8 +4,18 @@
 import subprocess
 import sys
 
+import pytest
+
 from balsamramp_node.process import process_record
 
+NO_THREADS = """
+import threading
+
+def fail(thread):
+    raise RuntimeError("can't start new thread")
+
+threading.Thread.start = fail
+"""
 BLOCKED_PROCESS = """
 import time
 from balsamramp_core import clock
@@ -23,9 +33,12 @@
 """
 
 
-def test_exit_timer_ends_a_blocked_process_and_writes_its_log() -> None:
+@pytest.mark.parametrize("before", ["", NO_THREADS], ids=["", "no-threads"])
+def test_exit_timer_ends_a_blocked_process_and_writes_its_log(
+    before: str,
+) -> None:
     ended = subprocess.run(
-        [sys.executable, "-c", BLOCKED_PROCESS],
+        [sys.executable, "-c", before + BLOCKED_PROCESS],
         capture_output=True,
         timeout=30,
         check=False,
--- a/tests/users_platform/test_start_edges.py
+++ b/tests/users_platform/test_start_edges.py
@@ -226,7 +226,7 @@
     )
     assert tried.stdout == b"no thread"
     sidecar = asyncio.run(_start_and_stop(_Fleet(tmp_path, _forbid_threads)))
-    assert "exit_timer" in sidecar.log()
+    assert "no thread for the exit timer" in sidecar.log()
 
 
 @pytest.mark.parametrize(
