--- a/packages/node/src/balsamramp_node/process/cmdline.py
+++ b/packages/node/src/balsamramp_node/process/cmdline.py
@@ -21,7 +21,7 @@
 from balsamramp_node.process import app
 from balsamramp_node.process import options
 from balsamramp_node.process import process_setup
-from balsamramp_node.process import stop_signals
+from balsamramp_node.process import process_signals
 
 __all__ = ["main"]
 
@@ -45,7 +45,7 @@
         return super().format(prefixed)
 
 
-class _StopRequests:
+class _StopSignals:
     """Stops gracefully on the first signal, exits at once on the second."""
 
     def __init__(self) -> None:
@@ -69,7 +69,7 @@
 def main(arguments: abc.Sequence[str] | None = None) -> int:
     """Run the node until a stop signal; return the exit code."""
     process_setup.open_standard_streams()
-    stop_signals.unblock_signals()
+    process_signals.unblock_signals()
     parsed = _parser().parse_args(arguments)
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
@@ -134,17 +134,17 @@
     checked: settings.Settings, addresses: pathlib.Path | None
 ) -> None:
     node = app.Node(checked, clock.SystemClock())
-    requests = _StopRequests()
+    stop_signals = _StopSignals()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, requests.on_signal)
+        loop.add_signal_handler(number, stop_signals.on_signal)
     loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
     await node.start()
     if addresses is not None:
         partial = addresses.with_suffix(".partial")
         partial.write_bytes(msgspec.json.encode(node.addresses()))
         partial.replace(addresses)
-    await requests.wait()
+    await stop_signals.wait()
     await node.stop()
 
 
--- a/packages/node/src/balsamramp_node/process/stop_signals.py
+++ b/packages/node/src/balsamramp_node/process/process_signals.py
@@ -45,12 +45,12 @@
 
     Example::
 
-        stop_signals = StopSignals()
-        stop_signals.listen()
+        signals = StopSignals()
+        signals.listen()
         ...
-        stop_signals.tell(lambda: loop.call_soon_threadsafe(stop))
+        signals.tell(lambda: loop.call_soon_threadsafe(stop))
         ...
-        stop_signals.ignore()
+        signals.ignore()
     """
 
     def __init__(self) -> None:
--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -20,10 +20,10 @@
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import platform_adapter
 from balsamramp_node.process import process_record
+from balsamramp_node.process import process_signals
 from balsamramp_node.process import settings_watcher
 from balsamramp_node.process import sidecar
 from balsamramp_node.process import sidecar_options
-from balsamramp_node.process import stop_signals
 
 __all__ = ["run", "start_exit_timer"]
 
@@ -65,7 +65,7 @@
         zone=checked.unwrap().text("node", "zone"),
     )
     _redirect_logging(decisions)
-    signals = stop_signals.StopSignals()
+    signals = process_signals.StopSignals()
     signals.listen()
     record = process_record.ProcessRecord(decisions, now)
     record.write_start(text.unwrap(), _describe_addresses(checked.unwrap()))
@@ -167,7 +167,7 @@
     decisions: decision_log.DecisionLog,
     sink: decision_log.FileSink,
     record: process_record.ProcessRecord,
-    signals: stop_signals.StopSignals,
+    signals: process_signals.StopSignals,
 ) -> None:
     stop_requested = asyncio.Event()
 
