Wait for settings that are missing or being written

Operators saw a node end with status 2 within milliseconds of its start when its settings file was empty, half written or not there yet, and again at each restart until the file was whole. A file cut in its last number was taken for whole.

Before: test_process_waits_for_settings_that_are_being_written[empty]: exit 2, "[node] id: missing", 0.0 s; half-written and missing alike; test_stop_signal_ends_the_wait_for_settings: assert -15 == 0.

The file is read each 100 ms for up to 5 s, the first error told at once. One that was changed less than 100 ms ago is read until it is the same twice; a file that lies there is read once, without a wait. A stop signal ends the wait with 0. The process is an object of its own now, as it reads its settings in the event loop.

--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import threading
+import typing
 
 from absl import flags
 from absl import logging
@@ -21,12 +22,14 @@
 from balsamramp_node.process import platform_adapter
 from balsamramp_node.process import process_record
 from balsamramp_node.process import process_signals
+from balsamramp_node.process import settings_reader
 from balsamramp_node.process import settings_watcher
 from balsamramp_node.process import sidecar
 from balsamramp_node.process import sidecar_options
 
 __all__ = ["run", "start_exit_timer"]
 
+PROGRAM = "balsamramp-sidecar"
 STDOUT_DESCRIPTOR = 1
 # A timer of 0 would be none.
 MIN_TIMER_SECONDS = 0.001
@@ -40,68 +43,159 @@
 
 def run(path: pathlib.Path, make_adapter: AdapterFactory) -> int:
     """Run a sidecar with the settings in ``path``; return the exit code."""
-    now = clock.SystemClock()
-    sink = decision_log.FileSink(STDOUT_DESCRIPTOR)
-    text = settings.read_text(path)
-    checked = text.bind(
-        lambda content: settings.parse(
-            content, str(path), sidecar_options.OPTIONS
-        )
-    )
-    if isinstance(checked, result.Failure):
-        record = process_record.ProcessRecord(
-            decision_log.DecisionLog(sink, now), now
-        )
-        return _end(
-            record,
-            sink,
-            process_record.ExitCode.INVALID_SETTINGS,
-            str(checked.failure()),
-        )
-    decisions = decision_log.DecisionLog(
-        sink,
-        now,
-        node=checked.unwrap().text("node", "id"),
-        zone=checked.unwrap().text("node", "zone"),
-    )
-    _redirect_logging(decisions)
-    signals = process_signals.StopSignals()
-    signals.listen()
-    record = process_record.ProcessRecord(decisions, now)
-    record.write_start(text.unwrap(), _describe_addresses(checked.unwrap()))
-    sink.flush()
+    process = _SidecarProcess(path, make_adapter, clock.SystemClock())
     try:
-        uvloop.run(
-            _serve(
-                path,
-                text.unwrap(),
-                checked.unwrap(),
-                make_adapter,
-                now,
-                decisions,
-                sink,
-                record,
-                signals,
-            )
+        uvloop.run(process.run())
+    except _InvalidSettingsError as error:
+        return process.end(
+            process_record.ExitCode.INVALID_SETTINGS, str(error)
         )
     except service_manager.StartError as error:
-        return _end(
-            record,
-            sink,
-            process_record.ExitCode.START_FAILED,
-            f"cannot start: {error}",
+        return process.end(
+            process_record.ExitCode.START_FAILED, f"cannot start: {error}"
         )
     except Exception as error:
         logging.exception("unexpected error")
-        return _end(
-            record,
-            sink,
+        return process.end(
             process_record.ExitCode.UNEXPECTED_ERROR,
             f"unexpected error: {error!r}",
         )
-    record.write_end(process_record.ExitCode.STOPPED, "stop signal")
-    sink.flush()
-    return process_record.ExitCode.STOPPED
+    return process.end(process_record.ExitCode.STOPPED, "stop signal")
+
+
+class _InvalidSettingsError(Exception):
+    """The settings are still invalid after the wait for them."""
+
+
+class _SidecarProcess:
+    """A sidecar from reading its settings until its stop."""
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        make_adapter: AdapterFactory,
+        now: clock.Clock,
+    ) -> None:
+        self._path = path
+        self._make_adapter = make_adapter
+        self._clock = now
+        self._sink = decision_log.FileSink(STDOUT_DESCRIPTOR)
+        self._decisions = decision_log.DecisionLog(self._sink, now)
+        self._record = process_record.ProcessRecord(self._decisions, now)
+        self._signals = process_signals.StopSignals()
+        self._signals.listen()
+        self._stop_requested = asyncio.Event()
+        self._node: sidecar.Sidecar | None = None
+
+    async def run(self) -> None:
+        """Serve until a stop signal."""
+        loop = asyncio.get_running_loop()
+        self._signals.tell(
+            lambda: loop.call_soon_threadsafe(self._on_stop_signal)
+        )
+        flush_task = asyncio.create_task(self._sink.run(self._clock))
+        try:
+            reading = await self._read_settings()
+            if reading is not None and not self._stop_requested.is_set():
+                await self._serve(reading)
+        finally:
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
+            self._signals.ignore()
+        flush_task.cancel()
+
+    def end(self, exit_code: process_record.ExitCode, reason: str) -> int:
+        """Tell operators why the process ends; return ``exit_code``."""
+        return _end(self._record, self._sink, exit_code, reason)
+
+    def _on_stop_signal(self) -> None:
+        if self._node is not None:
+            self._node.shutdown.begin()
+        self._stop_requested.set()
+
+    async def _read_settings(self) -> settings_reader.Reading | None:
+        """Return the settings, or None if a stop signal ends the wait."""
+        reader = settings_reader.SettingsReader(
+            self._path,
+            sidecar_options.OPTIONS,
+            self._clock,
+            self._report_invalid_settings,
+        )
+        reading = asyncio.create_task(reader.read())
+        await self._wait_unless_stopped(reading)
+        if not reading.done():
+            reading.cancel()
+            return None
+        checked = await reading
+        if isinstance(checked, result.Failure):
+            raise _InvalidSettingsError(str(checked.failure()))
+        return checked.unwrap()
+
+    def _report_invalid_settings(self, error: settings.SettingsError) -> None:
+        self._decisions.write(
+            "settings_invalid",
+            error=str(error),
+            wait_seconds=settings_reader.WAIT_MAX.total_seconds(),
+        )
+        self._sink.flush()
+        print(
+            f"{PROGRAM}: {error}; waiting"
+            f" {settings_reader.WAIT_MAX.total_seconds():.0f} s for it to"
+            " become valid",
+            file=sys.stderr,
+            flush=True,
+        )
+
+    async def _wait_unless_stopped(
+        self, task: asyncio.Task[typing.Any]
+    ) -> None:
+        """Wait until ``task`` is done or a stop signal has come."""
+        stopped = asyncio.create_task(self._stop_requested.wait())
+        await asyncio.wait(
+            (task, stopped), return_when=asyncio.FIRST_COMPLETED
+        )
+        stopped.cancel()
+
+    async def _serve(self, reading: settings_reader.Reading) -> None:
+        checked = reading.settings
+        self._decisions = decision_log.DecisionLog(
+            self._sink,
+            self._clock,
+            node=checked.text("node", "id"),
+            zone=checked.text("node", "zone"),
+        )
+        _redirect_logging(self._decisions)
+        self._record = process_record.ProcessRecord(
+            self._decisions, self._clock
+        )
+        self._record.write_start(reading.text, _describe_addresses(checked))
+        self._sink.flush()
+        node = sidecar.Sidecar(
+            checked, self._make_adapter(checked), self._clock, self._decisions
+        )
+        self._node = node
+        watcher = settings_watcher.SettingsWatcher(
+            self._path,
+            reading.text,
+            sidecar_options.OPTIONS,
+            node.reload,
+            self._clock,
+        )
+        loop = asyncio.get_running_loop()
+        # Not a handler of the event loop: closing the loop would restore the
+        # default action, which ends the process.
+        signal.signal(
+            signal.SIGHUP,
+            lambda number, frame: loop.call_soon_threadsafe(
+                watcher.reload_if_changed
+            ),
+        )
+        await node.start()
+        watch_task = asyncio.create_task(watcher.run())
+        await self._stop_requested.wait()
+        watch_task.cancel()
+        exit_in = node.shutdown.seconds_until(node.shutdown.exit_at)
+        start_exit_timer(exit_in, self._sink, self._record)
+        await node.stop()
 
 
 def _end(
@@ -113,7 +207,8 @@
     """Tell operators why the process ends; return ``exit_code``."""
     record.write_end(exit_code, reason)
     sink.flush()
-    print(f"balsamramp-sidecar: {reason}", file=sys.stderr)
+    if exit_code != process_record.ExitCode.STOPPED:
+        print(f"{PROGRAM}: {reason}", file=sys.stderr)
     return exit_code
 
 
@@ -156,50 +251,3 @@
         )
         signal.signal(signal.SIGALRM, lambda number, frame: force_exit())
         signal.setitimer(signal.ITIMER_REAL, max(seconds, MIN_TIMER_SECONDS))
-
-
-async def _serve(
-    path: pathlib.Path,
-    text: str,
-    checked: settings.Settings,
-    make_adapter: AdapterFactory,
-    now: clock.Clock,
-    decisions: decision_log.DecisionLog,
-    sink: decision_log.FileSink,
-    record: process_record.ProcessRecord,
-    signals: process_signals.StopSignals,
-) -> None:
-    stop_requested = asyncio.Event()
-
-    def on_stop_signal() -> None:
-        node.shutdown.begin()
-        stop_requested.set()
-
-    loop = asyncio.get_running_loop()
-    flush_task = asyncio.create_task(sink.run(now))
-    node = sidecar.Sidecar(checked, make_adapter(checked), now, decisions)
-    signals.tell(lambda: loop.call_soon_threadsafe(on_stop_signal))
-    watcher = settings_watcher.SettingsWatcher(
-        path, text, sidecar_options.OPTIONS, node.reload, now
-    )
-    # Not a handler of the event loop: closing the loop would restore the
-    # default action, which ends the process.
-    signal.signal(
-        signal.SIGHUP,
-        lambda number, frame: loop.call_soon_threadsafe(
-            watcher.reload_if_changed
-        ),
-    )
-    try:
-        await node.start()
-        watch_task = asyncio.create_task(watcher.run())
-        await stop_requested.wait()
-        watch_task.cancel()
-        shutdown = node.shutdown
-        exit_in = shutdown.seconds_until(shutdown.exit_at)
-        start_exit_timer(exit_in, sink, record)
-        await node.stop()
-    finally:
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
-        signals.ignore()
-    flush_task.cancel()
