Stop a node that still starts

Operators saw a node that was asked to stop while a service waited in its start go on: the stop began after the start, without an exit timer, so that the process was killed at the end of its grace, without process_end.

The start is cancelled at the signal; the service manager stops what was started, and the exit timer runs from then on. The process ends with 0 within its grace. Its services that were started withdraw as in any stop.

--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -24,6 +24,7 @@
 from balsamramp_node.process import process_signals
 from balsamramp_node.process import settings_reader
 from balsamramp_node.process import settings_watcher
+from balsamramp_node.process import shutdown_schedule
 from balsamramp_node.process import sidecar
 from balsamramp_node.process import sidecar_options
 
@@ -189,13 +190,39 @@
                 watcher.reload_if_changed
             ),
         )
-        await node.start()
-        watch_task = asyncio.create_task(watcher.run())
-        await self._stop_requested.wait()
-        watch_task.cancel()
-        exit_in = node.shutdown.seconds_until(node.shutdown.exit_at)
+        starting = asyncio.create_task(node.start())
+        await self._wait_unless_stopped(starting)
+        if starting.done():
+            await starting
+            watch_task = asyncio.create_task(watcher.run())
+            await self._stop_requested.wait()
+            watch_task.cancel()
+        shutdown = node.shutdown
+        exit_in = shutdown.seconds_until(shutdown.exit_at)
         start_exit_timer(exit_in, self._sink, self._record)
-        await node.stop()
+        if starting.done() or not await self._cancel_start(starting, shutdown):
+            await node.stop()
+
+    async def _cancel_start(
+        self,
+        starting: asyncio.Task[None],
+        shutdown: shutdown_schedule.ShutdownSchedule,
+    ) -> bool:
+        """Stop what was started; return False if the node serves by then."""
+        logging.info("stop signal while the node starts; stopping its start")
+        starting.cancel()
+        await asyncio.wait(
+            (starting,), timeout=shutdown.seconds_until(shutdown.stop_end)
+        )
+        if not starting.done():
+            logging.warning("the start did not stop in time; leaving it")
+            return True
+        if starting.cancelled():
+            return True
+        error = starting.exception()
+        if error is not None:
+            logging.warning("the start failed while it stopped: %r", error)
+        return error is not None
 
 
 def _end(
--- a/tests/users_platform/test_start_edges.py
+++ b/tests/users_platform/test_start_edges.py
@@ -302,7 +302,9 @@
                 break
         process.terminate()
         try:
-            output, _ = process.communicate(timeout=END_TIMEOUT_SECONDS)
+            output, _ = process.communicate(
+                timeout=sidecar_fleet.GRACE_SECONDS
+            )
         finally:
             process.kill()
     assert process.returncode == 0
