--- a/packages/node/src/balsamramp_node/process/process_record.py
+++ b/packages/node/src/balsamramp_node/process/process_record.py
@@ -39,6 +39,8 @@
     INVALID_SETTINGS = 2
     FORCED = 3
     UNEXPECTED_ERROR = 4
+    # Not logged: what writes the log cannot be loaded.
+    UNUSABLE_BUILD = 5
 
 
 class ProcessRecord:
--- a/tests/users_platform/test_start_edges.py
+++ b/tests/users_platform/test_start_edges.py
@@ -169,7 +169,7 @@
     parts = [*map(str, path), os.environ.get("PYTHONPATH", "")]
     return {
         **os.environ,
-        "BALSAMRAMP_BOOT": str(settings),
+        "BALSAMRAMP_BOOT": str(settings) if settings.name else "",
         "PYTHONPATH": os.pathsep.join(filter(None, parts)),
     }
 
@@ -311,6 +311,14 @@
     assert b'"event":"process_end","exit_code":0' in output
 
 
+def test_missing_variable_of_the_settings_is_named() -> None:
+    with _run_program(pathlib.Path()) as process:
+        _, errors = process.communicate(timeout=END_TIMEOUT_SECONDS)
+    assert process.returncode == 2
+    (line,) = errors.splitlines()
+    assert b"BALSAMRAMP_BOOT" in line
+
+
 def test_blocked_and_ignored_signals_are_heard(
     tmp_path: pathlib.Path,
 ) -> None:
