Test: more descriptors in the settings than the process has

Fails on the code as it is, with the hard limit at 256 and at 4100: AssertionError: served=False ready=False. The process goes on; it can't accept, connect or read its settings file ('[Errno 24] Too many open files') for as long as the connections stay open.

--- a/tests/users_platform/sidecar_fleet.py
+++ b/tests/users_platform/sidecar_fleet.py
@@ -41,6 +41,7 @@
 service = {service}
 target = 127.0.0.1:{target}
 memory = {memory}
+descriptors = {descriptors}
 [listen]
 host = 127.0.0.1
 callers = 127.0.0.1:{callers}
@@ -166,11 +167,12 @@
         advertised_port: int,
         link_rate: float = 0.0,
         memory: int = MEMORY_MB,
+        descriptors: int = 0,
     ) -> SidecarProcess:
         """Start a sidecar that other nodes reach at ``advertised_port``.
 
-        ``link_rate`` is that of its VM's link, in Mbit/s, or 0, and
-        ``memory`` what the process may use, in MB.
+        ``link_rate`` is that of its VM's link, in Mbit/s, or 0. ``memory``,
+        in MB, and ``descriptors`` are what the settings let it use.
         """
         settings = self._folder / f"{name}.ini"
         settings.write_text(
@@ -184,6 +186,7 @@
                 grace=self._grace_seconds,
                 link_rate=link_rate,
                 memory=memory,
+                descriptors=descriptors,
                 **ports,
             )
         )
--- a/tests/users_platform/test_uncontrolled_clients.py
+++ b/tests/users_platform/test_uncontrolled_clients.py
@@ -27,6 +27,8 @@
 DESCRIPTORS = 600
 # Of the descriptors of a machine, for files.
 RESERVED_DESCRIPTORS = 200
+SHELL_DESCRIPTORS = 256
+TOLD_DESCRIPTORS = 4100
 HEADER_MAX_BYTES = 16_384
 BODY_MAX_BYTES = 65_536
 BODY_BYTES = 60_000
@@ -216,7 +218,10 @@
 
 
 async def _start(
-    fleet: sidecar_fleet.SidecarFleet, descriptors: int
+    fleet: sidecar_fleet.SidecarFleet,
+    descriptors: int,
+    hard_limit: int = 0,
+    told: int = 0,
 ) -> sidecar_fleet.SidecarProcess:
     configuration = sidecar_fleet.configuration(3)
     configuration["limits"] = {
@@ -239,6 +244,13 @@
             fleet.store.port,
             ports["stream"],
             memory=MEMORY_MB,
+            descriptors=told,
+        )
+    if hard_limit:
+        resource.prlimit(
+            sidecar.process.pid,
+            resource.RLIMIT_NOFILE,
+            (descriptors, hard_limit),
         )
     await fleet.wait_until_ready()
     await fleet.wait_until(lambda: _is_served(sidecar))
@@ -282,6 +294,33 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("hard_limit", [SHELL_DESCRIPTORS, TOLD_DESCRIPTORS])
+def test_more_descriptors_in_settings_than_the_process_has(
+    hard_limit: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a node that accepts more than it has descriptors for."""
+    behaviour = BEHAVIOURS["half a head"]
+
+    async def main() -> None:
+        async with sidecar_fleet.SidecarFleet(tmp_path) as fleet:
+            sidecar = await _start(
+                fleet, SHELL_DESCRIPTORS, hard_limit, TOLD_DESCRIPTORS
+            )
+            port = sidecar.ports["callers"]
+            async with crowd.Crowd(
+                DOORS["routed"], behaviour, port
+            ) as clients:
+                await clients.press()
+                await _Watch(sidecar).until_steady()
+                served = await _is_served(sidecar)
+                ready = await _is_ready(sidecar)
+            seen = f"{served=} {ready=}"
+            assert sidecar.process.returncode is None, seen
+            assert served and ready, seen
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("place", ["own target", "other node"])
 @pytest.mark.parametrize("size", [10_000_000, LARGEST_BODY_BYTES])
 def test_one_large_request_is_served_in_calm(
