Use the descriptors that the process has, not those it was told

Operators whose shell or supervisor gives a process fewer descriptors than [node] descriptors saw a node that neither served nor was ready while many connections were open: it could not accept, connect, or read its settings file.

Cause: the setting replaced the limit of the process, also where that was lower, so connections were closed for others only from 610 open ones on (the share of 100 MB), with 256 descriptors.

Evidence: test_more_descriptors_in_settings_than_the_process_has failed with 'served=False ready=False' at hard limits of 256 and 4100.

The soft limit is now raised to what the settings say, as far as the hard limit lets it, and the lower of the two is shared out; a line says so. 0 still stands for the limit of the process as it is. Both cases pass.

--- a/packages/node/src/balsamramp_node/process/process_limits.py
+++ b/packages/node/src/balsamramp_node/process/process_limits.py
@@ -2,6 +2,7 @@
 
 import resource
 
+from absl import logging
 import attrs
 
 __all__ = ["ProcessLimits"]
@@ -14,6 +15,8 @@
 CONNECTION_BYTES = 8 * 1024
 # Descriptors that are left for files.
 RESERVED_DESCRIPTORS = 200
+# Where neither the settings nor the system set a limit.
+DESCRIPTORS_MAX = 65_536
 # Shares of the others. The rest is for peers, targets and the store, and for
 # connections that are accepted before others are closed.
 CALLERS_DESCRIPTORS_SHARE = 0.4
@@ -31,10 +34,15 @@
 
     @classmethod
     def make(cls, memory_bytes: int, descriptors: int) -> "ProcessLimits":
-        """Return limits; 0 descriptors stand for the limit of the process."""
-        if not descriptors:
-            descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        return cls(memory_bytes=memory_bytes, descriptors=descriptors)
+        """Return what the settings allow and the process really has.
+
+        0 descriptors stand for the limit of the process, which is raised to
+        what the settings say if the system lets it.
+        """
+        return cls(
+            memory_bytes=memory_bytes,
+            descriptors=_available_descriptors(descriptors),
+        )
 
     @property
     def message_bytes(self) -> int:
@@ -61,3 +69,32 @@
         # Few descriptors are shared as they are.
         left = self.descriptors - RESERVED_DESCRIPTORS
         return max(left, self.descriptors // 2)
+
+
+def _available_descriptors(descriptors: int) -> int:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if not descriptors:
+        return soft if soft != resource.RLIM_INFINITY else DESCRIPTORS_MAX
+    if soft == resource.RLIM_INFINITY or soft >= descriptors:
+        return descriptors
+    wanted = descriptors
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(descriptors, hard)
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+    except (OSError, ValueError) as error:
+        logging.warning(
+            "cannot raise the limit on descriptors from %d to %d: %s",
+            soft,
+            wanted,
+            error,
+        )
+        wanted = soft
+    if wanted < descriptors:
+        logging.warning(
+            "[node] descriptors is %d, but the process may have only %d;"
+            " using these",
+            descriptors,
+            wanted,
+        )
+    return wanted
