--- a/packages/node/tests/test_uncontrolled_callers.py
+++ b/packages/node/tests/test_uncontrolled_callers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import resource
 import typing
 
 import attrs
@@ -456,6 +457,18 @@
         assert taken + limits.message_bytes < limits.memory_bytes / 3
 
 
+def test_memory_is_that_of_a_lower_limit_of_the_process() -> None:
+    """Guards against messages for which no memory can be allocated."""
+    before = resource.getrlimit(resource.RLIMIT_AS)
+    lowered = 64_000 * MEGABYTE
+    resource.setrlimit(resource.RLIMIT_AS, (lowered, before[1]))
+    try:
+        limits = process_limits.ProcessLimits.make(2 * lowered, 600)
+    finally:
+        resource.setrlimit(resource.RLIMIT_AS, before)
+    assert limits.memory_bytes == lowered
+
+
 def test_time_of_a_transfer_is_that_of_the_longest_request() -> None:
     longest = entry_ingress.TIMEOUT_MAX
     assert longest <= transfer_progress.TRANSFER_TIMEOUT
