Take a lower limit on the address space for the memory of a process

Where an operator limits the address space below [node] memory, a process kept messages up to a fifth of the setting, which it may not be able to allocate; a failing allocation refuses whatever asked for it. The limit found is used where it is lower, and a line says so.

--- a/packages/node/src/balsamramp_node/process/process_limits.py
+++ b/packages/node/src/balsamramp_node/process/process_limits.py
@@ -40,7 +40,7 @@
         what the settings say if the system lets it.
         """
         return cls(
-            memory_bytes=memory_bytes,
+            memory_bytes=_available_memory(memory_bytes),
             descriptors=_available_descriptors(descriptors),
         )
 
@@ -71,6 +71,19 @@
         return max(left, self.descriptors // 2)
 
 
+def _available_memory(memory_bytes: int) -> int:
+    limit, _ = resource.getrlimit(resource.RLIMIT_AS)
+    if limit == resource.RLIM_INFINITY or limit >= memory_bytes:
+        return memory_bytes
+    logging.warning(
+        "[node] memory is %d bytes, but the address space of the process is"
+        " limited to %d; using that",
+        memory_bytes,
+        limit,
+    )
+    return limit
+
+
 def _available_descriptors(descriptors: int) -> int:
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if not descriptors:
