Run the loops of a node again after an unexpected error

One unexpected error ended a loop for good, and without a line: the task kept the exception, and its service kept the task. What the loop did was not done any more until the process was started again. Targets that had gone were not expired, leases not renewed, peers not heard of; and a node whose first exchange of rollout states ended so was never ready.

Evidence: test_background_tasks, with a ValueError of one dependency: nothing was called again in 30 s ('assert 1 > 1'), is_ready stayed False.

background_task.start runs a loop again a second later, logs the error with its place and counts it. All loops of the node that last as long as it use it, those that caught errors around a part of their work too.

--- a/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
@@ -10,6 +10,7 @@
 import attrs
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import configuration
 from balsamramp_core import intents
@@ -79,7 +80,9 @@
         self._rejection: intents.Rejection | None = None
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/configuration/platform_log_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/platform_log_reader.py
@@ -10,6 +10,7 @@
 from absl import logging
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import configuration
 from balsamramp_core import metrics
@@ -102,7 +103,9 @@
         return self._read_at
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/configuration/reader_lease.py
+++ b/packages/node/src/balsamramp_node/configuration/reader_lease.py
@@ -21,6 +21,7 @@
 from returns import result
 import xxhash
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
@@ -124,7 +125,9 @@
 
     async def start(self) -> None:
         self._started_at = self._clock.monotonic()
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/configuration/snapshots.py
+++ b/packages/node/src/balsamramp_node/configuration/snapshots.py
@@ -7,6 +7,7 @@
 from absl import logging
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
@@ -53,7 +54,9 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/inbound/idempotency_store.py
+++ b/packages/node/src/balsamramp_node/inbound/idempotency_store.py
@@ -9,6 +9,7 @@
 from returns import result
 import xxhash
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
@@ -88,7 +89,9 @@
     async def start(self) -> None:
         if not self._receives_keys:
             return
-        self._task = asyncio.create_task(self._refresh_periodically())
+        self._task = background_task.start(
+            self._refresh_periodically, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -11,6 +11,7 @@
 import attrs
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import resource
@@ -177,7 +178,9 @@
         return self._lease
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._expire_periodically())
+        self._task = background_task.start(
+            self._expire_periodically, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         tasks = [*self._probes]
--- a/packages/node/src/balsamramp_node/membership/membership.py
+++ b/packages/node/src/balsamramp_node/membership/membership.py
@@ -10,6 +10,7 @@
 import attrs
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
@@ -162,7 +163,9 @@
         return self._view.members
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         await self.leave()
--- a/packages/node/src/balsamramp_node/membership/object_store_discovery.py
+++ b/packages/node/src/balsamramp_node/membership/object_store_discovery.py
@@ -13,6 +13,7 @@
 import msgspec
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import decoding
 from balsamramp_core import service_manager
@@ -55,7 +56,7 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(self._run, self._clock)
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/membership/zone_reports.py
+++ b/packages/node/src/balsamramp_node/membership/zone_reports.py
@@ -16,6 +16,7 @@
 import attrs
 import msgspec
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import service_manager
 from balsamramp_node.configuration import fanout_tree
@@ -69,7 +70,7 @@
         transport.handle(messages.ReportRequest, self._serve_report)
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(self._run, self._clock)
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/process/event_loop_monitor.py
+++ b/packages/node/src/balsamramp_node/process/event_loop_monitor.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
@@ -34,7 +35,9 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/process/traffic_monitor.py
+++ b/packages/node/src/balsamramp_node/process/traffic_monitor.py
@@ -4,6 +4,7 @@
 from collections import abc
 import datetime
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
@@ -41,7 +42,9 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/rollouts/outcome_reporter.py
+++ b/packages/node/src/balsamramp_node/rollouts/outcome_reporter.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import intents
 from balsamramp_core import service_manager
@@ -58,7 +59,7 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(self._run, self._clock)
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/rollouts/rollout_gossip.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_gossip.py
@@ -8,6 +8,7 @@
 
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
@@ -85,9 +86,19 @@
         )
 
     async def start(self) -> None:
-        self._tasks.append(asyncio.create_task(self._run_initial_exchange()))
-        self._tasks.append(asyncio.create_task(self._run()))
-        self._tasks.append(asyncio.create_task(self._push_changes()))
+        self._tasks.append(
+            background_task.start(
+                self._run_initial_exchange, self._clock, self._metrics
+            )
+        )
+        self._tasks.append(
+            background_task.start(self._run, self._clock, self._metrics)
+        )
+        self._tasks.append(
+            background_task.start(
+                self._push_changes, self._clock, self._metrics
+            )
+        )
 
     async def stop(self) -> None:
         tasks = [*self._tasks, *self._background_tasks]
--- a/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import decoding
 from balsamramp_core import metrics
@@ -70,7 +71,9 @@
         controller.listen(self._on_changed_state)
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         if self._task is not None:
--- a/packages/node/src/balsamramp_node/usage/usage_exchange.py
+++ b/packages/node/src/balsamramp_node/usage/usage_exchange.py
@@ -10,6 +10,7 @@
 import attrs
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
@@ -81,7 +82,9 @@
         )
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         """Send the last counts, which nobody else knows."""
--- a/packages/node/src/balsamramp_node/usage/usage_reporter.py
+++ b/packages/node/src/balsamramp_node/usage/usage_reporter.py
@@ -11,6 +11,7 @@
 import msgspec
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import decoding
 from balsamramp_core import metrics
@@ -129,7 +130,9 @@
 
     async def start(self) -> None:
         self._started_at = self._clock.monotonic()
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         if self._task is not None:
