--- a/packages/node/src/balsamramp_node/membership/table_discovery.py
+++ b/packages/node/src/balsamramp_node/membership/table_discovery.py
@@ -14,6 +14,7 @@
 import msgspec
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import decoding
 from balsamramp_core import service_manager
@@ -67,7 +68,7 @@
         self._withdrawn = False
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(self._run, self._clock)
 
     async def stop(self) -> None:
         await self.withdraw()
