Don't hold a lack of descriptors against targets and peers

A node whose descriptors were used up took the failed connects for faults of the other side: failures of a version under rollout, which may roll it back; an ejection of the targets behind a peer; a suspicion of members that were well, which spread.

Cause: every OSError of a connect was taken for one of the peer.

EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL are now told apart: the call is refused as overloaded, not run, so that it may go to another node's target, and leaves no sample; an exchange that failed so suspects nobody.

--- a/packages/node/src/balsamramp_node/inbound/concurrency_limit.py
+++ b/packages/node/src/balsamramp_node/inbound/concurrency_limit.py
@@ -5,7 +5,7 @@
 import enum
 import typing
 
-__all__ = ["ConcurrencyLimit", "CallOutcome"]
+__all__ = ["CallOutcome", "ConcurrencyLimit", "OUTCOMES_WITHOUT_EVIDENCE"]
 
 
 class CallOutcome(enum.Enum):
@@ -14,7 +14,8 @@
     ERROR is a response with a server error. CONNECT_FAILED is a call for
     which no connection was made, INCOMPLETE one whose response was not
     received whole, and CANCELLED one that its caller or its deadline
-    ended.
+    ended. NOT_SENT is a call that this node had no resources to send, which
+    tells nothing about the target.
     """
 
     ANSWERED = "answered"
@@ -23,6 +24,12 @@
     CONNECT_FAILED = "failed"
     INCOMPLETE = "cut"
     CANCELLED = "cancelled"
+    NOT_SENT = "not-sent"
+
+
+OUTCOMES_WITHOUT_EVIDENCE = frozenset(
+    [CallOutcome.CANCELLED, CallOutcome.NOT_SENT]
+)
 
 
 class ConcurrencyLimit(abc.ABC):
--- a/packages/node/src/balsamramp_node/inbound/concurrency_limits/adaptive.py
+++ b/packages/node/src/balsamramp_node/inbound/concurrency_limits/adaptive.py
@@ -65,7 +65,7 @@
         last_call_at = self._state.last_call_at
         idle = last_call_at is not None and now - last_call_at > IDLE_MAX
         self._state.last_call_at = now
-        if outcome is concurrency_limit.CallOutcome.CANCELLED:
+        if outcome in concurrency_limit.OUTCOMES_WITHOUT_EVIDENCE:
             return
         if outcome is concurrency_limit.CallOutcome.SHED:
             self._lower_on_shed(now, in_flight)
--- a/packages/node/src/balsamramp_node/inbound/http_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/http_target_client.py
@@ -6,6 +6,7 @@
 from returns import result
 import yarl
 
+from balsamramp_core import local_errors
 from balsamramp_core import service_manager
 from balsamramp_core import verdict
 from balsamramp_node.inbound import target_client
@@ -83,6 +84,8 @@
             aiohttp.ConnectionTimeoutError,
             aiohttp.InvalidURL,
         ) as error:
+            if local_errors.is_local(error):
+                raise target_client.LocalLimitError(repr(error)) from error
             return _failure_result(
                 verdict.Verdict.NOT_RUN,
                 verdict.Reason.TARGET_FAILED,
--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -468,6 +468,14 @@
                 target.announcement, request, deadline - started
             )
             outcome = _call_outcome(call_result)
+        except target_client.LocalLimitError as error:
+            outcome = concurrency_limit.CallOutcome.NOT_SENT
+            call_result = result.Failure(
+                _not_run_failure(
+                    verdict.Reason.OVERLOADED,
+                    f"this node cannot connect to its target: {error}",
+                )
+            )
         finally:
             latency = self._clock.monotonic() - started
             limiter.finish(request, latency, outcome)
--- a/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
+++ b/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
@@ -237,7 +237,7 @@
         latency: datetime.timedelta,
         outcome: concurrency_limit.CallOutcome,
     ) -> None:
-        if outcome is concurrency_limit.CallOutcome.CANCELLED:
+        if outcome in concurrency_limit.OUTCOMES_WITHOUT_EVIDENCE:
             return
         failed = outcome is not concurrency_limit.CallOutcome.ANSWERED
         self._failure_share += (failed - self._failure_share) * FAILURE_WEIGHT
--- a/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
@@ -13,6 +13,7 @@
 
 from balsamramp_core import clock
 from balsamramp_core import header_names
+from balsamramp_core import local_errors
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
 from balsamramp_core import settings
@@ -314,6 +315,8 @@
                     address, self._body_max_bytes, self._budget
                 )
         except (OSError, TimeoutError) as error:
+            if local_errors.is_local(error):
+                raise target_client.LocalLimitError(repr(error)) from error
             if getattr(error, "errno", None) == errno.ECONNREFUSED:
                 self.on_connection_refused(target.target)
             return verdict.Failure(
--- a/packages/node/src/balsamramp_node/inbound/target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/target_client.py
@@ -10,7 +10,16 @@
 from balsamramp_node.inbound import targets
 from balsamramp_wire import messages
 
-__all__ = ["TargetCallResult", "TargetResponse", "TargetClient"]
+__all__ = [
+    "LocalLimitError",
+    "TargetCallResult",
+    "TargetClient",
+    "TargetResponse",
+]
+
+
+class LocalLimitError(Exception):
+    """This node lacks a descriptor, memory or a port to send the call."""
 
 
 @attrs.frozen(kw_only=True)
@@ -40,4 +49,6 @@
         A target sheds the call by setting the header
         ``balsamramp-not-run``, which results in a failure with verdict
         NOT_RUN. Any other response is a success, whatever its status.
+        Raises LocalLimitError if the call could not be sent for a reason
+        that tells nothing about the target.
         """
--- a/packages/node/src/balsamramp_node/membership/membership.py
+++ b/packages/node/src/balsamramp_node/membership/membership.py
@@ -15,6 +15,7 @@
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
 from balsamramp_core import settings
+from balsamramp_core import verdict
 from balsamramp_node.configuration import distribution
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
@@ -350,7 +351,7 @@
         )
         sent = await self._transport.send(peer, request, REQUEST_TIMEOUT)
         if isinstance(sent, result.Failure):
-            await self._handle_failure(peer_member)
+            await self._handle_failure(peer_member, sent.failure())
             return False
         reply: messages.ExchangeReply = sent.unwrap()
         self._detector.record_response(reply.node)
@@ -385,8 +386,13 @@
                 address, message.zone, message.state
             )
 
-    async def _handle_failure(self, member: messages.Member | None) -> None:
+    async def _handle_failure(
+        self, member: messages.Member | None, failure: verdict.Failure
+    ) -> None:
         self._metrics.count("exchanges_failed_total")
+        if failure.reason is verdict.Reason.OVERLOADED:
+            # This node had no descriptor to connect with.
+            return
         if member is None or member.state is not messages.MemberState.ALIVE:
             return
         if not await self._detector.confirm_failure(member):
--- a/packages/node/src/balsamramp_node/outbound/stream_client.py
+++ b/packages/node/src/balsamramp_node/outbound/stream_client.py
@@ -10,6 +10,7 @@
 import attrs
 
 from balsamramp_core import clock
+from balsamramp_core import local_errors
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
 from balsamramp_core import settings
@@ -308,11 +309,14 @@
 def _connect_failure(
     peer: settings.Address, request: messages.CallRequest, error: Exception
 ) -> messages.CallFailure:
+    reason = verdict.Reason.CONNECTION_LOST
+    if local_errors.is_local(error):
+        reason = verdict.Reason.OVERLOADED
     return messages.CallFailure(
         call_id=request.call_id,
         failure=verdict.Failure(
             verdict.Verdict.NOT_RUN,
-            verdict.Reason.CONNECTION_LOST,
+            reason,
             f"cannot connect to {peer}: {error!r}",
         ),
         load=messages.Load(0, 0),
--- a/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
+++ b/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from balsamramp_core import decoding
+from balsamramp_core import local_errors
 from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_node.inbound import control_server
@@ -52,6 +53,8 @@
                 peer, request.method, body, timeout
             )
         except (OSError, TimeoutError) as error:
+            if local_errors.is_local(error):
+                return _failure(peer, repr(error), verdict.Reason.OVERLOADED)
             return _failure(peer, repr(error))
         if response is None:
             return _failure(peer, "connection lost")
@@ -67,12 +70,14 @@
 
 
 def _failure(
-    peer: settings.Address, text: str
+    peer: settings.Address,
+    text: str,
+    reason: verdict.Reason = verdict.Reason.CONNECTION_LOST,
 ) -> result.Result[typing.Any, verdict.Failure]:
     return result.Failure(
         verdict.Failure(
             verdict.Verdict.MAY_HAVE_RUN,
-            verdict.Reason.CONNECTION_LOST,
+            reason,
             f"control request to {peer} failed: {text}",
         )
     )
--- a/packages/node/src/balsamramp_node/rollouts/rollout_interceptor.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_interceptor.py
@@ -75,6 +75,8 @@
         outcome: concurrency_limit.CallOutcome,
         latency: datetime.timedelta,
     ) -> None:
+        if outcome is concurrency_limit.CallOutcome.NOT_SENT:
+            return
         # The inbound handler never exceeds the slots that a target states,
         # so a refusal by such a target is a failure, not a lack of capacity.
         has_stated_slots = target.announcement.slots > 0
