--- a/packages/node/tests/test_decision_log.py
+++ b/packages/node/tests/test_decision_log.py
@@ -2,8 +2,11 @@
 
 import datetime
 import json
+import logging
 import os
 
+import pytest
+
 from balsamramp_node.process import decision_log
 from balsamramp_testing import virtual_time
 
@@ -91,3 +94,36 @@
         assert len(late) == 5
 
     virtual_time.run(main())
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["\udcff", object(), {("a",): 1}],
+    ids=["surrogate", "object", "key"],
+)
+def test_value_that_cannot_be_encoded_does_not_end_its_writer(
+    value: object,
+) -> None:
+    async def main() -> None:
+        sink = _ListSink()
+        log = decision_log.DecisionLog(sink, virtual_time.VirtualClock())
+        log.write("refused", reason=value, target="t")
+        (line,) = sink.lines
+        assert line["event"] == "refused"
+        assert line["reason"] == repr(value)
+
+    virtual_time.run(main())
+
+
+def test_message_with_wrong_arguments_does_not_end_its_writer() -> None:
+    async def main() -> None:
+        sink = _ListSink()
+        log = decision_log.DecisionLog(sink, virtual_time.VirtualClock())
+        handler = decision_log.DecisionHandler(log)
+        handler.emit(
+            logging.makeLogRecord({"msg": "%d lines", "args": ("none",)})
+        )
+        (line,) = sink.lines
+        assert "%d lines" in str(line["text"])
+
+    virtual_time.run(main())
--- a/packages/node/tests/test_local_targets.py
+++ b/packages/node/tests/test_local_targets.py
@@ -8,6 +8,7 @@
 import asyncio
 import datetime
 import typing
+from unittest import mock
 
 import attrs
 import pytest
@@ -441,3 +442,18 @@
         assert vm.state() is READY
 
     _run(main)
+
+
+def test_target_is_checked_again_after_an_unexpected_error() -> None:
+    """Guards against a target that never serves as its check ended."""
+
+    async def main() -> None:
+        vm = _Vm()
+        vm.local.probe_health = mock.AsyncMock(
+            side_effect=[ValueError("unexpected"), targets.Health.SERVING]
+        )
+        assert vm.announce()
+        await vm.clock.sleep(targets.PROBE_INTERVAL_MAX)
+        assert vm.state() is READY
+
+    virtual_time.run(main())
