Check a target again after an unexpected error of its health check

A target that is older than its node's process, or that took over another's address, gets calls once a health check says that it serves. An unexpected error of the check ended the task that repeats it, and the target stayed without calls until its announcements showed that it serves.

Evidence: the test saw STARTING after the second check was due. An unexpected error now counts as a check without a result; the test passes.

--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -253,7 +253,15 @@
         """Probe a target until it serves, leaves or is verified otherwise."""
         interval = PROBE_INTERVAL_MIN
         while True:
-            health = await probe_health(local_target.announcement)
+            try:
+                health = await probe_health(local_target.announcement)
+            except Exception:
+                logging.exception(
+                    "health check of target %s failed by an unexpected"
+                    " error; checking again",
+                    local_target.announcement.target,
+                )
+                health = Health.UNKNOWN
             if not self._awaits_verification(local_target):
                 return
             self._record_health(local_target, health)
