Answer calls and control requests that end by an unexpected error

The node that sent one waited until its time was up, as the reply was lost with the exception; so did the caller. For a keyed call this held for any error before or after it ran.

Evidence: both tests ended by 'ValueError: unexpected'. A control request is now answered as not served, a call as one that may have run, each with a log line. The tests pass, and those of streams and the inbound handler.

--- a/packages/node/src/balsamramp_node/inbound/control_server.py
+++ b/packages/node/src/balsamramp_node/inbound/control_server.py
@@ -48,6 +48,13 @@
                 error,
             )
             return messages.ControlAnswer(call.number, False)
-        reply = await handler(request)
-        body = msgspec.msgpack.encode(reply)
+        try:
+            reply = await handler(request)
+            body = msgspec.msgpack.encode(reply)
+        except Exception:
+            logging.exception(
+                "control request %s failed by an unexpected error; not served",
+                call.method,
+            )
+            return messages.ControlAnswer(call.number, False)
         return messages.ControlAnswer(call.number, True, body)
--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -156,7 +156,15 @@
     ) -> call_transport.Reply:
         """Return the reply of a call that has ended."""
         if not task.cancelled():
-            return task.result()
+            error = task.exception()
+            if error is None:
+                return task.result()
+            logging.error(
+                "call %s failed with an unexpected error",
+                request.call_id,
+                exc_info=error,
+            )
+            return self._unexpected_failure(request, error)
         entry = self._deduplication.find(deduplication_cache.call_key(request))
         if entry is not None and entry.reply is not None:
             return entry.reply
@@ -412,14 +420,7 @@
             logging.exception(
                 "call %s failed with an unexpected error", request.call_id
             )
-            failure = verdict.Failure(
-                verdict.Verdict.MAY_HAVE_RUN,
-                verdict.Reason.TARGET_FAILED,
-                f"unexpected error: {error!r}",
-            )
-            return self._failure_reply(
-                request.call_id, request.target, failure
-            )
+            return self._unexpected_failure(request, error)
         finally:
             self._running.discard(entry)
             self._link.finish(request, reply)
@@ -568,6 +569,16 @@
         )
         return self._failure_reply(request.call_id, request.target, failure)
 
+    def _unexpected_failure(
+        self, request: messages.CallRequest, error: BaseException
+    ) -> messages.CallFailure:
+        failure = verdict.Failure(
+            verdict.Verdict.MAY_HAVE_RUN,
+            verdict.Reason.TARGET_FAILED,
+            f"unexpected error: {error!r}",
+        )
+        return self._failure_reply(request.call_id, request.target, failure)
+
     def _failure_reply(
         self, call_id: str, target: str, failure: verdict.Failure
     ) -> messages.CallFailure:
