Write log lines whose values can't be encoded, as text

A value that JSON can't hold, such as a file name that is no UTF-8, or a message with wrong arguments raised in the code that wrote the line, and so ended a request or a loop.

Evidence: UnicodeEncodeError and TypeError in the tests. Such values are now written as their representation; the tests pass.

--- a/packages/node/src/balsamramp_node/process/decision_log.py
+++ b/packages/node/src/balsamramp_node/process/decision_log.py
@@ -172,7 +172,13 @@
             "event": event,
             **fields,
         }
-        if not self._sink.write(self._encoder.encode(line)):
+        try:
+            encoded = self._encoder.encode(line)
+        except (TypeError, ValueError):
+            # A log line must not end what it tells of.
+            texts = {name: repr(value) for name, value in fields.items()}
+            encoded = self._encoder.encode({**line, **texts})
+        if not self._sink.write(encoded):
             self._omitted += 1
 
 
@@ -185,7 +191,11 @@
 
     def emit(self, record: std_logging.LogRecord) -> None:
         """Write one record as a ``message`` event."""
-        fields = {"level": record.levelname, "text": record.getMessage()}
+        try:
+            text = record.getMessage()
+        except (TypeError, ValueError):
+            text = f"{record.msg!r} with {record.args!r}"
+        fields = {"level": record.levelname, "text": text}
         if record.exc_info and record.exc_info[1] is not None:
             fields["error"] = repr(record.exc_info[1])
             fields["where"] = _innermost_frame(record.exc_info[2])
