Fail a control request that is too large instead of its sender

A control request over the size of a frame raised FrameError in the loop that sent it, and left an entry of a pending request behind, for which the connection was never closed as idle.

Evidence: 'FrameError: message of bytes is too large'. It is now a failure like others.

--- a/packages/node/src/balsamramp_node/outbound/peer_stream.py
+++ b/packages/node/src/balsamramp_node/outbound/peer_stream.py
@@ -155,15 +155,15 @@
 
         Returns None if the connection is lost or becomes unresponsive
         before the reply. Raises TimeoutError if there is no reply within
-        ``timeout``.
+        ``timeout``, and FrameError if the request is too large.
         """
         number = next(self._control_numbers)
         loop = asyncio.get_running_loop()
         future: asyncio.Future[messages.ControlAnswer | None]
         future = loop.create_future()
-        self._pending_control[number] = future
         call = messages.ControlCall(number, method, body)
         self._write(call)
+        self._pending_control[number] = future
         self._start_keepalive()
         try:
             async with asyncio.timeout(timeout.total_seconds()):
--- a/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
+++ b/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
@@ -13,6 +13,7 @@
 from balsamramp_node.inbound import control_server
 from balsamramp_node.outbound import stream_client
 from balsamramp_wire import control_transport
+from balsamramp_wire import frames
 from balsamramp_wire import messages
 
 __all__ = ["StreamControlTransport"]
@@ -56,6 +57,8 @@
             if local_errors.is_local(error):
                 return _failure(peer, repr(error), verdict.Reason.OVERLOADED)
             return _failure(peer, repr(error))
+        except frames.FrameError as error:
+            return _failure(peer, str(error))
         if response is None:
             return _failure(peer, "connection lost")
         if not response.served:
