--- a/packages/node/tests/test_request_reader.py
+++ b/packages/node/tests/test_request_reader.py
@@ -6,6 +6,7 @@
 """
 
 import http
+from unittest import mock
 
 import attrs
 import hypothesis
@@ -15,6 +16,7 @@
 from balsamramp_core import metrics
 from balsamramp_core.resources import caller_limits
 from balsamramp_node.process import body_budget
+from balsamramp_node.process import body_parts
 from balsamramp_node.process import request_reader
 
 LIMITS = caller_limits.CallerLimits(
@@ -210,3 +212,11 @@
     assert reserved >= fields * request_reader.FIELD_BYTES / 2
     reader.close()
     assert budget.held_bytes == 0
+
+
+def test_request_without_memory_is_not_called_malformed() -> None:
+    """Guards against callers that give a request up for good."""
+    parts = body_parts.BodyParts
+    with mock.patch.object(parts, "append", side_effect=MemoryError):
+        found = _read(b"POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\nab", [])
+    assert found.rejected is http.HTTPStatus.SERVICE_UNAVAILABLE
