Answer 503 to a request that there was no memory to read

Callers got 400, which tells them not to try again, when an allocation failed while their request was parsed.

Evidence: the test saw 400. The error behind that of the parser decides now; the test passes, and those of the reader, the caller's connection and pipelined requests.

--- a/packages/node/src/balsamramp_node/process/request_reader.py
+++ b/packages/node/src/balsamramp_node/process/request_reader.py
@@ -228,9 +228,12 @@
             self._upgrades = True
             self.close()
             return
-        except httptools.HttpParserCallbackError:
+        except httptools.HttpParserCallbackError as error:
             logging.exception("a request cannot be read; refusing it")
-            self._reject(http.HTTPStatus.BAD_REQUEST)
+            status = http.HTTPStatus.BAD_REQUEST
+            if isinstance(error.__context__, MemoryError):
+                status = http.HTTPStatus.SERVICE_UNAVAILABLE
+            self._reject(status)
             return
         except httptools.HttpParserError:
             self._reject(http.HTTPStatus.BAD_REQUEST)
