Go on watching the settings after an unexpected error

An error while a change of the settings was applied ended the watch without a line, and no later change came into force without SIGHUP. The test saw one call of two; it passes.

--- a/packages/node/src/balsamramp_node/process/settings_watcher.py
+++ b/packages/node/src/balsamramp_node/process/settings_watcher.py
@@ -41,7 +41,13 @@
         """Poll the file periodically."""
         while True:
             await self._clock.sleep(POLL_INTERVAL)
-            self.reload_if_changed()
+            try:
+                self.reload_if_changed()
+            except Exception:
+                logging.exception(
+                    "reading the settings failed by an unexpected error;"
+                    " reading them again at their next change"
+                )
 
     def reload_if_changed(self) -> None:
         """Read the file and report its settings if the text has changed."""
