--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -156,7 +156,15 @@
     ) -> call_transport.Reply:
         """Return the reply of a call that has ended."""
         if not task.cancelled():
-            return task.result()
+            error = task.exception()
+            if error is None:
+                return task.result()
+            logging.error(
+                "call %s failed with an unexpected error",
+                request.call_id,
+                exc_info=error,
+            )
+            return self._unexpected_failure(request, error)
         entry = self._deduplication.find(deduplication_cache.call_key(request))
         if entry is not None and entry.reply is not None:
             return entry.reply
@@ -412,14 +420,7 @@
             logging.exception(
                 "call %s failed with an unexpected error", request.call_id
             )
-            failure = verdict.Failure(
-                verdict.Verdict.MAY_HAVE_RUN,
-                verdict.Reason.TARGET_FAILED,
-                f"unexpected error: {error!r}",
-            )
-            return self._failure_reply(
-                request.call_id, request.target, failure
-            )
+            return self._unexpected_failure(request, error)
         finally:
             self._running.discard(entry)
             self._link.finish(request, reply)
@@ -468,6 +469,14 @@
                 target.announcement, request, deadline - started
             )
             outcome = _call_outcome(call_result)
+        except target_client.LocalLimitError as error:
+            outcome = concurrency_limit.CallOutcome.NOT_SENT
+            call_result = result.Failure(
+                _not_run_failure(
+                    verdict.Reason.OVERLOADED,
+                    f"this node cannot connect to its target: {error}",
+                )
+            )
         finally:
             latency = self._clock.monotonic() - started
             limiter.finish(request, latency, outcome)
@@ -560,6 +569,16 @@
         )
         return self._failure_reply(request.call_id, request.target, failure)
 
+    def _unexpected_failure(
+        self, request: messages.CallRequest, error: BaseException
+    ) -> messages.CallFailure:
+        failure = verdict.Failure(
+            verdict.Verdict.MAY_HAVE_RUN,
+            verdict.Reason.TARGET_FAILED,
+            f"unexpected error: {error!r}",
+        )
+        return self._failure_reply(request.call_id, request.target, failure)
+
     def _failure_reply(
         self, call_id: str, target: str, failure: verdict.Failure
     ) -> messages.CallFailure:
--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -11,6 +11,7 @@
 import attrs
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import resource
@@ -177,7 +178,9 @@
         return self._lease
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._expire_periodically())
+        self._task = background_task.start(
+            self._expire_periodically, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         tasks = [*self._probes]
@@ -250,7 +253,15 @@
         """Probe a target until it serves, leaves or is verified otherwise."""
         interval = PROBE_INTERVAL_MIN
         while True:
-            health = await probe_health(local_target.announcement)
+            try:
+                health = await probe_health(local_target.announcement)
+            except Exception:
+                logging.exception(
+                    "health check of target %s failed by an unexpected"
+                    " error; checking again",
+                    local_target.announcement.target,
+                )
+                health = Health.UNKNOWN
             if not self._awaits_verification(local_target):
                 return
             self._record_health(local_target, health)
--- a/packages/node/src/balsamramp_node/membership/membership.py
+++ b/packages/node/src/balsamramp_node/membership/membership.py
@@ -10,10 +10,12 @@
 import attrs
 from returns import result
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
 from balsamramp_core import settings
+from balsamramp_core import verdict
 from balsamramp_node.configuration import distribution
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
@@ -162,7 +164,9 @@
         return self._view.members
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
+        self._task = background_task.start(
+            self._run, self._clock, self._metrics
+        )
 
     async def stop(self) -> None:
         await self.leave()
@@ -347,7 +351,7 @@
         )
         sent = await self._transport.send(peer, request, REQUEST_TIMEOUT)
         if isinstance(sent, result.Failure):
-            await self._handle_failure(peer_member)
+            await self._handle_failure(peer_member, sent.failure())
             return False
         reply: messages.ExchangeReply = sent.unwrap()
         self._detector.record_response(reply.node)
@@ -382,8 +386,13 @@
                 address, message.zone, message.state
             )
 
-    async def _handle_failure(self, member: messages.Member | None) -> None:
+    async def _handle_failure(
+        self, member: messages.Member | None, failure: verdict.Failure
+    ) -> None:
         self._metrics.count("exchanges_failed_total")
+        if failure.reason is verdict.Reason.OVERLOADED:
+            # This node had no descriptor to connect with.
+            return
         if member is None or member.state is not messages.MemberState.ALIVE:
             return
         if not await self._detector.confirm_failure(member):
