Wait for the ports of a sidecar before it acts

Operators saw a process that ended with exit code 1 within 10 ms whenever one of its ports was still held, by a predecessor that drains or is paused or by another program; a supervisor that starts it again finds the same. The row members/ZONE/NODE was in the store by then, and callers of other nodes were sent to a node that was gone.

Cause: each server bound its port in the order of the services, once, after the readers, the membership and the registration had begun.

Evidence, before: 'cannot start: ready: Address already in use' (the same for ingress, heartbeats and stream-server), 'assert 1 is None' (return code).

Now the readiness port is taken and served first, then the other ports all at once or none, tried again every 0.1 s, and only then anything else starts.

Measured: the six tests of test_ports_taken.py for the ports other than that for metrics and for successors pass, with test_shutdown.py and test_lost_requests.py (52 tests run, 4 of them known red). The metrics port and a stop signal during the wait are still red.

--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -1,8 +1,10 @@
 """Accepts streams from other nodes and serves their calls."""
 
 import asyncio
+from collections import abc
 import datetime
 import functools
+import socket
 import ssl
 import typing
 
@@ -42,7 +44,11 @@
 
 
 class StreamServer(service_manager.Service):
-    """Listens for other nodes and runs one task for each connection."""
+    """Listens for other nodes and runs one task for each connection.
+
+    The server listens on the socket that ``take_listener`` returns, or at the
+    address ``listen``.
+    """
 
     name = "stream-server"
     requires = ("door",)
@@ -58,7 +64,9 @@
         control: control_server.ControlServer | None = None,
         shutdown: shutdown_schedule.ShutdownSchedule | None = None,
         replies: reply_scheduler.ReplyScheduler | None = None,
+        take_listener: abc.Callable[[], socket.socket] | None = None,
     ) -> None:
+        self._take_listener = take_listener
         self._replies = replies or reply_scheduler.ReplyScheduler(
             0.0,
             time,
@@ -92,12 +100,17 @@
         )
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(
-            self.serve,
-            self._listen.host,
-            self._listen.port,
-            ssl=self._security,
-        )
+        if self._take_listener is not None:
+            self._server = await asyncio.start_server(
+                self.serve, sock=self._take_listener(), ssl=self._security
+            )
+        else:
+            self._server = await asyncio.start_server(
+                self.serve,
+                self._listen.host,
+                self._listen.port,
+                ssl=self._security,
+            )
         port = self._server.sockets[0].getsockname()[1]
         self._address = settings.Address(self._listen.host, port)
 
--- a/packages/node/src/balsamramp_node/process/caller_server.py
+++ b/packages/node/src/balsamramp_node/process/caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server on one port, without an application framework."""
 
 import asyncio
+from collections import abc
 import datetime
 import socket
 
@@ -28,7 +29,9 @@
     Connections that callers opened before the listening socket closes are
     drained too, also those that the process had not accepted yet.
     Connections with requests still in progress when the time for responses
-    is over, or ``drain_timeout`` if that is set, are aborted.
+    is over, or ``drain_timeout`` if that is set, are aborted. The server
+    listens on the socket that ``take_listener`` returns, or on a new one at
+    ``listen_address``.
     """
 
     def __init__(
@@ -43,7 +46,9 @@
         drain_timeout: datetime.timedelta | None = None,
         budget: body_budget.BodyBudget | None = None,
         limit: connection_limit.ConnectionLimit | None = None,
+        take_listener: abc.Callable[[], socket.socket] | None = None,
     ) -> None:
+        self._take_listener = take_listener
         self._budget = budget
         self._limit = limit
         self._drain_timeout = drain_timeout
@@ -76,10 +81,13 @@
         if self._limit is not None:
             # The event loop accepts all of them before it closes others.
             backlog = min(backlog, self._limit.backlog)
-        self._listener = socket.create_server(
-            (self._listen_address.host, self._listen_address.port),
-            backlog=backlog,
-        )
+        if self._take_listener is not None:
+            self._listener = self._take_listener()
+        else:
+            self._listener = socket.create_server(
+                (self._listen_address.host, self._listen_address.port),
+                backlog=backlog,
+            )
         # Accepted sockets inherit it.
         self._listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import datetime
+import functools
 import gc
 import random
 import time
@@ -33,6 +34,7 @@
 from balsamramp_node.process import connection_limit
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import event_loop_monitor
+from balsamramp_node.process import listening_ports
 from balsamramp_node.process import node_dependencies
 from balsamramp_node.process import node_services
 from balsamramp_node.process import platform_adapter
@@ -131,6 +133,19 @@
             self._metrics,
             decisions,
         )
+        ready_port = self._make_ports(
+            "ready-port", {"ready": self._parse_address("ready")}
+        )
+        self._ports = self._make_ports(
+            "ports",
+            {
+                "callers": self._parse_address("callers"),
+                "announcements": self._parse_address("announcements"),
+                "stream_port": self._listen_address("stream_port"),
+                "metrics_port": self._listen_address("metrics_port"),
+            },
+            requires=("ready",),
+        )
         dependencies = node_dependencies.SidecarDependencies(
             replies=replies,
             table=adapter.table,
@@ -143,7 +158,17 @@
             outcome_publisher=adapter.outcome_publisher,
             organisation_header=adapter.dialect.organisation,
             usage=self._make_reporting_terms(adapter),
+            # The ports first: a node that misses one does nothing else.
             services=(
+                ready_port,
+                self._make_side_server(
+                    ready_port,
+                    "ready",
+                    "ready",
+                    self._serve_readiness,
+                    ("ready-port",),
+                ),
+                self._ports,
                 event_loop_monitor.EventLoopMonitor(
                     now, self._metrics, decisions
                 ),
@@ -173,8 +198,24 @@
         target_client.on_statement = (
             self._services.inbound_handler.record_statement
         )
-        for server in self._make_side_servers(adapter):
-            self._services.service_manager.add(server)
+        manager.add(
+            self._make_side_server(
+                self._ports,
+                "announcements",
+                "heartbeats",
+                adapter.heartbeat_api(self._services.targets),
+                ("source", "targets"),
+            )
+        )
+        manager.add(
+            self._make_side_server(
+                self._ports,
+                "metrics_port",
+                "metrics",
+                self._serve_metrics_and_dump,
+                ("source", "targets"),
+            )
+        )
         peer_server = stream_server.StreamServer(
             hello,
             self._listen_address("stream_port"),
@@ -184,6 +225,7 @@
             control=control_handlers,
             shutdown=self._shutdown,
             replies=replies,
+            take_listener=functools.partial(self._ports.take, "stream_port"),
         )
         self._services.service_manager.add(peer_server)
         self._services.service_manager.add(
@@ -216,7 +258,7 @@
         if self._shutdown.begun:
             return "the node stops"
         if not self._serving:
-            return "the node starts"
+            return self._ports.obstacle or "the node starts"
         return self._services.readiness.obstacle
 
     @property
@@ -359,35 +401,47 @@
             limit=connection_limit.ConnectionLimit(
                 "ingress", self._limits.caller_connections, self._metrics
             ),
+            take_listener=functools.partial(self._ports.take, "callers"),
         )
 
-    def _make_side_servers(
-        self, adapter: platform_adapter.PlatformAdapter
-    ) -> abc.Iterator[caller_server.CallerServer]:
-        """Return the servers for readiness, heartbeats, metrics and dump."""
-        heartbeats = adapter.heartbeat_api(self._services.targets)
-        for name, application, address in (
-            ("ready", self._serve_readiness, self._parse_address("ready")),
-            ("heartbeats", heartbeats, self._parse_address("announcements")),
-            (
-                "metrics",
-                self._serve_metrics_and_dump,
-                self._listen_address("metrics_port"),
+    def _make_ports(
+        self,
+        name: str,
+        addresses: abc.Mapping[str, settings.Address],
+        requires: tuple[str, ...] = (),
+    ) -> listening_ports.ListeningPorts:
+        return listening_ports.ListeningPorts(
+            name,
+            addresses,
+            self._clock,
+            self._metrics,
+            self._decisions,
+            requires,
+        )
+
+    def _make_side_server(
+        self,
+        ports: listening_ports.ListeningPorts,
+        port: str,
+        name: str,
+        application: typing.Any,
+        requires: tuple[str, ...],
+    ) -> caller_server.CallerServer:
+        """Return a server for readiness, heartbeats, or metrics and dump."""
+        return caller_server.CallerServer(
+            name,
+            asgi_handler.AsgiHandler(application).handle_request,
+            lambda: SIDE_LIMITS,
+            ports.addresses[port],
+            requires,
+            self._shutdown,
+            drain_timeout=SIDE_TIMEOUT,
+            budget=self._budget,
+            limit=connection_limit.ConnectionLimit(
+                name, self._limits.side_connections, self._metrics
             ),
-        ):
-            yield caller_server.CallerServer(
-                name,
-                asgi_handler.AsgiHandler(application).handle_request,
-                lambda: SIDE_LIMITS,
-                address,
-                ("source", "targets"),
-                self._shutdown,
-                drain_timeout=SIDE_TIMEOUT,
-                budget=self._budget,
-                limit=connection_limit.ConnectionLimit(
-                    name, self._limits.side_connections, self._metrics
-                ),
-            )
+            take_listener=functools.partial(ports.take, port),
+        )
 
     async def _serve_readiness(
         self, scope: typing.Any, receive: typing.Any, send: Send
--- a/tests/users_platform/test_ports_taken.py
+++ b/tests/users_platform/test_ports_taken.py
@@ -21,7 +21,7 @@
 OPTION_BY_PORT = {
     "callers": "callers",
     "control": "announcements",
-    "stream": "stream",
+    "stream": "stream_port",
 }
 # The interpreter and the imports take a second or two beside other tests.
 START_SECONDS = 20.0
