Serve without the metrics port while it is taken

Operators of several nodes on one IP address saw all but one of them end within 10 ms of each start: '[listen] metrics_port' is 9464 unless the settings say otherwise, and the template for the platform has no line for it.

Cause: the port for metrics and the dump was as essential to a start as that of the callers. Waiting for it, as for the others, would keep such nodes from ever serving.

Evidence, before: of three nodes without 'metrics_port' in their settings the first to start ended with 'cannot start: metrics: Address already in use (while attempting to bind on address (127.0.0.1, 9464))', as another process of the machine held it.

Now the server for metrics and the dump starts in the background, tries its port every second and logs the wait every 10 minutes; nothing requires it.

--- a/packages/node/src/balsamramp_node/process/listening_ports.py
+++ b/packages/node/src/balsamramp_node/process/listening_ports.py
@@ -1,5 +1,6 @@
 """Takes the ports of a node before its other services act."""
 
+import asyncio
 from collections import abc
 import contextlib
 import datetime
@@ -7,6 +8,7 @@
 import socket
 import typing
 
+from absl import logging
 import attrs
 
 from balsamramp_core import clock
@@ -15,7 +17,7 @@
 from balsamramp_core import settings
 from balsamramp_node.process import decision_log
 
-__all__ = ["ListeningPorts", "RetryIntervals"]
+__all__ = ["BackgroundServer", "ListeningPorts", "RetryIntervals"]
 
 # A predecessor releases the port, or the address is assigned to the VM.
 TEMPORARY_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
@@ -170,6 +172,43 @@
         )
 
 
+class BackgroundServer(service_manager.Service):
+    """Starts a server once its port is free; the node does not wait for it."""
+
+    def __init__(
+        self, ports: ListeningPorts, server: service_manager.Service
+    ) -> None:
+        self.name = server.name  # type: ignore[misc]
+        self.requires = server.requires  # type: ignore[misc]
+        self._ports = ports
+        self._server = server
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self._server.stop()
+        await self._ports.stop()
+
+    def dump(self) -> abc.Mapping[str, typing.Any]:
+        return self._ports.dump()
+
+    async def _run(self) -> None:
+        try:
+            await self._ports.start()
+            await self._server.start()
+        except Exception:
+            logging.exception(
+                "server %s cannot start; the node goes on without it",
+                self.name,
+            )
+
+
 def _bind(address: settings.Address) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -67,6 +67,10 @@
 )
 BYTES_PER_MEGABIT = 125_000
 BYTES_PER_MEGABYTE = 1_000_000
+# Nodes that share an address may share this port for as long as they run.
+METRICS_RETRY = listening_ports.RetryIntervals(
+    attempt=datetime.timedelta(seconds=1), log=datetime.timedelta(minutes=10)
+)
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
@@ -142,7 +146,6 @@
                 "callers": self._parse_address("callers"),
                 "announcements": self._parse_address("announcements"),
                 "stream_port": self._listen_address("stream_port"),
-                "metrics_port": self._listen_address("metrics_port"),
             },
             requires=("ready",),
         )
@@ -207,15 +210,7 @@
                 ("source", "targets"),
             )
         )
-        manager.add(
-            self._make_side_server(
-                self._ports,
-                "metrics_port",
-                "metrics",
-                self._serve_metrics_and_dump,
-                ("source", "targets"),
-            )
-        )
+        manager.add(self._make_metrics_server())
         peer_server = stream_server.StreamServer(
             hello,
             self._listen_address("stream_port"),
@@ -409,6 +404,7 @@
         name: str,
         addresses: abc.Mapping[str, settings.Address],
         requires: tuple[str, ...] = (),
+        intervals: listening_ports.RetryIntervals | None = None,
     ) -> listening_ports.ListeningPorts:
         return listening_ports.ListeningPorts(
             name,
@@ -417,7 +413,23 @@
             self._metrics,
             self._decisions,
             requires,
+            intervals,
+        )
+
+    def _make_metrics_server(self) -> listening_ports.BackgroundServer:
+        ports = self._make_ports(
+            "metrics-port",
+            {"metrics_port": self._listen_address("metrics_port")},
+            intervals=METRICS_RETRY,
+        )
+        server = self._make_side_server(
+            ports,
+            "metrics_port",
+            "metrics",
+            self._serve_metrics_and_dump,
+            ("source", "targets"),
         )
+        return listening_ports.BackgroundServer(ports, server)
 
     def _make_side_server(
         self,
--- a/packages/node/tests/test_listening_ports.py
+++ b/packages/node/tests/test_listening_ports.py
@@ -15,6 +15,7 @@
 import pytest
 
 from balsamramp_core import metrics
+from balsamramp_core import service_manager
 from balsamramp_core import settings
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import listening_ports
@@ -188,3 +189,51 @@
         ports.take("contested").close()
 
     _run(main)
+
+
+class _Server(service_manager.Service):
+    name = "metrics"
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+
+    async def start(self) -> None:
+        self.calls.append("start")
+
+    async def stop(self) -> None:
+        self.calls.append("stop")
+
+
+def test_server_in_the_background_starts_once_its_port_is_free() -> None:
+    async def main(world: _World) -> None:
+        server = _Server()
+        with _held() as taken:
+            background = listening_ports.BackgroundServer(
+                world.make(metrics_port=taken), server
+            )
+            await background.start()
+            await world.sleep(30)
+            assert server.calls == []
+        await world.sleep(1)
+        assert server.calls == ["start"]
+        await background.stop()
+        assert server.calls == ["start", "stop"]
+        assert _can_bind(taken)
+
+    _run(main)
+
+
+def test_server_in_the_background_that_waits_can_be_stopped() -> None:
+    async def main(world: _World) -> None:
+        server = _Server()
+        with _held() as taken:
+            background = listening_ports.BackgroundServer(
+                world.make(metrics_port=taken), server
+            )
+            await background.start()
+            await world.sleep(1)
+            await background.stop()
+        await world.sleep(1)
+        assert "start" not in server.calls
+
+    _run(main)
