Keep the row of a later start in the store

New nodes found nobody at the address of a node that had been started again: its predecessor, paused or slow to stop, deleted the row of its successor, and so did the node that deletes rows of departed ones if it had not yet heard of the new start. A predecessor that registered late replaced the row.

Cause: the row was written and deleted without a condition.

Evidence, before: 'assert None == 2' (late withdrawal, prune) and 'assert 1 == 2' (late registration) in test_table_discovery.py; with real processes, SIGSTOP of 5 s and SIGTERM of the first of two, no row was left.

Now a start first writes its row under the condition that there is none. If there is one, and for each deletion, the row is read and changed only if it is of no later start, under the condition that it has not changed since. Records of members have been ordered by incarnation already: the test with real processes shows that the peer goes on to call the successor, and that neither process ends by itself.

--- a/packages/node/src/balsamramp_node/membership/table_discovery.py
+++ b/packages/node/src/balsamramp_node/membership/table_discovery.py
@@ -1,8 +1,10 @@
 """Peer discovery through one table row per node.
 
 A node writes its row when it starts and deletes it when it stops; changes
-in between propagate by gossip. So the table gets one write and one read
-for each start.
+in between propagate by gossip. So the table gets one write and one read for
+each start, and as many for each stop. A row is replaced and deleted only for
+the same or a later start of its node: writes of a predecessor may come after
+its successor's.
 """
 
 import asyncio
@@ -34,6 +36,8 @@
 # failed exchange.
 PRUNE_INTERVAL = datetime.timedelta(seconds=60)
 STOP_TIMEOUT = datetime.timedelta(milliseconds=500)
+# Of a row that does not exist.
+NO_REVISION = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -82,7 +86,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
         try:
             async with asyncio.timeout(STOP_TIMEOUT.total_seconds()):
-                await self._commit(self._key, None)
+                await self._write(self._key, self._own.incarnation, None)
         except TimeoutError:
             logging.warning(
                 "deleting row %s timed out; it stays until another node of "
@@ -116,7 +120,12 @@
         row = _Row(
             address=self._own.control, incarnation=self._own.incarnation
         )
-        while not await self._commit(self._key, msgspec.json.encode(row)):
+        value = msgspec.json.encode(row)
+        # Most nodes find no row, as their predecessor has deleted it.
+        registered = await self._commit(self._key, value, NO_REVISION)
+        while not registered and not await self._write(
+            self._key, row.incarnation, value
+        ):
             await self._clock.sleep(wait * (0.5 + self._random.random()))
             wait = min(2 * wait, RETRY_MAX)
         while True:
@@ -130,11 +139,47 @@
         if not alive or alive[0].node != self._own.node:
             return
         for member in self._members.departed_in(self._own.zone):
-            await self._commit(f"{PREFIX}{member.zone}/{member.node}", None)
-
-    async def _commit(self, key: str, value: bytes | None) -> bool:
+            key = f"{PREFIX}{member.zone}/{member.node}"
+            await self._write(key, member.incarnation, None)
+
+    async def _write(
+        self, key: str, incarnation: int, value: bytes | None
+    ) -> bool:
+        """Write or delete the row of a node, unless a later start has it.
+
+        Return False if the write may be tried again.
+        """
+        read = await self._table.read(key)
+        if isinstance(read, result.Failure):
+            return False
+        row = read.unwrap()
+        if row is None and value is None:
+            return True
+        if row is not None and _incarnation_of(row) > incarnation:
+            logging.warning(
+                "row %s is of a later start of its node than %d; keeping it",
+                key,
+                incarnation,
+            )
+            return True
+        revision = NO_REVISION if row is None else row.revision
+        return await self._commit(key, value, revision)
+
+    async def _commit(
+        self, key: str, value: bytes | None, revision: int
+    ) -> bool:
+        """Write or delete a row that has ``revision``; return success."""
         transaction = storage.Transaction(
-            conditions=(), writes=(storage.Write(key, value),)
+            conditions=(storage.Condition(key, revision),),
+            writes=(storage.Write(key, value),),
         )
         committed = await self._table.commit(transaction)
         return isinstance(committed, result.Success)
+
+
+def _incarnation_of(row: storage.Row) -> int:
+    """Return the start that wrote a row, 0 if it is not a valid entry."""
+    try:
+        return decoding.decode_json(row.value, _Row).incarnation
+    except decoding.DecodingError:
+        return 0
