balsamrampd beside taken ports: failing tests

The standalone node ends as the sidecar did: 'balsamrampd: cannot start: ingress: cannot listen on 127.0.0.1:40691: Address already in use', the same for admin, transport, metrics and stream-server.

test_port_in_use_fails_the_start_and_names_the_address asked for exit code 1 for each of the five ports; that the process ends is the fault. In its place test_port_in_use_is_awaited_and_its_address_named asks for each of them that the process goes on, names port and address, serves nothing meanwhile, serves when the port is free and then ends with exit code 0 on SIGTERM.

--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -1,9 +1,14 @@
 """A node as a process: log lines, ports in use, draining and signals."""
 
 import asyncio
+from collections import abc
+import contextlib
 import pathlib
 import signal
 import socket
+import subprocess
+import sys
+import time
 
 import aiohttp
 import pytest
@@ -31,13 +36,16 @@
 [platform]
 url = http://127.0.0.1:1
 """
-SERVICE_BY_PORT_OPTION = {
-    "admin_port": "admin",
-    "call_port": "ingress",
-    "control_port": "transport",
-    "metrics_port": "metrics",
-    "stream_port": "stream-server",
-}
+PORT_OPTIONS = (
+    "admin_port",
+    "call_port",
+    "control_port",
+    "metrics_port",
+    "stream_port",
+)
+START_TIMEOUT_SECONDS = 20.0
+# Time in which a start that does not wait would have ended or served.
+WATCH_SECONDS = 0.5
 CALL_HEADERS = {"balsamramp-service": "caja"}
 
 
@@ -184,19 +192,73 @@
     asyncio.run(_exit_on_second_signal(tmp_path))
 
 
-def test_port_in_use_fails_the_start_and_names_the_address(
-    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
-) -> None:
-    with socket.create_server(("127.0.0.1", 0)) as occupied:
-        port = occupied.getsockname()[1]
-        for option, service_name in SERVICE_BY_PORT_OPTION.items():
-            path = tmp_path / "node.ini"
-            path.write_text(
-                SETTINGS_TEMPLATE.format(option=option, port=port),
-                encoding="utf-8",
+class _Starting:
+    """A process of a node, one of whose ports is given."""
+
+    def __init__(self, folder: pathlib.Path, option: str, port: int) -> None:
+        path = folder / "node.ini"
+        path.write_text(SETTINGS_TEMPLATE.format(option=option, port=port))
+        self.log = folder / "node.log"
+        self.addresses = folder / "addresses.json"
+        command = [sys.executable, "-m", "balsamramp_node.process.cmdline"]
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [*command, str(path), "--addresses", str(self.addresses)],
+                stderr=log,
             )
-            assert cmdline.main([str(path)]) == cmdline.EXIT_START
-            printed = capsys.readouterr().err
-            assert f"balsamrampd: cannot start: {service_name}: " in printed
-            assert "127.0.0.1" in printed
-            assert str(port) in printed
+
+    def wait_until(self, condition: abc.Callable[[], bool]) -> None:
+        """Wait until ``condition`` holds; fail if the process ends first."""
+        give_up_at = time.monotonic() + START_TIMEOUT_SECONDS
+        while not condition():
+            assert self.popen.poll() is None, self.log.read_text()
+            assert time.monotonic() < give_up_at, self.log.read_text()
+            time.sleep(0.02)
+
+    def wait_until_port_is_awaited(self, option: str, port: int) -> None:
+        """Wait for the log line that names the port and its address."""
+        words = ("port_wait", option, f"127.0.0.1:{port}")
+
+        def logged() -> bool:
+            lines = self.log.read_text().splitlines()
+            return any(all(word in line for word in words) for line in lines)
+
+        self.wait_until(logged)
+
+
+@contextlib.contextmanager
+def _start_beside_holder(
+    folder: pathlib.Path, option: str
+) -> abc.Iterator[tuple[_Starting, socket.socket]]:
+    """Start a node one of whose ports is held, and wait until it says so."""
+    with socket.create_server(("127.0.0.1", 0)) as holder:
+        port = holder.getsockname()[1]
+        starting = _Starting(folder, option, port)
+        try:
+            starting.wait_until_port_is_awaited(option, port)
+            time.sleep(WATCH_SECONDS)
+            assert starting.popen.poll() is None
+            assert not starting.addresses.exists()
+            yield starting, holder
+        finally:
+            starting.popen.kill()
+            starting.popen.wait()
+
+
+@pytest.mark.parametrize("option", PORT_OPTIONS)
+def test_port_in_use_is_awaited_and_its_address_named(
+    tmp_path: pathlib.Path, option: str
+) -> None:
+    with _start_beside_holder(tmp_path, option) as (starting, holder):
+        holder.close()
+        starting.wait_until(starting.addresses.exists)
+        starting.popen.terminate()
+        assert starting.popen.wait(START_TIMEOUT_SECONDS) == cmdline.EXIT_OK
+
+
+def test_signal_ends_a_start_that_waits_for_a_port(
+    tmp_path: pathlib.Path,
+) -> None:
+    with _start_beside_holder(tmp_path, "call_port") as (starting, _):
+        starting.popen.terminate()
+        assert starting.popen.wait(START_TIMEOUT_SECONDS) == cmdline.EXIT_OK
