balsamrampd waits for its ports as the sidecar does

Operators saw 'balsamrampd: cannot start: ingress: cannot listen on ...: Address already in use', exit code 1, while a predecessor still held one of five ports.

Cause: as in the sidecar, each server bound its port once, after others acted.

Now the node takes its ports with the same module before any other service, and a signal cancels the start, whose wait would else not end. gRPC binds its port itself; it is held with the others and released right before.

The exit code and the address in the message are asked for by test_port_that_is_not_permitted_fails_the_start_and_is_named.

--- a/packages/node/src/balsamramp_node/process/app.py
+++ b/packages/node/src/balsamramp_node/process/app.py
@@ -1,6 +1,7 @@
 """A standalone node: its services, servers and lifecycle."""
 
 import asyncio
+import functools
 import gc
 import random
 import time
@@ -15,7 +16,9 @@
 from balsamramp_node.inbound import stream_server
 from balsamramp_node.inbound import target_api
 from balsamramp_node.outbound import ingress
+from balsamramp_node.process import decision_log
 from balsamramp_node.process import http_server
+from balsamramp_node.process import listening_ports
 from balsamramp_node.process import network_dependencies
 from balsamramp_node.process import operator_api
 from balsamramp_node.process import options
@@ -28,6 +31,15 @@
 __all__ = ["Node"]
 
 GC_THRESHOLDS = (20_000, 20, 50)
+# gRPC binds its port itself, so it is released for a moment. It comes last:
+# another process that tries the ports fails at one before.
+PORT_OPTIONS = (
+    "call_port",
+    "stream_port",
+    "admin_port",
+    "metrics_port",
+    "control_port",
+)
 
 
 @attrs.frozen
@@ -84,9 +96,16 @@
         )
         hello = messages.Hello(identity.node, identity.incarnation)
         self._tls = tls.NodeTls(checked)
+        self._ports = listening_ports.ListeningPorts(
+            "ports",
+            {option: self._listen_address(option) for option in PORT_OPTIONS},
+            now,
+            self._metrics,
+            decision_log.DecisionLog(decision_log.LoggerSink(), now),
+        )
         dependencies, self._transport = (
             network_dependencies.make_network_dependencies(
-                checked, hello, now, self._metrics, self._tls
+                checked, hello, now, self._metrics, self._tls, self._ports
             )
         )
         rng = random.Random(f"{identity.node} {identity.incarnation}")
@@ -107,6 +126,7 @@
             self._metrics,
             self._tls.server_context(),
             shutdown=self._shutdown,
+            take_listener=functools.partial(self._ports.take, "stream_port"),
         )
         self._caller_server = self._make_caller_server()
         self._admin_server = self._make_admin_server()
@@ -130,7 +150,8 @@
     async def start(self) -> None:
         """Start all services and announce the node to its peers.
 
-        Raises service_manager.StartError if a port cannot be bound.
+        Waits for ports that are in use. Raises service_manager.StartError if
+        one cannot be bound for another reason.
         """
         self._warn_if_unencrypted()
         await self._services.service_manager.start()
@@ -188,6 +209,7 @@
             ("calls", "stream-server"),
             self._tls.caller_certificate_files,
             shutdown=self._shutdown,
+            take_listener=functools.partial(self._ports.take, "call_port"),
         )
 
     def _make_admin_server(self) -> http_server.HttpServer:
@@ -201,6 +223,7 @@
             ("source", "targets"),
             self._tls.caller_certificate_files,
             shutdown=self._shutdown,
+            take_listener=functools.partial(self._ports.take, "admin_port"),
         )
 
     def _make_token_middleware(self) -> list[token_auth.TokenAuthMiddleware]:
@@ -232,4 +255,5 @@
             application,
             self._listen_address("metrics_port"),
             shutdown=self._shutdown,
+            take_listener=functools.partial(self._ports.take, "metrics_port"),
         )
--- a/packages/node/src/balsamramp_node/process/cmdline.py
+++ b/packages/node/src/balsamramp_node/process/cmdline.py
@@ -135,7 +135,8 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stop_signals.on_signal)
     loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
-    await node.start()
+    if not await _start(node, stop_signals):
+        return
     if addresses is not None:
         partial = addresses.with_suffix(".partial")
         partial.write_bytes(msgspec.json.encode(node.addresses()))
@@ -144,5 +145,22 @@
     await node.stop()
 
 
+async def _start(node: app.Node, stop_signals: _StopSignals) -> bool:
+    """Start the node; return False if a signal ends it before it serves."""
+    starting = asyncio.create_task(node.start())
+    stopping = asyncio.create_task(stop_signals.wait())
+    await asyncio.wait(
+        [starting, stopping], return_when=asyncio.FIRST_COMPLETED
+    )
+    if starting.done():
+        stopping.cancel()
+        await starting
+        return True
+    logging.info("received a signal while starting; ending")
+    starting.cancel()
+    await asyncio.gather(starting, return_exceptions=True)
+    return False
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/node/src/balsamramp_node/process/decision_log.py
+++ b/packages/node/src/balsamramp_node/process/decision_log.py
@@ -12,6 +12,7 @@
 import os
 import typing
 
+from absl import logging
 import msgspec
 
 from balsamramp_core import clock
@@ -21,6 +22,7 @@
     "DecisionLog",
     "FileSink",
     "LineSink",
+    "LoggerSink",
     "NullSink",
 ]
 
@@ -55,6 +57,14 @@
         return True
 
 
+class LoggerSink(LineSink):
+    """Writes to the log of the process, as informational messages."""
+
+    def write(self, line: bytes) -> bool:
+        logging.info("%s", line.decode())
+        return True
+
+
 class FileSink(LineSink):
     """Writes to a file descriptor, which it sets to non-blocking mode."""
 
--- a/packages/node/src/balsamramp_node/process/http_server.py
+++ b/packages/node/src/balsamramp_node/process/http_server.py
@@ -71,7 +71,8 @@
 
     ``name`` and ``requires`` are those of the service. With ``tls_files``
     the server uses TLS. Open requests get time until responses must be sent,
-    and at most ``shutdown_timeout`` if that is set.
+    and at most ``shutdown_timeout`` if that is set. The server listens on
+    the socket that ``take_listener`` returns, or on a new one.
     """
 
     def __init__(
@@ -85,7 +86,9 @@
         shutdown_timeout: datetime.timedelta | None = None,
         extra_addresses: tuple[settings.Address, ...] = (),
         shutdown: shutdown_schedule.ShutdownSchedule | None = None,
+        take_listener: abc.Callable[[], socket.socket] | None = None,
     ) -> None:
+        self._take_listener = take_listener
         self._shutdown = shutdown or shutdown_schedule.ShutdownSchedule(
             clock.SystemClock()
         )
@@ -107,7 +110,11 @@
         return self._address
 
     async def start(self) -> None:
-        sockets = [_bind(self._listen_address)]
+        if self._take_listener is not None:
+            sockets = [self._take_listener()]
+            sockets[0].listen(BACKLOG_CONNECTIONS)
+        else:
+            sockets = [_bind(self._listen_address)]
         for address in self._extra_addresses:
             sockets.append(_bind(address))
         port = sockets[0].getsockname()[1]
--- a/packages/node/src/balsamramp_node/process/listening_ports.py
+++ b/packages/node/src/balsamramp_node/process/listening_ports.py
@@ -123,6 +123,10 @@
         """Return the listening socket of a port; the caller closes it."""
         return self._listeners.pop(port)
 
+    def release(self, port: str) -> None:
+        """Close the socket of a port, for a server that binds it itself."""
+        self._listeners.pop(port).close()
+
     def dump(self) -> abc.Mapping[str, typing.Any]:
         return {"obstacle": self.obstacle}
 
--- a/packages/node/src/balsamramp_node/process/network_dependencies.py
+++ b/packages/node/src/balsamramp_node/process/network_dependencies.py
@@ -9,6 +9,7 @@
 from balsamramp_node.outbound import stream_client
 from balsamramp_node.process import grpc_transport_service
 from balsamramp_node.process import http_storage
+from balsamramp_node.process import listening_ports
 from balsamramp_node.process import node_dependencies
 from balsamramp_node.process import tls
 from balsamramp_wire import grpc_transport
@@ -23,6 +24,7 @@
     time: clock.Clock,
     counters: metrics.Metrics,
     node_tls: tls.NodeTls,
+    ports: listening_ports.ListeningPorts,
 ) -> tuple[
     node_dependencies.StandaloneDependencies,
     grpc_transport.GrpcControlTransport,
@@ -36,10 +38,7 @@
         checked.duration("platform", "timeout"),
     )
     control_transport = grpc_transport.GrpcControlTransport(
-        settings.Address(
-            checked.text("listen", "host"),
-            checked.integer("listen", "control_port"),
-        ),
+        ports.addresses["control_port"],
         node_tls.credentials(),
     )
     call_transport = stream_client.StreamClient(
@@ -59,9 +58,13 @@
         control=control_transport,
         calls=call_transport,
         targets=target_client,
+        # The ports first: a node that misses one does nothing else.
         services=(
+            ports,
             storage_client,
-            grpc_transport_service.GrpcTransportService(control_transport),
+            grpc_transport_service.GrpcTransportService(
+                control_transport, ports
+            ),
             call_transport,
             target_client,
         ),
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections import abc
 import contextlib
+import errno
 import pathlib
 import signal
 import socket
 import subprocess
 import sys
 import time
+import typing
 
 import aiohttp
 import pytest
@@ -43,6 +45,7 @@
     "metrics_port",
     "stream_port",
 )
+REFUSED_PORT = 80
 START_TIMEOUT_SECONDS = 20.0
 # Time in which a start that does not wait would have ended or served.
 WATCH_SECONDS = 0.5
@@ -262,3 +265,29 @@
     with _start_beside_holder(tmp_path, "call_port") as (starting, _):
         starting.popen.terminate()
         assert starting.popen.wait(START_TIMEOUT_SECONDS) == cmdline.EXIT_OK
+
+
+def test_port_that_is_not_permitted_fails_the_start_and_is_named(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    bind = socket.socket.bind
+
+    def refuse(listener: socket.socket, address: typing.Any) -> None:
+        if address == ("127.0.0.1", REFUSED_PORT):
+            raise PermissionError(errno.EACCES, "Permission denied")
+        bind(listener, address)
+
+    monkeypatch.setattr(socket.socket, "bind", refuse)
+    for option in PORT_OPTIONS:
+        path = tmp_path / "node.ini"
+        path.write_text(
+            SETTINGS_TEMPLATE.format(option=option, port=REFUSED_PORT)
+        )
+        assert cmdline.main([str(path)]) == cmdline.EXIT_START
+        printed = capsys.readouterr().err
+        assert (
+            f"balsamrampd: cannot start: ports: cannot listen for {option} at"
+            f" 127.0.0.1:{REFUSED_PORT}: Permission denied"
+        ) in printed
