--- a/tests/users_platform/test_ports_taken.py
+++ b/tests/users_platform/test_ports_taken.py
@@ -27,6 +27,8 @@
 START_SECONDS = 20.0
 # Time in which a start that does not wait would have ended or acted.
 WATCH_SECONDS = 1.0
+# Time in which a signal arrives.
+SIGNAL_SECONDS = 0.1
 # Over the time after which the peers of a silent node declare it dead.
 PAUSE_SECONDS = 5.0
 ROW = "members/z-a/one"
@@ -245,6 +247,26 @@
     _run(tmp_path, main)
 
 
+def test_stop_says_503_until_it_releases_the_readiness_port_as_the_last(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main(fleet: sidecar_fleet.SidecarFleet) -> None:
+        node = await _start(fleet, "one", sidecar_fleet.free_ports())
+        await _until_ready(node)
+        sidecar_fleet.terminate(node)
+        await asyncio.sleep(SIGNAL_SECONDS)
+        answers = 0
+        while (await _probe(node))[0]:
+            assert (await _probe(node))[0] in (503, 0)
+            answers += 1
+        assert answers > 1
+        for port in ("callers", "control", "stream", "metrics"):
+            assert await _refuses(node.ports[port]), port
+        assert await node.process.wait() == 0
+
+    _run(tmp_path, main)
+
+
 def test_late_stop_of_a_paused_predecessor_leaves_its_successor_in_the_fleet(
     tmp_path: pathlib.Path,
 ) -> None:
