Soak: troubles beside the start and the end of processes

The soak spared the first half second of a start, and no process started while another had its ports. Profile start: a successor beside a process that ends, or that is stopped by SIGSTOP and then ended or killed; SIGHUP and SIGTERM in the first half second; settings that are empty and half there at a start or a reload; all processes replaced in series; ports that two nodes exchange.

New checks, in all profiles: a process that the soak has neither asked to end nor killed is never found ended (before, only exit codes above 0 were found), and is started again; each node is ready and each caller is served after all faults. A SIGHUP excuses an end only if it came while the process neither ignored nor handled it, by its status in /proc, in place of half a second after the start. A reload writes the settings of the node, not what the file holds at the moment.

--- a/tests/users_platform/sidecar_fleet.py
+++ b/tests/users_platform/sidecar_fleet.py
@@ -129,6 +129,7 @@
     ) -> None:
         self.store = fake_store.FakeStore()
         self.sidecars: list[SidecarProcess] = []
+        self._processes: list[asyncio.subprocess.Process] = []
         self._folder = folder
         self._grace_seconds = grace_seconds
 
@@ -139,9 +140,11 @@
     async def __aexit__(self, *error: object) -> None:
         for sidecar in self.sidecars:
             sidecar.heartbeat_task.cancel()
-            if sidecar.process.returncode is None:
-                sidecar.process.kill()
-            await sidecar.process.wait()
+        for process in self._processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for sidecar in self.sidecars:
             await sidecar.target.stop()
         await self.store.stop()
 
@@ -229,13 +232,15 @@
     ) -> asyncio.subprocess.Process:
         environment = {**os.environ, "BALSAMRAMP_BOOT": str(settings)}
         with settings.with_suffix(".log").open("ab") as log:
-            return await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(ROOT / "platform" / "sidecar.py"),
                 env=environment,
                 stdout=log,
                 stderr=log,
             )
+        self._processes.append(process)
+        return process
 
 
 async def send_heartbeats(
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -9,7 +9,6 @@
 import collections
 import contextlib
 import pathlib
-import signal
 import sys
 import tempfile
 import time
@@ -19,6 +18,7 @@
 import soak_faults
 import soak_harness
 import soak_records
+import soak_starts
 
 __all__ = ["Outcome", "main", "run_soak"]
 
@@ -33,8 +33,7 @@
 SETTLING_SECONDS = 8.0
 CALM_SECONDS = 3.0
 COUNTERS_TIMEOUT_SECONDS = 2.0
-# Until then a signal may come before the first line of the program.
-INTERPRETER_START_SECONDS = 0.5
+STATUS_READY = "200"
 WATCH_SECONDS = 0.1
 SHOWN_PROBLEMS = 10
 # What happens in a play.
@@ -43,6 +42,7 @@
     "demand": soak_faults.DEMAND,
     "mixed": soak_faults.FAULTS + soak_faults.PLANNED_WORK,
     "planned": soak_faults.PLANNED_WORK,
+    "start": soak_starts.STARTS,
 }
 
 
@@ -104,9 +104,9 @@
     async def run(self) -> None:
         """Play all faults, then the calm end."""
         callers = [
-            asyncio.create_task(self._world.call(node))
+            asyncio.create_task(self._world.call(node, number))
             for node in self._world.nodes
-            for _ in range(soak_harness.CALLERS_PER_NODE)
+            for number in range(soak_harness.CALLERS_PER_NODE)
         ]
         watching = asyncio.create_task(self._watch_processes())
         async with asyncio.TaskGroup() as group:
@@ -121,6 +121,7 @@
         # Requests that are on their way get their answers.
         self._world.callers_done = True
         await asyncio.gather(*callers)
+        await self._check_readiness()
         await self._read_counters()
         watching.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -151,6 +152,18 @@
             windows[node].append((began, ended))
         self._busy.discard(name)
 
+    async def _check_readiness(self) -> None:
+        for node in self._world.nodes:
+            try:
+                async with asyncio.timeout(COUNTERS_TIMEOUT_SECONDS):
+                    shown = str(await node.sidecar.ready())
+            except (aiohttp.ClientError, TimeoutError) as error:
+                shown = repr(error)
+            if shown != STATUS_READY:
+                self._world.ledger.not_ready.append(
+                    f"{node.name}: {shown}; {node.last_log_lines()}"
+                )
+
     async def _read_counters(self) -> None:
         for node in self._world.nodes:
             try:
@@ -160,7 +173,7 @@
                 self.log.append(f"no counters of {node.name}: {error!r}")
 
     async def _watch_processes(self) -> None:
-        """Note processes that fail; the faults restart what they end."""
+        """Note processes that end by themselves, and start others."""
         ledger = self._world.ledger
         seen: set[int] = set()
         while True:
@@ -168,20 +181,24 @@
             await asyncio.sleep(WATCH_SECONDS)
             ledger.late_windows.append((due, time.monotonic()))
             for node in self._world.nodes:
-                process = node.sidecar.process
-                code = process.returncode
-                if code is None or process.pid in seen:
-                    continue
-                seen.add(process.pid)
-                if code > 0:
-                    ledger.ended.append(f"{node.name}: exit {code}")
-                elif code == -signal.SIGHUP:
-                    age = time.monotonic() - node.started_at
-                    if age > INTERPRETER_START_SECONDS:
-                        ledger.ended.append(
-                            f"{node.name}: SIGHUP {age:.1f} s after its start"
-                        )
-                    await node.restart()
+                for process in node.processes:
+                    if process.returncode is None or process.pid in seen:
+                        continue
+                    seen.add(process.pid)
+                    if not node.was_ended(process):
+                        self._note_end(node, process)
+                    # A fault restarts what it ends.
+                    if not node.was_asked(process):
+                        await node.restart()
+
+    def _note_end(
+        self, node: soak_harness.Node, process: asyncio.subprocess.Process
+    ) -> None:
+        age = time.monotonic() - node.started_at
+        self._world.ledger.ended.append(
+            f"{node.name}: exit code {process.returncode} {age:.1f} s after"
+            f" the node's last start; {node.last_log_lines()}"
+        )
 
     def _now(self) -> float:
         return time.monotonic() - self._started
--- a/tests/users_platform/soak_checks.py
+++ b/tests/users_platform/soak_checks.py
@@ -63,7 +63,8 @@
     ended, and ``work_windows`` the same for planned work; ``versions`` has
     when each configuration was acknowledged. In ``late_windows`` the soak's
     own event loop was late, and noticed nothing. ``grace`` is the time that a
-    process has from SIGTERM to its end.
+    process has from SIGTERM to its end. ``callers`` have to be served once
+    all faults are over, and ``not_ready`` has the nodes that were not ready.
     """
 
     exchanges: list[soak_records.Exchange] = attrs.field(factory=list)
@@ -84,12 +85,15 @@
     versions: dict[int, float] = attrs.field(factory=dict)
     ended: list[str] = attrs.field(factory=list)
     outlived: list[str] = attrs.field(factory=list)
+    callers: list[str] = attrs.field(factory=list)
+    not_ready: list[str] = attrs.field(factory=list)
     calm_from: float = float("inf")
 
     def problems(self, bounds: bool) -> list[str]:
         """Return each broken promise; those in time if ``bounds``."""
         found = [f"a process ended by itself: {text}" for text in self.ended]
         found += [f"{text} outlived its grace" for text in self.outlived]
+        found += [f"not ready after all faults: {x}" for x in self.not_ready]
         found += self.losses()
         found += self._at_most_once()
         found += self._true_refusals()
@@ -97,6 +101,7 @@
         found += self._asked_for()
         found += self._versions_rise()
         found += self._recovered()
+        found += self._starved()
         if bounds:
             found += self._in_force()
             found += self._drains()
@@ -211,6 +216,18 @@
             return []
         return [f"{len(served)} of {len(sent)} served after all faults"]
 
+    def _starved(self) -> list[str]:
+        served = {
+            item.caller
+            for item in self.exchanges
+            if item.sent_at >= self.calm_from and item.status in STATUS_SUCCESS
+        }
+        return [
+            f"caller {caller} was never served after all faults"
+            for caller in self.callers
+            if caller not in served
+        ]
+
     def _in_force(self) -> list[str]:
         found = []
         for item in self.exchanges:
--- a/tests/users_platform/soak_harness.py
+++ b/tests/users_platform/soak_harness.py
@@ -35,6 +35,11 @@
 )
 # Time from SIGTERM to SIGKILL, one of them in each play.
 GRACES_SECONDS = (3, 6)
+# In the settings of a node; targets and other nodes know the other ports.
+MOVABLE_PORTS = ("callers", "ready", "metrics")
+SHOWN_LOG_LINES = 3
+END_PATTERN = re.compile('"event":"(process_end|message)"')
+SIGNAL_FIELDS = ("SigIgn:", "SigCgt:")
 # Time after which nodes close idle connections, one of them in each play.
 IDLE_TIMEOUTS_MS = (700, 15000)
 
@@ -49,9 +54,13 @@
         self.starts = 0
         self.started_at = 0.0
         self.open_requests = 0
+        self.settings_text = ""
+        self.processes: list[asyncio.subprocess.Process] = []
         self._world = world
         self._terminated_at: float | None = None
         self._paused_until = 0.0
+        self._asked: list[asyncio.subprocess.Process] = []
+        self._unprepared: list[asyncio.subprocess.Process] = []
         self._generation = 0
         self._ports = sidecar_fleet.free_ports()
         self.store_proxy = loopback_proxy.LoopbackProxy(world.store.port)
@@ -77,6 +86,8 @@
             self.store_proxy.port,
             self.stream_proxy.port,
         )
+        self.processes.append(self.sidecar.process)
+        self.settings_text = self.sidecar.settings.read_text()
 
     async def kill(self) -> None:
         """End the process without a word, if it runs."""
@@ -87,10 +98,84 @@
         async with self._busy:
             if self.sidecar.process.returncode is None:
                 return
-            self.starts += 1
-            self.started_at = time.monotonic()
-            self._terminated_at = None
-            await self._world.fleet.restart(self.sidecar)
+            await self._start_process()
+
+    async def start_successor(self) -> asyncio.subprocess.Process:
+        """Start a process beside the one that runs, and return the latter."""
+        async with self._busy:
+            predecessor = self.sidecar.process
+            await self._start_process()
+            return predecessor
+
+    async def end_predecessor(
+        self, process: asyncio.subprocess.Process, number: signal.Signals
+    ) -> None:
+        """Have a process whose successor has started go on and end."""
+        self._signal(number, process)
+        self._signal(signal.SIGCONT, process)
+        try:
+            async with asyncio.timeout(self._world.ledger.grace):
+                await process.wait()
+        except TimeoutError:
+            if _runs(process):
+                self._world.ledger.outlived.append(
+                    f"{self.name}, a predecessor"
+                )
+            self._signal(signal.SIGKILL, process)
+            await process.wait()
+
+    def was_asked(self, process: asyncio.subprocess.Process) -> bool:
+        """Tell whether a process was asked to end, or was killed."""
+        return process in self._asked
+
+    def was_ended(self, process: asyncio.subprocess.Process) -> bool:
+        """Tell whether a signal of the soak explains the end of a process.
+
+        No program can keep a SIGHUP that comes before its first line from
+        ending it.
+        """
+        if self.was_asked(process):
+            return process.returncode is not None and process.returncode <= 0
+        return (
+            process.returncode == -signal.SIGHUP
+            and process in self._unprepared
+        )
+
+    def last_log_lines(self) -> str:
+        """Return the end of the log, without what a node does for others."""
+        lines = [
+            line
+            for line in self.sidecar.log().splitlines()
+            if '"event":"' not in line or END_PATTERN.search(line)
+        ]
+        return " / ".join(lines[-SHOWN_LOG_LINES:])
+
+    def write_settings(self, text: str) -> None:
+        """Write the settings file in place, as it may be found half done."""
+        self.sidecar.settings.write_text(text)
+
+    def swap_ports(self, other: "Node") -> None:
+        """Have two nodes listen where the other did, once they restart."""
+        for name in MOVABLE_PORTS:
+            own, its = self._ports[name], other._ports[name]
+            self._ports[name], other._ports[name] = its, own
+        for node in (self, other):
+            for name in MOVABLE_PORTS:
+                node.settings_text = re.sub(
+                    rf"^({name}(?:_port)? = (?:127.0.0.1:)?)\d+$",
+                    rf"\g<1>{node._ports[name]}",
+                    node.settings_text,
+                    flags=re.M,
+                )
+            node.write_settings(node.settings_text)
+
+    async def _start_process(self) -> None:
+        self.starts += 1
+        self.started_at = time.monotonic()
+        self._terminated_at = None
+        self._paused_until = 0.0
+        await self._world.fleet.restart(self.sidecar)
+        self.processes.append(self.sidecar.process)
 
     def terminate(self) -> None:
         """Ask the process to end."""
@@ -134,8 +219,13 @@
         """Replace the settings file and tell the process."""
         settings = self.sidecar.settings
         replacement = settings.with_suffix(".new")
-        replacement.write_text(settings.read_text() + "\n")
+        self.settings_text += "\n"
+        replacement.write_text(self.settings_text)
         replacement.replace(settings)
+        self.hang_up()
+
+    def hang_up(self) -> None:
+        """Tell the process that its settings have changed."""
         self._note(WorkKind.RELOAD)
         self._signal(signal.SIGHUP)
 
@@ -218,6 +308,10 @@
     ) -> None:
         process = process or self.sidecar.process
         if process.returncode is None:
+            if number in (signal.SIGTERM, signal.SIGKILL):
+                self._asked.append(process)
+            if number == signal.SIGHUP and not _handles_hangup(process):
+                self._unprepared.append(process)
             # The process's own method would reap it, and its exit code be
             # lost to asyncio.
             with contextlib.suppress(ProcessLookupError):
@@ -245,6 +339,22 @@
         return False
 
 
+def _handles_hangup(process: asyncio.subprocess.Process) -> bool:
+    """Tell whether a process ignores or handles SIGHUP by now."""
+    try:
+        status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    except OSError:
+        return False
+    bit = 1 << (signal.SIGHUP - 1)
+    return any(
+        int(value, 16) & bit
+        for name, _, value in (
+            line.partition("\t") for line in status.splitlines()
+        )
+        if name in SIGNAL_FIELDS
+    )
+
+
 class SoakHarness:
     """Nodes, operators and callers of one soak."""
 
@@ -309,14 +419,16 @@
                     zone, mark.at, until
                 )
 
-    async def call(self, node: Node) -> None:
+    async def call(self, node: Node, number: int) -> None:
         """Call ``node`` as one caller does, until ``callers_done``."""
+        caller = f"{node.name}-{number}"
+        self.ledger.callers.append(caller)
         while not self.callers_done:
             port = node.sidecar.ports["callers"]
             connection = await soak_callers.CallerConnection.open(port)
             start = node.starts
             if connection is None:
-                made = self._draw_exchange(start, node)
+                made = self._draw_exchange(start, node, caller)
                 made.ending = soak_records.Ending.UNREACHED
                 made.ended_at = made.sent_at
                 self.ledger.exchanges.append(made)
@@ -324,7 +436,7 @@
                 continue
             try:
                 while connection.usable and not self.callers_done:
-                    made = self._draw_exchange(start, node)
+                    made = self._draw_exchange(start, node, caller)
                     self.ledger.exchanges.append(made)
                     await self._exchange(connection, node, made)
                     await asyncio.sleep(self._draw_pause())
@@ -343,7 +455,9 @@
         finally:
             node.open_requests -= 1
 
-    def _draw_exchange(self, start: int, node: Node) -> soak_records.Exchange:
+    def _draw_exchange(
+        self, start: int, node: Node, caller: str
+    ) -> soak_records.Exchange:
         rng = self.traffic_rng
         self._numbers += 1
         request_id = f"r{self._numbers:07d}"
@@ -357,6 +471,7 @@
         return soak_records.Exchange(
             request_id=request_id,
             node=node.name,
+            caller=caller,
             start=start,
             path=path,
             repeatable=kind != "pay",
--- a/tests/users_platform/soak_records.py
+++ b/tests/users_platform/soak_records.py
@@ -30,6 +30,7 @@
 class Exchange:
     """A request of a caller and how it ended.
 
+    ``caller`` tells the callers of a node apart.
     ``status`` is 0 if no whole answer came. ``asked_version`` is the
     configuration that first had its route, 0 for one there always was.
     ``whole_at`` is when its last byte was sent, 0 if it was not, and
@@ -41,6 +42,7 @@
     start: int
     path: str
     repeatable: bool
+    caller: str = ""
     sent_at: float
     asked_version: int = 0
     ended_at: float = 0.0
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -19,6 +19,7 @@
     40: "as 3",
 }
 SHORT_SEEDS = (1,)
+START_SEEDS = (1, 2)
 SHORT_SECONDS = 6.0
 SHORT_NODES = 4
 
@@ -82,6 +83,24 @@
     assert any(item.status == 200 for item in outcome.exchanges)
 
 
+@pytest.mark.parametrize("seed", START_SEEDS)
+def test_processes_outlive_troubles_at_their_start(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    outcome = asyncio.run(
+        soak.run_soak(
+            seed,
+            tmp_path,
+            SHORT_SECONDS,
+            SHORT_NODES,
+            bounds=False,
+            profile="start",
+        )
+    )
+    assert not outcome.problems, str(outcome)
+    assert any(item.status == 200 for item in outcome.exchanges)
+
+
 def test_more_calls_than_a_stated_limit_are_found() -> None:
     times = [10.0 + number / 10 for number in range(60)]
     kept = soak_checks.LimitWindow("i-n0-0", 10.0, 5.0, times)
@@ -179,5 +198,17 @@
     assert _problems([lost], [])
 
 
+def test_a_caller_that_is_never_served_is_found() -> None:
+    served = attrs.evolve(SENT, sent_at=100.0, ended_at=100.1, caller="n0-0")
+    refused = attrs.evolve(served, caller="n0-1", status=503, request_id="r2")
+    exchanges = [served] * 9 + [refused]
+    assert _problems(exchanges, [RUN], callers=["n0-0"]) == []
+    assert _problems(exchanges, [RUN], callers=["n0-0", "n0-1"])
+
+
+def test_a_node_that_is_not_ready_is_found() -> None:
+    assert _problems([SENT], [RUN], not_ready=["n0: 503"])
+
+
 def test_a_process_that_ends_by_itself_is_found() -> None:
     assert _problems([SENT], [RUN], ended=["n0: exit 1"])
