Tests: a service time or a response size that nothing corrects

A slot limiter whose target is full refuses a call by the service time that it expects. Only a response corrects that time, so a route that was slow before, or that has none of its own and takes the mean of slower ones, is refused for as long as the target stays full:

The link admission refuses by the mean size of a route's responses. After one huge response no call of the route is admitted any more, even while the link is idle:

--- a/packages/node/tests/test_reply_scheduler.py
+++ b/packages/node/tests/test_reply_scheduler.py
@@ -233,3 +233,22 @@
         assert admission.refusal(_request("next"), 3 * SECOND) is None
 
     _run(main)
+
+
+def test_no_route_is_refused_for_good_after_a_huge_response() -> None:
+    async def main(vm: _Vm) -> None:
+        admission = link_admission.LinkAdmission(vm.scheduler)
+        huge = _request("huge")
+        admission.start(huge)
+        admission.finish(huge, _answer("huge", int(4 * LINK)))
+        admitted = 0
+        for number in range(40):
+            request = _request(f"c{number}")
+            if admission.refusal(request, 3 * SECOND) is not None:
+                continue
+            admission.start(request)
+            admission.finish(request, _answer(request.call_id, 90_000))
+            admitted += 1
+        assert admitted >= 10
+
+    _run(main)
--- a/packages/node/tests/test_slot_limiter.py
+++ b/packages/node/tests/test_slot_limiter.py
@@ -244,3 +244,48 @@
         await asyncio.gather(*busy)
 
     _run_scenario(main)
+
+
+@pytest.mark.parametrize("slow_calls", [0, 20])
+def test_no_call_is_refused_for_good_by_an_unconfirmed_service_time(
+    slow_calls: int,
+) -> None:
+    slots = 12
+    write = _request(route="write", objective=400 * MS)
+    lookup = _request(
+        route="lookup",
+        objective=100 * MS,
+        timeout=250 * MS,
+        from_target=True,
+    )
+
+    async def main(fixture: _LimiterFixture) -> None:
+        async def keep_writing(number: int) -> None:
+            await fixture.clock.sleep(number * 20 * MS)
+            while True:
+                await fixture.run("write", write, 240 * MS)
+                await fixture.clock.sleep(20 * MS)
+
+        for _ in range(slow_calls):
+            await fixture.run("slow", lookup, 220 * MS)
+        writers = [
+            asyncio.create_task(keep_writing(number))
+            for number in range(2 * slots)
+        ]
+        await fixture.clock.sleep(2 * SECOND)
+        lookups = []
+        for _ in range(100):
+            lookups.append(
+                asyncio.create_task(fixture.run("lookup", lookup, 22 * MS))
+            )
+            await fixture.clock.sleep(50 * MS)
+        for task in writers:
+            task.cancel()
+        await asyncio.gather(*lookups)
+
+    played = _run_scenario(main, slots=slots)
+    # A kind of request is starved if it is served a quarter as often as all.
+    ends = played.admitted + played.refused
+    share = len(played.admitted) / len(ends)
+    lookups_share = played.admitted.count("lookup") / ends.count("lookup")
+    assert lookups_share >= share / 4
