--- a/tests/users_platform/fake_target.py
+++ b/tests/users_platform/fake_target.py
@@ -37,16 +37,23 @@
         self.slots = 8
         self.runs: list[str] = []
         self.seen: list[web.Request] = []
+        self.drops_cancelled = False
+        self.host = "127.0.0.1"
+        self.zone = "z-a"
         self.port = 0
         self._runner: web.AppRunner | None = None
 
     async def start(self, port: int = 0) -> None:
-        """Listen on ``port`` of loopback, or on a free one."""
+        """Listen on ``port`` of ``host``, or on a free one."""
         app = web.Application(client_max_size=BODY_MAX_BYTES)
         app.router.add_route("*", "/{path:.*}", self._serve)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        self._runner = web.AppRunner(
+            app,
+            shutdown_timeout=0.1,
+            handler_cancellation=self.drops_cancelled,
+        )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True)
+        site = web.TCPSite(self._runner, self.host, port, reuse_address=True)
         await site.start()
         self.port = self._runner.addresses[0][1]
 
@@ -61,8 +68,8 @@
         self.sequence += 1
         document = {
             "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
-            "zone": "z-a",
+            "address": f"{self.host}:{self.port}",
+            "zone": self.zone,
             "version": self.version,
             "slots": self.slots,
             "state": state,
