Admit calls of a route after one of its responses was huge

Callers of a route got nothing but 503 from the nodes of all targets that had once sent a response too large for the link, though the link was idle.

Cause: the link admission refuses a call whose response would take longer than its objective, or than a quarter of its time left, by the mean size of the route's responses. Only responses of admitted calls correct that mean.

Now the transfer counts for half of the longest wait at most, so that a call is admitted while little waits for the link; what is expected of it still has others refused meanwhile, and its response corrects the mean. The tests of reply scheduler and link admission: 9 passed.

--- a/packages/node/src/balsamramp_node/inbound/link_admission.py
+++ b/packages/node/src/balsamramp_node/inbound/link_admission.py
@@ -21,6 +21,10 @@
 # Share of its remaining time that a call may wait when it can't meet its
 # objective. Those that can are sent first, so the wait may become longer.
 LATE_WAIT_SHARE = 0.25
+# Share of the longest wait that the transfer of a response counts for at
+# most. Only responses correct the size that is expected, so a call whose
+# response is taken to be too large is admitted while little waits.
+TRANSFER_SHARE_MAX = 0.5
 
 
 class LinkAdmission:
@@ -55,6 +59,7 @@
         wait = self.expected_wait()
         transfer_time = self._scheduler.expected_time(int(size))
         longest = max(request.objective, time_left * LATE_WAIT_SHARE)
+        transfer_time = min(transfer_time, longest * TRANSFER_SHARE_MAX)
         if wait + transfer_time <= longest:
             return None
         text = f"the link of target {request.target} is busy for {wait}"
