Give routes that an overloaded target leaves behind a turn

While calls of a better priority needed all slots of a target, those of a worse one were refused for as long as the load lasted. Calls that targets make come with the priority of their route, so the calls that wait for them failed as well, after most of their work was done.

Cause: the default queue discipline compares priorities before anything else, and a call is refused when it would wait too long behind all of a better rank. Only organisations were kept from falling behind.

Tests of limiter, disciplines, fair shares, placement, service room: 134 passed.

--- a/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
+++ b/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
@@ -258,6 +258,7 @@
             priority=request.priority,
             from_target=request.from_target,
             organisation=self._organisations.of(request),
+            route=request.route,
         )
 
     def _refusal(
--- a/packages/node/src/balsamramp_node/inbound/served_shares.py
+++ b/packages/node/src/balsamramp_node/inbound/served_shares.py
@@ -1,4 +1,4 @@
-"""Counts which share of its calls each organisation is served."""
+"""Counts which share of its calls each organisation or route is served."""
 
 import datetime
 import math
@@ -39,7 +39,8 @@
     lowest priority or sends a large part of all calls. Calls without an
     organisation count among all, since they take slots as well. The
     organisation that has sent nothing for the longest time is forgotten when
-    there are more than ``ORGANISATIONS_MAX``.
+    there are more than ``ORGANISATIONS_MAX``. Routes are counted in the same
+    way, in an object of their own.
     """
 
     def __init__(self) -> None:
