--- a/packages/node/src/balsamramp_node/process/cmdline.py
+++ b/packages/node/src/balsamramp_node/process/cmdline.py
@@ -20,6 +20,8 @@
 from balsamramp_core import settings
 from balsamramp_node.process import app
 from balsamramp_node.process import options
+from balsamramp_node.process import process_setup
+from balsamramp_node.process import process_signals
 
 __all__ = ["main"]
 
@@ -66,6 +68,8 @@
 
 def main(arguments: abc.Sequence[str] | None = None) -> int:
     """Run the node until a stop signal; return the exit code."""
+    process_setup.open_standard_streams()
+    process_signals.unblock_signals()
     parsed = _parser().parse_args(arguments)
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -20,6 +20,7 @@
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import platform_adapter
 from balsamramp_node.process import process_record
+from balsamramp_node.process import process_signals
 from balsamramp_node.process import settings_watcher
 from balsamramp_node.process import sidecar
 from balsamramp_node.process import sidecar_options
@@ -27,6 +28,8 @@
 __all__ = ["run", "start_exit_timer"]
 
 STDOUT_DESCRIPTOR = 1
+# A timer of 0 would be none.
+MIN_TIMER_SECONDS = 0.001
 ADDRESS_OPTIONS = ("callers", "ready", "announcements")
 PORT_OPTIONS = ("stream_port", "metrics_port")
 
@@ -62,6 +65,8 @@
         zone=checked.unwrap().text("node", "zone"),
     )
     _redirect_logging(decisions)
+    signals = process_signals.StopSignals()
+    signals.listen()
     record = process_record.ProcessRecord(decisions, now)
     record.write_start(text.unwrap(), _describe_addresses(checked.unwrap()))
     sink.flush()
@@ -76,6 +81,7 @@
                 decisions,
                 sink,
                 record,
+                signals,
             )
         )
     except service_manager.StartError as error:
@@ -142,7 +148,14 @@
 
     timer = threading.Timer(seconds, force_exit)
     timer.daemon = True
-    timer.start()
+    try:
+        timer.start()
+    except RuntimeError as error:
+        logging.warning(
+            "no thread for the exit timer: %s; using SIGALRM", error
+        )
+        signal.signal(signal.SIGALRM, lambda number, frame: force_exit())
+        signal.setitimer(signal.ITIMER_REAL, max(seconds, MIN_TIMER_SECONDS))
 
 
 async def _serve(
@@ -154,6 +167,7 @@
     decisions: decision_log.DecisionLog,
     sink: decision_log.FileSink,
     record: process_record.ProcessRecord,
+    signals: process_signals.StopSignals,
 ) -> None:
     stop_requested = asyncio.Event()
 
@@ -162,10 +176,9 @@
         stop_requested.set()
 
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, on_stop_signal)
     flush_task = asyncio.create_task(sink.run(now))
     node = sidecar.Sidecar(checked, make_adapter(checked), now, decisions)
+    signals.tell(lambda: loop.call_soon_threadsafe(on_stop_signal))
     watcher = settings_watcher.SettingsWatcher(
         path, text, sidecar_options.OPTIONS, node.reload, now
     )
@@ -188,4 +201,5 @@
         await node.stop()
     finally:
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        signals.ignore()
     flush_task.cancel()
