--- a/tests/users_platform/test_start_edges.py
+++ b/tests/users_platform/test_start_edges.py
@@ -157,6 +157,7 @@
         grace=3,
         link_rate=0.0,
         memory=300,
+        descriptors=0,
         **sidecar_fleet.free_ports(),
     )
     path.write_text(text)
@@ -302,7 +303,9 @@
                 break
         process.terminate()
         try:
-            output, _ = process.communicate(timeout=END_TIMEOUT_SECONDS)
+            output, _ = process.communicate(
+                timeout=sidecar_fleet.GRACE_SECONDS
+            )
         finally:
             process.kill()
     assert process.returncode == 0
