--- a/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
+++ b/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
@@ -7,11 +7,13 @@
 from returns import result
 
 from balsamramp_core import decoding
+from balsamramp_core import local_errors
 from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_node.inbound import control_server
 from balsamramp_node.outbound import stream_client
 from balsamramp_wire import control_transport
+from balsamramp_wire import frames
 from balsamramp_wire import messages
 
 __all__ = ["StreamControlTransport"]
@@ -52,7 +54,11 @@
                 peer, request.method, body, timeout
             )
         except (OSError, TimeoutError) as error:
+            if local_errors.is_local(error):
+                return _failure(peer, repr(error), verdict.Reason.OVERLOADED)
             return _failure(peer, repr(error))
+        except frames.FrameError as error:
+            return _failure(peer, str(error))
         if response is None:
             return _failure(peer, "connection lost")
         if not response.served:
@@ -67,12 +73,14 @@
 
 
 def _failure(
-    peer: settings.Address, text: str
+    peer: settings.Address,
+    text: str,
+    reason: verdict.Reason = verdict.Reason.CONNECTION_LOST,
 ) -> result.Result[typing.Any, verdict.Failure]:
     return result.Failure(
         verdict.Failure(
             verdict.Verdict.MAY_HAVE_RUN,
-            verdict.Reason.CONNECTION_LOST,
+            reason,
             f"control request to {peer} failed: {text}",
         )
     )
--- a/tests/users_platform/sidecar_fleet.py
+++ b/tests/users_platform/sidecar_fleet.py
@@ -41,6 +41,7 @@
 service = {service}
 target = 127.0.0.1:{target}
 memory = {memory}
+descriptors = {descriptors}
 [listen]
 host = 127.0.0.1
 callers = 127.0.0.1:{callers}
@@ -129,6 +130,7 @@
     ) -> None:
         self.store = fake_store.FakeStore()
         self.sidecars: list[SidecarProcess] = []
+        self._processes: list[asyncio.subprocess.Process] = []
         self._folder = folder
         self._grace_seconds = grace_seconds
 
@@ -139,9 +141,11 @@
     async def __aexit__(self, *error: object) -> None:
         for sidecar in self.sidecars:
             sidecar.heartbeat_task.cancel()
-            if sidecar.process.returncode is None:
-                sidecar.process.kill()
-            await sidecar.process.wait()
+        for process in self._processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for sidecar in self.sidecars:
             await sidecar.target.stop()
         await self.store.stop()
 
@@ -166,11 +170,12 @@
         advertised_port: int,
         link_rate: float = 0.0,
         memory: int = MEMORY_MB,
+        descriptors: int = 0,
     ) -> SidecarProcess:
         """Start a sidecar that other nodes reach at ``advertised_port``.
 
-        ``link_rate`` is that of its VM's link, in Mbit/s, or 0, and
-        ``memory`` what the process may use, in MB.
+        ``link_rate`` is that of its VM's link, in Mbit/s, or 0. ``memory``,
+        in MB, and ``descriptors`` are what the settings let it use.
         """
         settings = self._folder / f"{name}.ini"
         settings.write_text(
@@ -184,6 +189,7 @@
                 grace=self._grace_seconds,
                 link_rate=link_rate,
                 memory=memory,
+                descriptors=descriptors,
                 **ports,
             )
         )
@@ -229,13 +235,15 @@
     ) -> asyncio.subprocess.Process:
         environment = {**os.environ, "BALSAMRAMP_BOOT": str(settings)}
         with settings.with_suffix(".log").open("ab") as log:
-            return await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(ROOT / "platform" / "sidecar.py"),
                 env=environment,
                 stdout=log,
                 stderr=log,
             )
+        self._processes.append(process)
+        return process
 
 
 async def send_heartbeats(
--- a/tests/users_platform/test_start_edges.py
+++ b/tests/users_platform/test_start_edges.py
@@ -157,6 +157,7 @@
         grace=3,
         link_rate=0.0,
         memory=300,
+        descriptors=0,
         **sidecar_fleet.free_ports(),
     )
     path.write_text(text)
