Tests: the exit timer beside a standard error that nobody reads

Fail on the code as it is: 'timed out after 30 s' where the reader of the pipe is gone and where it stands still; the timer was set to 0.2 s.

--- a/packages/node/tests/test_sidecar_cmdline.py
+++ b/packages/node/tests/test_sidecar_cmdline.py
@@ -1,9 +1,13 @@
 """A process whose event loop is blocked ends before its grace is over."""
 
+import contextlib
 import json
+import os
 import subprocess
 import sys
 
+import pytest
+
 from balsamramp_node.process import process_record
 
 BLOCKED_PROCESS = """
@@ -37,3 +41,26 @@
     assert record["event"] == "process_end"
     assert record["exit_code"] == process_record.ExitCode.FORCED
     assert b"still running" in ended.stderr
+
+
+@pytest.mark.parametrize("reader", ["gone", "stands still"])
+def test_exit_timer_ends_a_process_whose_standard_error_is_not_read(
+    reader: str,
+) -> None:
+    read_end, write_end = os.pipe()
+    if reader == "gone":
+        os.close(read_end)
+    else:
+        os.set_blocking(write_end, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(write_end, bytes(4096))
+        os.set_blocking(write_end, True)
+    ended = subprocess.run(
+        [sys.executable, "-c", BLOCKED_PROCESS],
+        stdout=subprocess.DEVNULL,
+        stderr=write_end,
+        timeout=30,
+        check=False,
+    )
+    assert ended.returncode == process_record.ExitCode.FORCED
