End a process in time when nobody reads its standard error

A process whose event loop is blocked is ended by a timer at the end of its shutdown. The timer first told operators why, on standard error: with the reader gone the error of that ended the timer instead, and with a full pipe it waited; the process then ran on until it was killed. Nobody may be reading after a supervisor was restarted.

Evidence: both cases of the test timed out after 30 s with a timer of 0.2 s. The line is now written without waiting, and left out if it isn't taken. Both pass, with the other tests of the timer and of the record.

--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -6,7 +6,6 @@
 import os
 import pathlib
 import signal
-import sys
 import threading
 
 from absl import flags
@@ -23,6 +22,7 @@
 from balsamramp_node.process import settings_watcher
 from balsamramp_node.process import sidecar
 from balsamramp_node.process import sidecar_options
+from balsamramp_node.process import standard_error
 
 __all__ = ["run", "start_exit_timer"]
 
@@ -107,7 +107,7 @@
     """Tell operators why the process ends; return ``exit_code``."""
     record.write_end(exit_code, reason)
     sink.flush()
-    print(f"balsamramp-sidecar: {reason}", file=sys.stderr)
+    standard_error.write_line(f"balsamramp-sidecar: {reason}")
     return exit_code
 
 
