Write the log, and end in time, after an unexpected error

A task that flushes the log ended without a word at the first unexpected error: nothing was logged any more. One in the last lines of the exit timer kept the process from ending at all.

Before: test_log_is_written_after_an_unexpected_error: assert b'late line' in b''; test_exit_timer_ends_a_process_whose_log_fails: TimeoutExpired after 30 s.

The task, and that of the settings' watcher, is a background task, which is run again; the exit timer ends the process whatever its last lines meet.

--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import functools
 import logging as std_logging
 import os
 import pathlib
@@ -14,6 +15,7 @@
 from returns import result
 import uvloop
 
+from balsamramp_core import background_task
 from balsamramp_core import clock
 from balsamramp_core import service_manager
 from balsamramp_core import settings
@@ -28,7 +30,7 @@
 from balsamramp_node.process import sidecar_options
 from balsamramp_node.process import standard_error
 
-__all__ = ["run", "start_exit_timer"]
+__all__ = ["run", "start_exit_timer", "start_flushing"]
 
 PROGRAM = "balsamramp-sidecar"
 STDOUT_DESCRIPTOR = 1
@@ -94,7 +96,7 @@
         self._signals.tell(
             lambda: loop.call_soon_threadsafe(self._on_stop_signal)
         )
-        flush_task = asyncio.create_task(self._sink.run(self._clock))
+        flush_task = start_flushing(self._sink, self._clock)
         try:
             reading = await self._read_settings()
             if reading is not None and not self._stop_requested.is_set():
@@ -192,7 +194,7 @@
         await self._wait_unless_stopped(starting)
         if starting.done():
             await starting
-            watch_task = asyncio.create_task(watcher.run())
+            watch_task = background_task.start(watcher.run, self._clock)
             await self._stop_requested.wait()
             watch_task.cancel()
         shutdown = node.shutdown
@@ -254,6 +256,13 @@
     root.handlers[:] = [decision_log.DecisionHandler(decisions)]
 
 
+def start_flushing(
+    sink: decision_log.FileSink, now: clock.Clock
+) -> asyncio.Task[None]:
+    """Return a task that writes the log for as long as the process runs."""
+    return background_task.start(functools.partial(sink.run, now), now)
+
+
 def start_exit_timer(
     seconds: float,
     sink: decision_log.FileSink,
@@ -264,7 +273,10 @@
     def force_exit() -> None:
         exit_code = process_record.ExitCode.FORCED
         reason = "still running at the end of the shutdown; exiting"
-        os._exit(_end(record, sink, exit_code, reason))
+        try:
+            _end(record, sink, exit_code, reason)
+        finally:
+            os._exit(exit_code)
 
     timer = threading.Timer(seconds, force_exit)
     timer.daemon = True
--- a/packages/node/tests/test_sidecar_cmdline.py
+++ b/packages/node/tests/test_sidecar_cmdline.py
@@ -33,6 +33,59 @@
 sidecar_cmdline.start_exit_timer(0.2, sink, record)
 time.sleep(60)
 """
+FAILING_FLUSH = """
+from balsamramp_node.process import decision_log
+
+def fail(sink):
+    raise BufferError("cannot be resized")
+
+decision_log.FileSink.flush = fail
+"""
+LOG_AFTER_ERROR = """
+import asyncio, os
+from balsamramp_core import clock
+from balsamramp_node.process import decision_log
+from balsamramp_node.process import sidecar_cmdline
+
+flush = decision_log.FileSink.flush
+calls = []
+
+def fail_once(sink):
+    calls.append(sink)
+    if len(calls) == 1:
+        raise BufferError("cannot be resized")
+    flush(sink)
+
+decision_log.FileSink.flush = fail_once
+
+async def main():
+    sink = decision_log.FileSink(1)
+    task = sidecar_cmdline.start_flushing(sink, clock.SystemClock())
+    sink.write(b"late line")
+    await asyncio.sleep(3)
+
+asyncio.run(main())
+"""
+
+
+def test_exit_timer_ends_a_process_whose_log_fails() -> None:
+    ended = subprocess.run(
+        [sys.executable, "-c", FAILING_FLUSH + BLOCKED_PROCESS],
+        capture_output=True,
+        timeout=30,
+        check=False,
+    )
+    assert ended.returncode == process_record.ExitCode.FORCED
+
+
+def test_log_is_written_after_an_unexpected_error() -> None:
+    ended = subprocess.run(
+        [sys.executable, "-c", LOG_AFTER_ERROR],
+        capture_output=True,
+        timeout=30,
+        check=False,
+    )
+    assert b"late line" in ended.stdout, ended.stderr
 
 
 @pytest.mark.parametrize("before", ["", NO_THREADS], ids=["", "no-threads"])
