balsamrampd: SIGHUP does not end a stop

Closing the event loop restores the default action of the signals that it handled. Handlers of the process take the signals now, as in the sidecar. A test that runs a node within itself puts the handlers back.

--- a/packages/node/src/balsamramp_node/process/cmdline.py
+++ b/packages/node/src/balsamramp_node/process/cmdline.py
@@ -86,8 +86,11 @@
         print(f"{parsed.settings}: ok")
         return EXIT_OK
     _prefix_log_lines(checked.unwrap())
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signals = process_signals.StopSignals()
+    signals.listen()
     try:
-        uvloop.run(_run(checked.unwrap(), parsed.addresses))
+        uvloop.run(_run(checked.unwrap(), parsed.addresses, signals))
     except service_manager.StartError as error:
         print(f"balsamrampd: cannot start: {error}", file=sys.stderr)
         return EXIT_START
@@ -131,14 +134,32 @@
 
 
 async def _run(
-    checked: settings.Settings, addresses: pathlib.Path | None
+    checked: settings.Settings,
+    addresses: pathlib.Path | None,
+    signals: process_signals.StopSignals,
 ) -> None:
     node = app.Node(checked, clock.SystemClock())
     stop_signals = _StopSignals()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stop_signals.on_signal)
-    loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
+    signals.tell(lambda: loop.call_soon_threadsafe(stop_signals.on_signal))
+    # Not a handler of the event loop: closing the loop would restore the
+    # default action, which ends the process.
+    signal.signal(
+        signal.SIGHUP,
+        lambda number, frame: loop.call_soon_threadsafe(_log_reload_request),
+    )
+    try:
+        await _serve(node, stop_signals, addresses)
+    finally:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        signals.ignore()
+
+
+async def _serve(
+    node: app.Node,
+    stop_signals: _StopSignals,
+    addresses: pathlib.Path | None,
+) -> None:
     if not await _start(node, stop_signals):
         return
     if addresses is not None:
--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import abc
-import functools
 import logging as std_logging
 import os
 import pathlib
@@ -260,7 +259,11 @@
     sink: decision_log.FileSink, now: clock.Clock
 ) -> asyncio.Task[None]:
     """Return a task that writes the log for as long as the process runs."""
-    return background_task.start(functools.partial(sink.run, now), now)
+
+    async def write_log() -> None:
+        await sink.run(now)
+
+    return background_task.start(write_log, now)
 
 
 def start_exit_timer(
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -267,6 +267,17 @@
         assert starting.popen.wait(START_TIMEOUT_SECONDS) == cmdline.EXIT_OK
 
 
+@pytest.fixture
+def _signal_handlers() -> abc.Iterator[None]:
+    """Put back the handlers that a node in this process replaces."""
+    numbers = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+    handlers = {number: signal.getsignal(number) for number in numbers}
+    yield
+    for number, handler in handlers.items():
+        signal.signal(number, handler)
+
+
+@pytest.mark.usefixtures("_signal_handlers")
 def test_port_that_is_not_permitted_fails_the_start_and_is_named(
     tmp_path: pathlib.Path,
     capsys: pytest.CaptureFixture[str],
--- a/packages/node/tests/test_process_setup.py
+++ b/packages/node/tests/test_process_setup.py
@@ -24,8 +24,11 @@
 
 
 def _start_and_stop(
-    folder: pathlib.Path, prepare: abc.Callable[[], object]
+    folder: pathlib.Path,
+    prepare: abc.Callable[[], object] | None = None,
+    meanwhile: int = 0,
 ) -> int:
+    """Return the exit code; ``meanwhile`` is sent as long as it stops."""
     settings = folder / "node.ini"
     settings.write_text(SETTINGS)
     addresses = folder / "addresses.json"
@@ -46,6 +49,9 @@
             time.sleep(0.05)
         try:
             process.send_signal(signal.SIGTERM)
+            while meanwhile and process.poll() is None:
+                process.send_signal(meanwhile)
+                time.sleep(0.0005)
             return process.wait(START_TIMEOUT_SECONDS)
         finally:
             process.kill()
@@ -69,3 +75,9 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGTERM])
 
     assert _start_and_stop(tmp_path, block) == 0
+
+
+def test_reloads_while_balsamrampd_stops_do_not_end_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    assert _start_and_stop(tmp_path, meanwhile=signal.SIGHUP) == 0
