--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -6,7 +6,6 @@
 import os
 import pathlib
 import signal
-import sys
 import threading
 import typing
 
@@ -27,6 +26,7 @@
 from balsamramp_node.process import shutdown_schedule
 from balsamramp_node.process import sidecar
 from balsamramp_node.process import sidecar_options
+from balsamramp_node.process import standard_error
 
 __all__ = ["run", "start_exit_timer"]
 
@@ -138,12 +138,10 @@
             wait_seconds=settings_reader.WAIT_MAX.total_seconds(),
         )
         self._sink.flush()
-        print(
+        standard_error.write_line(
             f"{PROGRAM}: {error}; waiting"
             f" {settings_reader.WAIT_MAX.total_seconds():.0f} s for it to"
-            " become valid",
-            file=sys.stderr,
-            flush=True,
+            " become valid"
         )
 
     async def _wait_unless_stopped(
@@ -235,7 +233,7 @@
     record.write_end(exit_code, reason)
     sink.flush()
     if exit_code != process_record.ExitCode.STOPPED:
-        print(f"{PROGRAM}: {reason}", file=sys.stderr)
+        standard_error.write_line(f"{PROGRAM}: {reason}")
     return exit_code
 
 
