--- a/packages/node/tests/test_route_shares.py
+++ b/packages/node/tests/test_route_shares.py
@@ -21,6 +21,9 @@
 
 MS = datetime.timedelta(milliseconds=1)
 SECONDS = 40
+# A burst is as long, after a load that the target bears.
+BURST_SECONDS = 15
+CALM_LOAD = 0.5
 SLOTS = 12
 # Below this part of the share of all, operators count a route as starved.
 STARVED_RATIO = 0.25
@@ -60,9 +63,15 @@
 
 
 async def _shares(
-    routes: tuple[_Route, ...], load: float, seed: int
+    routes: tuple[_Route, ...],
+    load: float,
+    seed: int,
+    calm_seconds: float = 0,
 ) -> tuple[dict[str, float], float]:
-    """Return the share of each route's calls that are served, and of all."""
+    """Return the share of each route's calls that are served, and of all.
+
+    Before the load, for ``calm_seconds``, no calls are counted.
+    """
     rng = random.Random(seed)
     clock = virtual_time.VirtualClock()
     limiter = slot_limiter.SlotLimiter(
@@ -81,9 +90,13 @@
     sent: collections.Counter[str] = collections.Counter()
     served: collections.Counter[str] = collections.Counter()
 
+    def calm() -> bool:
+        return clock.monotonic() < calm_seconds * 1000 * MS
+
     async def call(route: _Route) -> None:
         request = route.request()
-        sent[route.name] += 1
+        counted = not calm()
+        sent[route.name] += counted
         deadline = clock.monotonic() + request.timeout
         if limiter.refusal(request, request.timeout) is not None:
             return
@@ -95,7 +108,7 @@
         await clock.sleep(work)
         outcome = concurrency_limit.CallOutcome.INCOMPLETE
         if in_time:
-            served[route.name] += 1
+            served[route.name] += counted
             outcome = concurrency_limit.CallOutcome.ANSWERED
         limiter.finish(request, work, outcome)
 
@@ -103,7 +116,8 @@
         async with asyncio.TaskGroup() as calls:
             while clock.monotonic() < SECONDS * 1000 * MS:
                 calls.create_task(call(route))
-                gap = rng.expovariate(route.rate * load)
+                factor = CALM_LOAD if calm() else load
+                gap = rng.expovariate(route.rate * factor)
                 await clock.sleep(gap * 1000 * MS)
 
     await asyncio.gather(*map(send, routes))
@@ -123,3 +137,10 @@
 ) -> None:
     shares, all_share = virtual_time.run(_shares(routes, load, seed))
     assert min(shares.values()) >= STARVED_RATIO * all_share, shares
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_route_is_starved_in_a_burst_after_a_long_calm(seed: int) -> None:
+    played = _shares((WRITE, LOOKUP), 2.1, seed, SECONDS - BURST_SECONDS)
+    shares, all_share = virtual_time.run(played)
+    assert min(shares.values()) >= STARVED_RATIO * all_share, shares
