--- a/packages/node/tests/test_decision_log.py
+++ b/packages/node/tests/test_decision_log.py
@@ -1,9 +1,11 @@
 """Decision log: rate limit, count of dropped lines, no blocking writes."""
 
 import datetime
+import errno
 import json
 import logging
 import os
+from unittest import mock
 
 import pytest
 
@@ -127,3 +129,19 @@
         assert "%d lines" in str(line["text"])
 
     virtual_time.run(main())
+
+
+def test_lines_outlast_a_full_disk() -> None:
+    """Guards against a log that has gaps and half lines afterwards."""
+    reader, writer = os.pipe()
+    sink = decision_log.FileSink(writer)
+    sink.write(b"before")
+    error = OSError(errno.ENOSPC, "No space left on device")
+    with mock.patch.object(os, "write", side_effect=error):
+        sink.flush()
+        for _ in range(decision_log.BUFFER_MAX_BYTES // 4096):
+            sink.write(bytes(4096))
+    sink.flush()
+    assert os.read(reader, 4096).startswith(b"before\n")
+    os.close(reader)
+    os.close(writer)
