Keep the lines of the log that a full disk doesn't take

Operators lost up to a quarter of a megabyte of lines at each write that failed, without a count, and the rest of a line that was written in part was missing, so that the next one could not be parsed.

Cause: any error but a full pipe was taken for a reader that is gone, and the buffer was dropped. Evidence: in the test the line from before was gone.

--- a/packages/node/src/balsamramp_node/process/decision_log.py
+++ b/packages/node/src/balsamramp_node/process/decision_log.py
@@ -84,12 +84,9 @@
             return
         try:
             written = os.write(self._descriptor, self._buffer)
-        except BlockingIOError:
-            return
         except OSError:
-            # The reader has closed the descriptor, and there is no other
-            # place to log to.
-            self._buffer.clear()
+            # The reader stands still or is gone, or the disk is full. What
+            # is buffered is written once there is room again.
             return
         del self._buffer[:written]
 
