--- a/packages/node/tests/test_caller_connection.py
+++ b/packages/node/tests/test_caller_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import datetime
 import json
 import os
@@ -10,6 +11,7 @@
 import time
 import tracemalloc
 import typing
+from unittest import mock
 
 import attrs
 import pytest
@@ -21,6 +23,7 @@
 from balsamramp_core.resources import caller_limits
 from balsamramp_node.process import caller_connection
 from balsamramp_node.process import caller_connection_log
+from balsamramp_node.process import caller_messages
 from balsamramp_node.process import caller_server
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import shutdown_schedule
@@ -854,3 +857,24 @@
     (line,) = env.lines("unanswered")
     assert line["request_id"] == "r1"
     assert env.lines("callers_drained")[0]["aborted"] == 1
+
+
+def test_connection_ends_when_its_response_cannot_be_written(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against callers that wait for a response that never comes."""
+
+    async def scenario(env: _Environment) -> None:
+        env.released.set()
+        reader, writer = await env.connect()
+        with mock.patch.object(
+            caller_messages.EncodedResponse, "join", side_effect=MemoryError
+        ):
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            async with asyncio.timeout(5):
+                with contextlib.suppress(ConnectionError):
+                    assert not await reader.read()
+        writer.close()
+
+    _run(scenario)
+    assert "MemoryError" in caplog.text
