Close the connection of a caller whose response can't be written

An error after a request was handled, such as a failing allocation for its response, left the connection open without a response or a line, and the requests behind it in the pipeline waited too.

The error now closes that connection alone, with a log line; requests behind it count as unanswered with the reason unexpected-error.

--- a/packages/node/src/balsamramp_node/process/caller_connection.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection.py
@@ -6,6 +6,8 @@
 import http
 import typing
 
+from absl import logging
+
 from balsamramp_node.process import body_budget
 from balsamramp_node.process import caller_connection_log
 from balsamramp_node.process import caller_messages
@@ -338,12 +340,18 @@
         response = await self._runner.run(item.received.request)
         if self._closed.is_set():
             return
-        self._pipeline.finish(item, response)
-        if response.close:
-            self._pipeline.run_one_by_one()
-            self._discard_input()
-        self._write_responses()
-        self._reserve_unsent()
+        try:
+            self._pipeline.finish(item, response)
+            if response.close:
+                self._pipeline.run_one_by_one()
+                self._discard_input()
+            self._write_responses()
+            self._reserve_unsent()
+        except Exception:
+            logging.exception(
+                "a response cannot be written; closing its connection"
+            )
+            self._abort(UnansweredReason.UNEXPECTED_ERROR)
 
     def _write_responses(self) -> None:
         """Write the responses whose turn it is; start requests behind them."""
--- a/packages/node/src/balsamramp_node/process/caller_connection_log.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection_log.py
@@ -21,6 +21,7 @@
     IDLE_TIMEOUT = "idle-timeout"
     CONNECTION_LIMIT = "connection-limit"
     NO_MEMORY = "no-memory"
+    UNEXPECTED_ERROR = "unexpected-error"
 
 
 class HandlerFailure(enum.Enum):
