--- a/packages/node/tests/test_route_shares.py
+++ b/packages/node/tests/test_route_shares.py
@@ -57,6 +57,7 @@
 
 WRITE = _Route("write", 31, 1, 240, 400, 1000)
 LOOKUP = _Route("lookup", 54, 2, 44, 100, 250)
+RARE = attrs.evolve(LOOKUP, rate=0.1)
 CHECK = _Route("check", 22, 2, 44, 100, 250)
 DOWNLOAD = _Route("download", 32, 2, 144, 300, 800)
 FILE = _Route("file", 30, 2, 144, 250, 600)
@@ -67,6 +68,7 @@
     load: float,
     seed: int,
     calm_seconds: float = 0,
+    seconds: float = SECONDS,
 ) -> tuple[dict[str, float], float]:
     """Return the share of each route's calls that are served, and of all.
 
@@ -114,7 +116,7 @@
 
     async def send(route: _Route) -> None:
         async with asyncio.TaskGroup() as calls:
-            while clock.monotonic() < SECONDS * 1000 * MS:
+            while clock.monotonic() < seconds * 1000 * MS:
                 calls.create_task(call(route))
                 factor = CALM_LOAD if calm() else load
                 gap = rng.expovariate(route.rate * factor)
@@ -144,3 +146,12 @@
     played = _shares((WRITE, LOOKUP), 2.1, seed, SECONDS - BURST_SECONDS)
     shares, all_share = virtual_time.run(played)
     assert min(shares.values()) >= STARVED_RATIO * all_share, shares
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_rare_route_is_not_starved_while_a_target_is_overloaded(
+    seed: int,
+) -> None:
+    played = _shares((WRITE, RARE), 3.0, seed, seconds=200)
+    shares, all_share = virtual_time.run(played)
+    assert min(shares.values()) >= STARVED_RATIO * all_share, shares
