Credit each route a part of a grant for each call

A route with a call every few seconds was hardly served by an overloaded target: of so few calls, counts that decay within seconds never showed that it was a whole call behind.

Now each call that comes credits its route with half of the share that is served of all, and each grant costs one. A route is behind once its credit is a whole call. The credit is bounded by calls, not by time, so that it works alike for rare routes, and for bursts after a calm, which counts one call at most.

--- a/packages/node/src/balsamramp_node/inbound/queue_disciplines/fair_share.py
+++ b/packages/node/src/balsamramp_node/inbound/queue_disciplines/fair_share.py
@@ -6,6 +6,7 @@
 import attrs
 
 from balsamramp_node.inbound import queue_discipline
+from balsamramp_node.inbound import route_credits
 from balsamramp_node.inbound import served_shares
 from balsamramp_node.inbound.queue_disciplines import priority
 
@@ -18,9 +19,6 @@
 # Most that calls without an organisation may use for each use by one, so
 # that the turns of organisations come again however rare their calls are.
 CREDIT_RATIO_MAX = 10.0
-# Time constant of the counts of routes. A burst of a few seconds counts more
-# than the calm before it.
-ROUTE_MEMORY = datetime.timedelta(seconds=5)
 # Organisations of one priority whose use is known at a time.
 ORGANISATIONS_MAX = 1024
 NONE = datetime.timedelta()
@@ -108,7 +106,7 @@
     def __init__(self) -> None:
         self._levels: dict[int, _Level] = {}
         self._shares = served_shares.ServedShares()
-        self._route_shares = served_shares.ServedShares(ROUTE_MEMORY)
+        self._routes = route_credits.RouteCredits()
         self._preferred_last = False
 
     def ranks(
@@ -126,7 +124,7 @@
     def on_arrival(
         self, call: queue_discipline.QueuedCall, now: datetime.timedelta
     ) -> None:
-        self._route_shares.record_arrival(call.route, now, call.from_target)
+        self._routes.record_arrival(call.route, now)
         if call.organisation or self._shares.counts:
             self._shares.record_arrival(
                 call.organisation, now, call.from_target
@@ -140,9 +138,9 @@
     ) -> None:
         self._preferred_last = not self._preferred_last and (
             self._shares.is_behind(call.organisation, now)
-            or self._route_shares.is_behind(call.route, now)
+            or self._routes.is_behind(call.route)
         )
-        self._route_shares.record_grant(call.route, now)
+        self._routes.record_grant(call.route, now)
         if not call.organisation and not self._shares.counts:
             return
         self._shares.record_grant(call.organisation, now)
@@ -207,7 +205,7 @@
             behind = {
                 route
                 for route in {call.route for call in calls}
-                if self._route_shares.is_behind(route, now)
+                if self._routes.is_behind(route)
             }
         if not behind:
             return ranks
--- a/packages/node/src/balsamramp_node/inbound/served_shares.py
+++ b/packages/node/src/balsamramp_node/inbound/served_shares.py
@@ -1,4 +1,4 @@
-"""Counts which share of its calls each organisation or route is served."""
+"""Counts which share of its calls each organisation is served."""
 
 import datetime
 import math
@@ -7,8 +7,8 @@
 
 __all__ = ["ServedShares"]
 
-# Time constant of the counts, by default. Most organisations send a few calls
-# a minute to one target.
+# Time constant of the counts. Most organisations send a few calls a minute
+# to one target.
 MEMORY = datetime.timedelta(seconds=30)
 ORGANISATIONS_MAX = 1024
 # An organisation that is served a smaller part of the share of all is behind.
@@ -21,12 +21,11 @@
     """Decaying counts of calls that came and that got a slot."""
 
     updated_at: datetime.timedelta
-    memory: datetime.timedelta
     came: float = 0.0
     served: float = 0.0
 
     def decay(self, now: datetime.timedelta) -> None:
-        factor = math.exp((self.updated_at - now) / self.memory)
+        factor = math.exp((self.updated_at - now) / MEMORY)
         self.came *= factor
         self.served *= factor
         self.updated_at = now
@@ -40,15 +39,13 @@
     lowest priority or sends a large part of all calls. Calls without an
     organisation count among all, since they take slots as well. The
     organisation that has sent nothing for the longest time is forgotten when
-    there are more than ``ORGANISATIONS_MAX``. Routes are counted in the same
-    way, in an object of their own.
+    there are more than ``ORGANISATIONS_MAX``.
     """
 
-    def __init__(self, memory: datetime.timedelta = MEMORY) -> None:
-        self._memory = memory
-        self._all = _Tally(datetime.timedelta(), memory)
-        self._named = _Tally(datetime.timedelta(), memory)
-        self._unnamed = _Tally(datetime.timedelta(), memory)
+    def __init__(self) -> None:
+        self._all = _Tally(datetime.timedelta())
+        self._named = _Tally(datetime.timedelta())
+        self._unnamed = _Tally(datetime.timedelta())
         self._tallies: dict[str, _Tally] = {}
 
     @property
@@ -70,9 +67,7 @@
             item.came += 1
         if not organisation:
             return
-        tally = self._tallies.pop(organisation, None) or _Tally(
-            now, self._memory
-        )
+        tally = self._tallies.pop(organisation, None) or _Tally(now)
         while len(self._tallies) >= ORGANISATIONS_MAX:
             del self._tallies[next(iter(self._tallies))]
         self._tallies[organisation] = tally
