--- a/packages/node/src/balsamramp_node/process/cmdline.py
+++ b/packages/node/src/balsamramp_node/process/cmdline.py
@@ -20,6 +20,8 @@
 from balsamramp_core import settings
 from balsamramp_node.process import app
 from balsamramp_node.process import options
+from balsamramp_node.process import process_setup
+from balsamramp_node.process import process_signals
 
 __all__ = ["main"]
 
@@ -66,6 +68,8 @@
 
 def main(arguments: abc.Sequence[str] | None = None) -> int:
     """Run the node until a stop signal; return the exit code."""
+    process_setup.open_standard_streams()
+    process_signals.unblock_signals()
     parsed = _parser().parse_args(arguments)
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
@@ -135,7 +139,8 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stop_signals.on_signal)
     loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
-    await node.start()
+    if not await _start(node, stop_signals):
+        return
     if addresses is not None:
         partial = addresses.with_suffix(".partial")
         partial.write_bytes(msgspec.json.encode(node.addresses()))
@@ -144,5 +149,22 @@
     await node.stop()
 
 
+async def _start(node: app.Node, stop_signals: _StopSignals) -> bool:
+    """Start the node; return False if a signal ends it before it serves."""
+    starting = asyncio.create_task(node.start())
+    stopping = asyncio.create_task(stop_signals.wait())
+    await asyncio.wait(
+        [starting, stopping], return_when=asyncio.FIRST_COMPLETED
+    )
+    if starting.done():
+        stopping.cancel()
+        await starting
+        return True
+    logging.info("received a signal while starting; ending")
+    starting.cancel()
+    await asyncio.gather(starting, return_exceptions=True)
+    return False
+
+
 if __name__ == "__main__":
     sys.exit(main())
