--- a/tests/users_platform/test_start_edges.py
+++ b/tests/users_platform/test_start_edges.py
@@ -53,7 +53,7 @@
 
 
 def on_event(event, arguments):
-    if event == "import" and arguments[0] == "uvloop":
+    if event == "import" and arguments[0] == "{module}":
         os.kill(os.getpid(), _signal.SIGTERM)
 
 
@@ -332,10 +332,12 @@
     asyncio.run(_start_and_stop(_Fleet(tmp_path, block)))
 
 
+@pytest.mark.parametrize("module", ["balsamramp_node", "uvloop"])
 def test_stop_signal_during_the_imports_ends_with_a_line(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, module: str
 ) -> None:
-    (tmp_path / "sitecustomize.py").write_text(STOP_AT_IMPORT)
+    program = STOP_AT_IMPORT.format(module=module)
+    (tmp_path / "sitecustomize.py").write_text(program)
     settings = tmp_path / "node.ini"
     _write_settings(settings)
     with _run_program(settings, tmp_path) as process:
