--- a/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
+++ b/packages/node/src/balsamramp_node/inbound/limiters/slot_limiter.py
@@ -14,7 +14,6 @@
 from balsamramp_node.inbound import concurrency_limit
 from balsamramp_node.inbound import granted_work
 from balsamramp_node.inbound import queue_discipline
-from balsamramp_node.inbound import service_times
 from balsamramp_node.inbound import stated_rate
 from balsamramp_node.inbound import target_limiter
 from balsamramp_node.inbound import targets
@@ -24,8 +23,12 @@
 __all__ = ["SlotLimiter"]
 
 QUEUE_MAX_CALLS = 200
+# Weight of the last call in the mean service times of its route and target.
+SERVICE_TIME_WEIGHT = 0.1
 # Weight of the last call in the moving average of the share of failed calls.
 FAILURE_WEIGHT = 0.05
+# Assumed until the first call to a target has ended.
+SERVICE_TIME_DEFAULT = datetime.timedelta(milliseconds=100)
 NONE = datetime.timedelta()
 RATE_LOG_SECONDS = 1
 
@@ -74,7 +77,8 @@
         self._in_flight = 0
         self._queue: list[_QueueEntry] = []
         self._numbers = itertools.count()
-        self._service_times = service_times.ServiceTimes()
+        self._route_service_times: dict[str, datetime.timedelta] = {}
+        self._mean_service_time = SERVICE_TIME_DEFAULT
         self._failure_share = 0.0
         self._granted = granted_work.GrantedWork()
         self._warm_up = warm_up.WarmUpRateLimiter()
@@ -98,7 +102,7 @@
 
         The second value is the time for which a call uses one of them.
         """
-        service = self._service_times.mean
+        service = self._mean_service_time
         rate = self._stated_rate.rate
         if rate is None:
             return self._slots, service
@@ -233,15 +237,18 @@
         latency: datetime.timedelta,
         outcome: concurrency_limit.CallOutcome,
     ) -> None:
-        now = self._clock.monotonic()
-        failed = outcome is not concurrency_limit.CallOutcome.ANSWERED
-        if failed:
-            self._service_times.record_failure(route, latency, now)
-        else:
-            self._service_times.record_answer(route, latency, now)
         if outcome in concurrency_limit.OUTCOMES_WITHOUT_EVIDENCE:
             return
+        failed = outcome is not concurrency_limit.CallOutcome.ANSWERED
         self._failure_share += (failed - self._failure_share) * FAILURE_WEIGHT
+        if failed:
+            return
+        mean = self._route_service_times.get(route, latency)
+        mean += (latency - mean) * SERVICE_TIME_WEIGHT
+        self._route_service_times[route] = mean
+        self._mean_service_time += (
+            latency - self._mean_service_time
+        ) * SERVICE_TIME_WEIGHT
 
     def _to_queued_call(
         self,
@@ -254,11 +261,12 @@
             arrived_at=now,
             objective_at=now + request.objective,
             deadline=deadline,
-            service_time=self._service_times.expected(request.route, now),
+            service_time=self._route_service_times.get(
+                request.route, self._mean_service_time
+            ),
             priority=request.priority,
             from_target=request.from_target,
             organisation=self._organisations.of(request),
-            route=request.route,
         )
 
     def _refusal(
@@ -357,7 +365,7 @@
         """
         *ranks, own_rank = ranks
         calls_ahead = 0
-        work_ahead = self._service_times.mean
+        work_ahead = self._mean_service_time
         for entry, rank in zip(self._queue, ranks, strict=True):
             if rank < own_rank:
                 work_ahead += entry.call.service_time
--- a/packages/node/src/balsamramp_node/inbound/queue_discipline.py
+++ b/packages/node/src/balsamramp_node/inbound/queue_discipline.py
@@ -21,7 +21,7 @@
     caller; after ``deadline`` nobody waits for it. Both, like
     ``arrived_at``, are readings of this node's monotonic clock.
     ``number`` increases with each arrival. ``organisation`` is the name of
-    the caller's, or empty, and ``route`` that of the call's route.
+    the caller's, or empty.
     """
 
     number: int
@@ -32,7 +32,6 @@
     priority: int = 0
     from_target: bool = False
     organisation: str = ""
-    route: str = ""
 
 
 class QueueDiscipline(abc.ABC):
--- a/packages/node/src/balsamramp_node/inbound/queue_disciplines/fair_share.py
+++ b/packages/node/src/balsamramp_node/inbound/queue_disciplines/fair_share.py
@@ -6,7 +6,6 @@
 import attrs
 
 from balsamramp_node.inbound import queue_discipline
-from balsamramp_node.inbound import route_credits
 from balsamramp_node.inbound import served_shares
 from balsamramp_node.inbound.queue_disciplines import priority
 
@@ -93,9 +92,7 @@
 
     An organisation of which the target serves a much smaller share of calls
     than of all is not left behind: its first call precedes, but only every
-    second time. This doubles the number of calls above. The same holds for
-    a route, so that no kind of request gets nothing for as long as calls of
-    higher priority need all slots.
+    second time. This doubles the number of calls above.
     """
 
     doc = (
@@ -106,7 +103,6 @@
     def __init__(self) -> None:
         self._levels: dict[int, _Level] = {}
         self._shares = served_shares.ServedShares()
-        self._routes = route_credits.RouteCredits()
         self._preferred_last = False
 
     def ranks(
@@ -124,7 +120,6 @@
     def on_arrival(
         self, call: queue_discipline.QueuedCall, now: datetime.timedelta
     ) -> None:
-        self._routes.record_arrival(call.route, now)
         if call.organisation or self._shares.counts:
             self._shares.record_arrival(
                 call.organisation, now, call.from_target
@@ -136,13 +131,11 @@
         waiting: QueuedCalls,
         now: datetime.timedelta,
     ) -> None:
+        if not call.organisation and not self._shares.counts:
+            return
         self._preferred_last = not self._preferred_last and (
             self._shares.is_behind(call.organisation, now)
-            or self._routes.is_behind(call.route)
         )
-        self._routes.record_grant(call.route, now)
-        if not call.organisation and not self._shares.counts:
-            return
         self._shares.record_grant(call.organisation, now)
         if not _has_share(call):
             return
@@ -198,26 +191,6 @@
 
     def _ranks(
         self, calls: QueuedCalls, now: datetime.timedelta, prefers: bool
-    ) -> list[queue_discipline.Rank]:
-        ranks = self._ranks_by_organisation(calls, now, prefers)
-        behind: set[str] = set()
-        if prefers:
-            behind = {
-                route
-                for route in {call.route for call in calls}
-                if self._routes.is_behind(route)
-            }
-        if not behind:
-            return ranks
-        for index in sorted(range(len(calls)), key=ranks.__getitem__):
-            from_caller, *rest = ranks[index]
-            preferred = calls[index].route in behind
-            behind.discard(calls[index].route)
-            ranks[index] = (from_caller, not preferred, *rest)
-        return ranks
-
-    def _ranks_by_organisation(
-        self, calls: QueuedCalls, now: datetime.timedelta, prefers: bool
     ) -> list[queue_discipline.Rank]:
         ranks = super().ranks(calls, now)
         if not any(call.organisation for call in calls):
