Name an advertised address that is none as a setting

Seen in a review: with [listen] stream_advertised = 41904 a sidecar ended with 4 and ValueError('41904'), which names no setting, and did not wait for the file to become valid. Cause: the option took any text, and the address was parsed as the node was made. It is checked with the other settings now.

--- a/packages/node/src/balsamramp_node/process/sidecar_options.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_options.py
@@ -89,9 +89,9 @@
     settings.Option(
         section="listen",
         name="stream_advertised",
-        kind="str",
+        kind="addresses",
         default="",
-        doc="host:port at which other nodes reach stream_port, if another",
+        doc="address at which other nodes reach stream_port, if another",
     ),
     settings.Option(
         section="listen",
--- a/packages/node/src/balsamramp_node/process/sidecar_services.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_services.py
@@ -184,9 +184,9 @@
 
     def _make_own_member(self) -> messages.Member:
         address = self._listen_address("stream_port")
-        advertised = self._settings.text("listen", "stream_advertised")
+        advertised = self._settings.items("listen", "stream_advertised")
         if advertised:
-            address = settings.parse_address(advertised)
+            address = settings.parse_address(advertised[0])
         return messages.Member(
             node=self.identity.node,
             zone=self.identity.zone,
--- a/packages/node/tests/test_process_record.py
+++ b/packages/node/tests/test_process_record.py
@@ -86,6 +86,18 @@
     assert "no adapter" in str(end["reason"])
 
 
+def test_advertised_address_that_is_none_is_named_as_a_setting(
+    tmp_path: pathlib.Path,
+) -> None:
+    settings = tmp_path / "node.ini"
+    settings.write_text(
+        SETTINGS.replace("[platform]", "stream_advertised = 41904\n[platform]")
+    )
+    exit_code, lines = _run(settings)
+    assert exit_code == process_record.ExitCode.INVALID_SETTINGS
+    assert "[listen] stream_advertised" in str(lines[-1]["reason"])
+
+
 def test_build_that_cannot_be_read_is_described(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
