Wait a moment for the reader of the last log lines

Cause: the end of a process made one attempt to write, and the last line is the last in the buffer. The end now waits up to 0.1 s for the reader, which fits between the end of a shutdown and that of its grace, and does not wait for one that is gone. A reader that is later still misses it.

--- a/packages/node/src/balsamramp_node/process/decision_log.py
+++ b/packages/node/src/balsamramp_node/process/decision_log.py
@@ -10,6 +10,7 @@
 import datetime
 import logging as std_logging
 import os
+import select
 import typing
 
 from absl import logging
@@ -100,6 +101,26 @@
             return
         del self._buffer[:written]
 
+    def drain(self, time: clock.Clock, timeout: datetime.timedelta) -> None:
+        """Write what is buffered; block up to ``timeout`` for its reader."""
+        end = time.monotonic() + timeout
+        writable = False
+        while True:
+            pending = len(self._buffer)
+            self.flush()
+            if not self._buffer:
+                return
+            if writable and len(self._buffer) == pending:
+                # The reader is gone, or the disk is full.
+                return
+            left = (end - time.monotonic()).total_seconds()
+            _, ready, _ = select.select(
+                [], [self._descriptor], [], max(left, 0.0)
+            )
+            writable = bool(ready)
+            if not writable:
+                return
+
 
 class _TokenBucket:
     """A token bucket of log lines."""
--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import datetime
 import logging as std_logging
 import os
 import pathlib
@@ -35,6 +36,9 @@
 STDOUT_DESCRIPTOR = 1
 # A timer of 0 would be none.
 MIN_TIMER_SECONDS = 0.001
+# Time for the last lines of the log, of which a reader may be behind. It fits
+# between the end of a shutdown and that of its grace.
+DRAIN_TIMEOUT = datetime.timedelta(milliseconds=100)
 ADDRESS_OPTIONS = ("callers", "ready", "announcements")
 PORT_OPTIONS = ("stream_port", "metrics_port")
 
@@ -232,7 +236,7 @@
 ) -> int:
     """Tell operators why the process ends; return ``exit_code``."""
     record.write_end(exit_code, reason)
-    sink.flush()
+    sink.drain(clock.SystemClock(), DRAIN_TIMEOUT)
     if exit_code != process_record.ExitCode.STOPPED:
         standard_error.write_line(f"{PROGRAM}: {reason}")
     return exit_code
--- a/packages/node/tests/test_decision_log.py
+++ b/packages/node/tests/test_decision_log.py
@@ -5,10 +5,12 @@
 import json
 import logging
 import os
+import threading
 from unittest import mock
 
 import pytest
 
+from balsamramp_core import clock
 from balsamramp_node.process import decision_log
 from balsamramp_testing import virtual_time
 
@@ -145,3 +147,34 @@
     assert os.read(reader, 4096).startswith(b"before\n")
     os.close(reader)
     os.close(writer)
+
+
+def test_last_line_reaches_a_reader_that_is_behind() -> None:
+    reading, writing = os.pipe()
+    sink = decision_log.FileSink(writing)
+    for _ in range(200):
+        sink.write(b"x" * 1000)
+    sink.write(b"last")
+    received = bytearray()
+
+    def read() -> None:
+        while not received.endswith(b"last\n"):
+            received.extend(os.read(reading, 4096))
+
+    reader = threading.Thread(target=read)
+    reader.start()
+    sink.drain(clock.SystemClock(), datetime.timedelta(seconds=30))
+    os.close(writing)
+    reader.join()
+    os.close(reading)
+    assert received.endswith(b"last\n")
+
+
+def test_reader_that_stands_still_is_awaited_for_a_bounded_time() -> None:
+    reading, writing = os.pipe()
+    sink = decision_log.FileSink(writing)
+    for _ in range(200):
+        sink.write(b"x" * 1000)
+    sink.drain(clock.SystemClock(), datetime.timedelta(milliseconds=10))
+    os.close(writing)
+    os.close(reading)
