Soak: judge ended processes by the signals that they got

The watcher of ended processes had become weaker than before: any code of 0 or less was taken from a process that was asked to end, so an abort or a segmentation fault in a shutdown passed, and a SIGHUP excused an end at any age whenever its default action was in force.

An end is now explained only by 0 after a stop signal, by SIGKILL if the soak sent it, and by the default action of a stop signal or SIGHUP if the process was never seen to block, ignore or handle that signal; for SIGHUP only in the first half second of that process, as before. A process that ends with 0 without a stop signal, or that had ended before the signal was sent, is found as well. Ages are those of the process, not of the last start of its node.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -175,17 +175,20 @@
     async def _watch_processes(self) -> None:
         """Note processes that end by themselves, and start others."""
         ledger = self._world.ledger
-        seen: set[int] = set()
+        seen: set[asyncio.subprocess.Process] = set()
         while True:
             due = time.monotonic() + WATCH_SECONDS
             await asyncio.sleep(WATCH_SECONDS)
             ledger.late_windows.append((due, time.monotonic()))
             for node in self._world.nodes:
                 for process in node.processes:
-                    if process.returncode is None or process.pid in seen:
+                    if process in seen:
                         continue
-                    seen.add(process.pid)
-                    if not node.was_ended(process):
+                    if process.returncode is None:
+                        node.read_status(process)
+                        continue
+                    seen.add(process)
+                    if not node.explains_end(process):
                         self._note_end(node, process)
                     # A fault restarts what it ends.
                     if not node.was_asked(process):
@@ -194,10 +197,10 @@
     def _note_end(
         self, node: soak_harness.Node, process: asyncio.subprocess.Process
     ) -> None:
-        age = time.monotonic() - node.started_at
         self._world.ledger.ended.append(
-            f"{node.name}: exit code {process.returncode} {age:.1f} s after"
-            f" the node's last start; {node.last_log_lines()}"
+            f"{node.name}: exit code {process.returncode}"
+            f" {node.age(process):.1f} s after its start;"
+            f" {node.last_log_lines()}"
         )
 
     def _now(self) -> float:
--- a/tests/users_platform/soak_harness.py
+++ b/tests/users_platform/soak_harness.py
@@ -15,6 +15,7 @@
 import sidecar_fleet
 import soak_callers
 import soak_checks
+import soak_processes
 import soak_records
 import soak_target
 
@@ -39,7 +40,6 @@
 MOVABLE_PORTS = ("callers", "ready", "metrics")
 SHOWN_LOG_LINES = 3
 END_PATTERN = re.compile('"event":"(process_end|message)"')
-SIGNAL_FIELDS = ("SigIgn:", "SigCgt:")
 # Time after which nodes close idle connections, one of them in each play.
 IDLE_TIMEOUTS_MS = (700, 15000)
 
@@ -59,8 +59,9 @@
         self._world = world
         self._terminated_at: float | None = None
         self._paused_until = 0.0
-        self._asked: list[asyncio.subprocess.Process] = []
-        self._unprepared: list[asyncio.subprocess.Process] = []
+        self._histories: dict[
+            asyncio.subprocess.Process, soak_processes.ProcessHistory
+        ] = {}
         self._generation = 0
         self._ports = sidecar_fleet.free_ports()
         self.store_proxy = loopback_proxy.LoopbackProxy(world.store.port)
@@ -78,6 +79,7 @@
         await self.target.start(ports["target"])
         await self.store_proxy.start(ports["store"])
         await self.stream_proxy.start(ports["stream"])
+        self.started_at = time.monotonic()
         self.sidecar = await self._world.fleet.start_beside(
             self.target,
             self.name,
@@ -86,7 +88,7 @@
             self.store_proxy.port,
             self.stream_proxy.port,
         )
-        self.processes.append(self.sidecar.process)
+        self._add_process()
         self.settings_text = self.sidecar.settings.read_text()
 
     async def kill(self) -> None:
@@ -124,23 +126,25 @@
             self._signal(signal.SIGKILL, process)
             await process.wait()
 
+    def read_status(self, process: asyncio.subprocess.Process) -> None:
+        """Note which signals a process provides for by now."""
+        self._histories[process].read_status(process.pid)
+
     def was_asked(self, process: asyncio.subprocess.Process) -> bool:
         """Tell whether a process was asked to end, or was killed."""
-        return process in self._asked
-
-    def was_ended(self, process: asyncio.subprocess.Process) -> bool:
-        """Tell whether a signal of the soak explains the end of a process.
-
-        No program can keep a SIGHUP that comes before its first line from
-        ending it.
-        """
-        if self.was_asked(process):
-            return process.returncode is not None and process.returncode <= 0
-        return (
-            process.returncode == -signal.SIGHUP
-            and process in self._unprepared
+        return self._histories[process].asked
+
+    def explains_end(self, process: asyncio.subprocess.Process) -> bool:
+        """Tell whether a signal of the soak explains an end noted now."""
+        code = process.returncode
+        return code is not None and self._histories[process].explains(
+            code, time.monotonic()
         )
 
+    def age(self, process: asyncio.subprocess.Process) -> float:
+        """Return the seconds since the start of a process."""
+        return time.monotonic() - self._histories[process].started_at
+
     def last_log_lines(self) -> str:
         """Return the end of the log, without what a node does for others."""
         lines = [
@@ -175,7 +179,14 @@
         self._terminated_at = None
         self._paused_until = 0.0
         await self._world.fleet.restart(self.sidecar)
-        self.processes.append(self.sidecar.process)
+        self._add_process()
+
+    def _add_process(self) -> None:
+        process = self.sidecar.process
+        self.processes.append(process)
+        self._histories[process] = soak_processes.ProcessHistory(
+            started_at=self.started_at
+        )
 
     def terminate(self) -> None:
         """Ask the process to end."""
@@ -308,10 +319,9 @@
     ) -> None:
         process = process or self.sidecar.process
         if process.returncode is None:
-            if number in (signal.SIGTERM, signal.SIGKILL):
-                self._asked.append(process)
-            if number == signal.SIGHUP and not _handles_hangup(process):
-                self._unprepared.append(process)
+            self.read_status(process)
+            if _runs(process):
+                self._histories[process].note_signal(number)
             # The process's own method would reap it, and its exit code be
             # lost to asyncio.
             with contextlib.suppress(ProcessLookupError):
@@ -339,22 +349,6 @@
         return False
 
 
-def _handles_hangup(process: asyncio.subprocess.Process) -> bool:
-    """Tell whether a process ignores or handles SIGHUP by now."""
-    try:
-        status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
-    except OSError:
-        return False
-    bit = 1 << (signal.SIGHUP - 1)
-    return any(
-        int(value, 16) & bit
-        for name, _, value in (
-            line.partition("\t") for line in status.splitlines()
-        )
-        if name in SIGNAL_FIELDS
-    )
-
-
 class SoakHarness:
     """Nodes, operators and callers of one soak."""
 
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -1,12 +1,15 @@
 """The soak, in short, and the checks that it relies on."""
 
 import asyncio
+import os
 import pathlib
+import signal
 
 import attrs
 import pytest
 import soak
 import soak_checks
+import soak_processes
 import soak_records
 import soak_target
 
@@ -212,3 +215,62 @@
 
 def test_a_process_that_ends_by_itself_is_found() -> None:
     assert _problems([SENT], [RUN], ended=["n0: exit 1"])
+
+
+@pytest.mark.parametrize(
+    ("sent", "code", "explained"),
+    [
+        ((), 0, False),
+        ((signal.SIGHUP,), 0, False),
+        ((signal.SIGKILL,), 0, False),
+        ((signal.SIGTERM,), 0, True),
+        ((signal.SIGTERM,), 1, False),
+        ((signal.SIGTERM,), -signal.SIGTERM, True),
+        ((signal.SIGHUP,), -signal.SIGTERM, False),
+        ((signal.SIGTERM,), -signal.SIGINT, False),
+        ((signal.SIGTERM,), -signal.SIGABRT, False),
+        ((signal.SIGTERM,), -signal.SIGSEGV, False),
+        ((signal.SIGTERM,), -signal.SIGHUP, False),
+        ((signal.SIGTERM,), -signal.SIGKILL, False),
+        ((signal.SIGTERM, signal.SIGKILL), -signal.SIGKILL, True),
+        ((signal.SIGHUP,), -signal.SIGHUP, True),
+        ((signal.SIGSTOP,), -signal.SIGSTOP, False),
+    ],
+)
+def test_ends_that_the_soak_did_not_cause_are_found(
+    sent: tuple[int, ...], code: int, explained: bool
+) -> None:
+    history = soak_processes.ProcessHistory(started_at=10.0)
+    for number in sent:
+        history.note_signal(number)
+    assert history.explains(code, at=10.4) is explained
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+@pytest.mark.parametrize("field", ["SigBlk", "SigIgn", "SigCgt"])
+def test_default_action_after_a_handler_is_found(
+    field: str, number: int
+) -> None:
+    history = soak_processes.ProcessHistory(started_at=10.0)
+    history.note_status(f"{field}:\t{1 << (number - 1):016x}\n")
+    history.note_status(f"{field}:\t{0:016x}\n")
+    history.note_signal(number)
+    assert not history.explains(-number, at=10.4)
+
+
+def test_hangup_of_a_process_that_is_not_new_is_found() -> None:
+    history = soak_processes.ProcessHistory(started_at=10.0)
+    history.note_signal(signal.SIGHUP)
+    assert history.explains(-signal.SIGHUP, at=10.5)
+    assert not history.explains(-signal.SIGHUP, at=10.6)
+
+
+def test_handlers_of_a_running_process_are_read() -> None:
+    history = soak_processes.ProcessHistory(started_at=10.0)
+    former = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        history.read_status(os.getpid())
+    finally:
+        signal.signal(signal.SIGHUP, former)
+    history.note_signal(signal.SIGHUP)
+    assert not history.explains(-signal.SIGHUP, at=10.1)
