--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,36 +1,30 @@
-"""Requesters that read slowly lose answers that their backends gave."""
+"""A stop signal cuts answers that requesters are still reading."""
 
 import asyncio
 import contextlib
 import pathlib
-import socket
+import signal
 import time
 
-import attrs
 import configurations
 import deployment_standin
+import reader_standin
 
 HOST = "reservas.example"
-ANSWER_BYTES = 2 * 1024 * 1024
-ANSWERS_AHEAD = 4
-REQUESTERS = 16
-TIMEOUT_MS = 30000
-SLOW_BYTES_PER_SECOND = 1024 * 1024
-PART_BYTES = 64 * 1024
+ANSWER_BYTES = 540_000
+ANSWERS_AHEAD = 2
+REQUESTERS = 8
+TIMEOUT_MS = 8000
+BYTES_PER_SECOND = 256 * 1024
+WORK_SECONDS = 0.5
+# The requesters have sent their requests by then.
+SIGNAL_AFTER_SECONDS = 0.2
+FURTHER_AFTER_SECONDS = 1.5
 LOST_MAX = 3
 
 
-@attrs.define(kw_only=True)
-class Reading:
-    """What one requester received of its pipelined requests."""
-
-    request_ids: list[str]
-    answered: int = 0
-    ended: str = ""
-
-
 async def case(fleet: deployment_standin.Deployment, has_trouble: bool) -> str:
-    """Download on kept connections, a few requests ahead."""
+    """Stop the machine that took the requests, as planned work."""
     pack = configurations.route(
         HOST,
         "/pack/",
@@ -45,100 +39,63 @@
         configurations.configuration(3, ["reservas", "catalogo"], pack=pack),
     )
     machine = await fleet.add_machine("z-a", "catalogo")
-    for zone in ("z-a", "z-b", "z-c", "z-a"):
+    for zone in ("z-b", "z-c"):
         await fleet.add_machine(zone, "reservas")
     await fleet.wait_until_ready()
     await fleet.warm_up(machine, HOST, "/pack/")
     for item in fleet.machines:
         item.backend.body = b"y" * ANSWER_BYTES
-    rate = SLOW_BYTES_PER_SECOND if has_trouble else 0
-    readings = await asyncio.gather(
-        *(_download(fleet, machine, rate) for _ in range(REQUESTERS))
-    )
+        item.backend.work = WORK_SECONDS
+    readers = [
+        reader_standin.PipeliningReader(
+            fleet, machine, HOST, "/pack/1", TIMEOUT_MS, BYTES_PER_SECOND
+        )
+        for _ in range(REQUESTERS)
+    ]
+    reading = [asyncio.ensure_future(_read(reader)) for reader in readers]
+    await asyncio.sleep(SIGNAL_AFTER_SECONDS)
+    signalled_at = time.monotonic()
+    if has_trouble:
+        fleet.signal(machine, signal.SIGTERM)
+    await asyncio.gather(*reading)
     done = {run.request_id for run in fleet.runs if run.outcome == "done"}
     lost = []
-    for reading in readings:
-        if not reading.ended:
-            continue
-        # The answer that was cut began; those behind it did not.
-        for request_id in reading.request_ids[reading.answered + 1 :]:
-            if request_id in done:
+    for reader in readers:
+        fleet.record.write(
+            f"connection of {reader.request_ids[0]} ended"
+            f" ({reader.ended or 'read to the end'}) after"
+            f" {reader.answered} whole answers,"
+            f" {reader.ended_at - signalled_at:.1f} s after the signal"
+        )
+        for request_id in reader.request_ids[:ANSWERS_AHEAD]:
+            position = reader.request_ids.index(request_id)
+            if position >= reader.answered and request_id in done:
                 lost.append(request_id)
     if len(lost) > LOST_MAX:
         return (
             f"LOST: {len(lost)} requests ran to their end at sound backends"
-            " and their kept connections ended before their answers began"
+            " and their connections ended without their whole answers"
         )
     return ""
 
 
-async def _download(
-    fleet: deployment_standin.Deployment,
-    machine: deployment_standin.Machine,
-    bytes_per_second: int,
-) -> Reading:
-    """Send some requests ahead and read their answers."""
-    loop = asyncio.get_running_loop()
-    sock = socket.socket()
-    sock.setblocking(False)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PART_BYTES)
-    await loop.sock_connect(sock, (machine.ip, machine.ports["callers"]))
-    reading = Reading(request_ids=[])
-    requests = b""
-    for _ in range(ANSWERS_AHEAD):
-        request_id, data = fleet.encode_request(
-            "GET", HOST, "/pack/1", TIMEOUT_MS
-        )
-        reading.request_ids.append(request_id)
-        requests += data
-        fleet.record.write(f"sent {request_id} GET {HOST}/pack/1")
-    received = bytearray()
-    until = time.monotonic() + TIMEOUT_MS / 1000
-    try:
-        await loop.sock_sendall(sock, requests)
-        while reading.answered < ANSWERS_AHEAD:
-            async with asyncio.timeout(until - time.monotonic()):
-                data = await loop.sock_recv(sock, PART_BYTES)
-            if not data:
-                reading.ended = "closed"
-                break
-            received += data
-            _take_answers(fleet, reading, received)
-            if bytes_per_second:
-                await asyncio.sleep(len(data) / bytes_per_second)
-    except (OSError, TimeoutError) as error:
-        reading.ended = repr(error)
-    finally:
-        with contextlib.suppress(OSError):
-            sock.close()
-    if reading.ended:
-        fleet.record.write(
-            f"connection of {reading.request_ids[0]} ends ({reading.ended})"
-            f" after {reading.answered} of {ANSWERS_AHEAD} answers"
-        )
-    return reading
+async def _read(reader: reader_standin.PipeliningReader) -> None:
+    """Send two requests ahead, and a third while the first is read."""
+    await reader.open()
+    await reader.send(ANSWERS_AHEAD)
+    further = asyncio.ensure_future(_send_further(reader))
+    await reader.read_answers(ANSWERS_AHEAD)
+    further.cancel()
+    await asyncio.gather(further, return_exceptions=True)
+    reader.close()
 
 
-def _take_answers(
-    fleet: deployment_standin.Deployment,
-    reading: Reading,
-    received: bytearray,
-) -> None:
-    """Drop the whole answers from what was received."""
-    while True:
-        head_end = received.find(b"\r\n\r\n")
-        if head_end < 0:
-            return
-        head = bytes(received[:head_end]).lower()
-        length = int(head.split(b"content-length:")[1].split(b"\r\n")[0])
-        end = head_end + 4 + length
-        if len(received) < end:
-            return
-        del received[:end]
-        request_id = reading.request_ids[reading.answered]
-        status = head.split(b" ")[1].decode()
-        fleet.record.write(f"answered {request_id}: {status}, {length} bytes")
-        reading.answered += 1
+async def _send_further(reader: reader_standin.PipeliningReader) -> None:
+    await asyncio.sleep(FURTHER_AFTER_SECONDS)
+    if reader.told_to_close or reader.ended:
+        return
+    with contextlib.suppress(OSError):
+        await reader.send(1)
 
 
 if __name__ == "__main__":
