--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,5 +10,6 @@
 import backend_standin
 import configurations
 import deployment_standin
+import reader_standin
 import store_standin
 '
