--- a/review/7/run.py
+++ b/review/7/run.py
@@ -14,7 +14,7 @@
 ANSWER_BYTES = 540_000
 ANSWERS_AHEAD = 2
 REQUESTERS = 8
-TIMEOUT_MS = 8000
+TIMEOUT_MS = 6500
 BYTES_PER_SECOND = 256 * 1024
 WORK_SECONDS = 0.5
 # The requesters have sent their requests by then.
