--- a/review/standins/deployment_standin.py
+++ b/review/standins/deployment_standin.py
@@ -27,6 +27,7 @@
     "Machine",
     "Record",
     "Requester",
+    "count_stale_runs",
     "run_case",
 ]
 
@@ -37,6 +38,10 @@
 READY_SECONDS = 30.0
 CASE_SECONDS = 115.0
 WARM_UP_REQUESTS = 20
+LATE_REQUESTS = 40
+# Below those that the kernel gives to outgoing connections.
+PORT_MIN = 12_000
+PORT_MAX = 31_000
 STATUS_OK = 200
 MEMORY_CHECK_SECONDS = 0.01
 RESTART_SECONDS = 0.5
@@ -424,6 +429,32 @@
         self._streams = None
 
 
+async def count_stale_runs(
+    fleet: Deployment,
+    host: str,
+    prefix: str,
+    old_service: str,
+    acknowledged_at: float,
+) -> tuple[int, int]:
+    """Return how many late requests run at the old service, and of how many.
+
+    They are sent to all machines in turn, later than configApplyMs after the
+    ack of the configuration that moves their route to another service.
+    """
+    apply_seconds = BOUNDS["configApplyMs"] / 1000
+    await asyncio.sleep(acknowledged_at + apply_seconds - time.monotonic())
+    late = set()
+    for number in range(LATE_REQUESTS):
+        machine = fleet.machines[number % len(fleet.machines)]
+        answer = await fleet.call(machine, "GET", host, f"{prefix}{number}")
+        if answer.sent_at > acknowledged_at + apply_seconds:
+            late.add(answer.request_id)
+    stale = 0
+    for run in fleet.runs:
+        stale += run.request_id in late and run.service == old_service
+    return stale, len(late)
+
+
 def run_case(
     folder: pathlib.Path,
     case: typing.Callable[[Deployment, bool], typing.Awaitable[str]],
@@ -474,15 +505,18 @@
 
 
 def _free_ports(names: tuple[str, ...]) -> dict[str, int]:
-    sockets = []
-    ports = {}
-    for name in names:
-        sock = socket.socket()
-        sock.bind(("0.0.0.0", 0))
-        sockets.append(sock)
-        ports[name] = sock.getsockname()[1]
-    for sock in sockets:
-        sock.close()
+    """Return ports that are free at all addresses, outside those drawn."""
+    ports: dict[str, int] = {}
+    while len(ports) < len(names):
+        port = random.randint(PORT_MIN, PORT_MAX)
+        if port in ports.values():
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+        ports[names[len(ports)]] = port
     return ports
 
 
