--- a/review/standins/deployment_standin.py
+++ b/review/standins/deployment_standin.py
@@ -36,6 +36,8 @@
 EXIT_BROKEN = 1
 EXIT_COULD_NOT_RUN = 2
 READY_SECONDS = 30.0
+# contactMs after the start of a process, and some time for the start.
+IN_TOUCH_SECONDS = 5.0
 CASE_SECONDS = 115.0
 WARM_UP_REQUESTS = 20
 LATE_REQUESTS = 40
@@ -146,6 +148,7 @@
         self._role = deploy["roles"]["sidecar"]
         self._stores = [self.store]
         self._numbers = 0
+        self._started_at = 0.0
 
     async def __aenter__(self) -> "Deployment":
         await _listen(self.store, self.store_address)
@@ -242,6 +245,7 @@
             stderr=log,
         )
         log.close()
+        self._started_at = time.monotonic()
         self.record.write(f"{machine.name} starts")
 
     def log_of(self, machine: Machine) -> str:
@@ -267,13 +271,16 @@
         self.record.write("the store has another address")
 
     async def wait_until_ready(self) -> None:
-        """Wait until all sidecars are ready and know all backends."""
+        """Wait until all sidecars are ready and in touch since their start."""
         until = time.monotonic() + READY_SECONDS
         for machine in self.machines:
             while await self.readiness(machine) != 200:
                 if time.monotonic() > until:
                     raise CouldNotRunError(f"{machine.name} is not ready")
                 await asyncio.sleep(0.1)
+        await asyncio.sleep(
+            self._started_at + IN_TOUCH_SECONDS - time.monotonic()
+        )
 
     async def warm_up(self, machine: Machine, host: str, prefix: str) -> None:
         """Send requests until the machine knows its backends."""
@@ -466,6 +473,12 @@
     record = Record(folder / "record.txt")
 
     async def run() -> str:
+        task = asyncio.current_task()
+        assert task is not None
+        # The processes of the case are ended also when it is stopped.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         async with asyncio.timeout(CASE_SECONDS), Deployment(record) as fleet:
             found = await case(fleet, os.environ.get("TROUBLE") != "0")
             record.write_runs(fleet.runs)
@@ -473,7 +486,7 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(EXIT_COULD_NOT_RUN)
