Tests: the proxy passes the end of one direction on

Cause: when the server closed its side, the stand-in closed the caller's connection whole. What the caller sent next was met by a reset, and answers that the proxy had passed to the kernel were lost by the proxy itself.

Change: it closes for writing, as a router or a tunnel passes a FIN on, and the connection ends when both directions have.

--- a/tests/users_platform/loopback_proxy.py
+++ b/tests/users_platform/loopback_proxy.py
@@ -133,8 +133,10 @@
                 writer.write(data)
                 await writer.drain()
         await self._open[way].wait()
-        if not link.silent:
-            writer.close()
+        if not link.silent and not writer.is_closing():
+            # The other direction goes on until its own end.
+            with contextlib.suppress(OSError):
+                writer.write_eof()
 
 
 async def _chunks(
