Keep callers' connections open until their responses have arrived

Cause: what was passed to the kernel was taken for received. The connection was closed for writing and its socket dropped 0.5 to 1 s after the process held nothing more; data that arrives at a closed socket resets it, and the kernel drops what it has not sent. The same on rejections with a body unread, on the idle timeout, and in a stop for connections without a request. Ruled out: the schedule of the stop, memory, the targets.

Change: the kernel is asked what is unacknowledged (SIOCOUTQ). Idle connections are closed once everything has arrived. Responses that are cut off are logged, each with its request's identifier. It works because a socket with nothing unacknowledged can lose nothing that the caller's system does not have.

The fakes of two tests have no socket and say so.

--- a/packages/node/src/balsamramp_node/process/caller_connection.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection.py
@@ -13,8 +13,11 @@
 from balsamramp_node.process import caller_messages
 from balsamramp_node.process import connection_limit
 from balsamramp_node.process import handler_runner
+from balsamramp_node.process import lingering_close
 from balsamramp_node.process import request_pipeline
 from balsamramp_node.process import request_reader
+from balsamramp_node.process import response_delivery
+from balsamramp_node.process import socket_queue
 from balsamramp_node.process import transfer_progress
 
 __all__ = ["CallerConnection", "Handler", "RawRequest", "RawResponse"]
@@ -31,9 +34,6 @@
 # The event loop reads from its sockets once within this time. When it runs
 # late, a request may wait unread in the socket when a timer expires.
 UNREAD_DATA_DELAY = datetime.timedelta(milliseconds=1)
-# How long a caller has to close its side after the last response was sent.
-LINGER_TIMEOUT = datetime.timedelta(milliseconds=500)
-
 # Time between the accept of a connection and its first request for which the
 # connection is kept while the server stops.
 FIRST_REQUEST_TIMEOUT = datetime.timedelta(milliseconds=500)
@@ -65,9 +65,8 @@
     and the last request that was read gets the response that closes it.
 
     After the last response the connection is closed for writing first, and
-    data that still arrives is discarded for up to ``LINGER_TIMEOUT``. Closing
-    a socket with unread data resets the connection, and a reset discards
-    whatever of the response the caller has not received.
+    data that still arrives is discarded as LingeringClose says. A connection
+    without a request is closed once its caller has received all responses.
     """
 
     def __init__(
@@ -93,8 +92,7 @@
         self._pipeline = request_pipeline.RequestPipeline(
             PIPELINED_REQUESTS_MAX
         )
-        # The last request whose response was passed to the transport.
-        self._responded: request_reader.ReceivedRequest | None = None
+        self._delivery = response_delivery.ResponseDelivery()
         self._close_reason: UnansweredReason | None = None
         self._header_timer: asyncio.TimerHandle | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -106,7 +104,7 @@
         self._discarding = False
         self._rejected_with: http.HTTPStatus | None = None
         self._refused = False
-        self._lingering = False
+        self._linger: lingering_close.LingeringClose | None = None
 
     @property
     def busy(self) -> bool:
@@ -147,6 +145,15 @@
         """Return whether a part of a response is not sent yet."""
         return self.unsent_bytes > 0
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Return how much of the responses has not reached the caller."""
+        if self._transport is None:
+            return 0
+        return self.unsent_bytes + socket_queue.unacknowledged_bytes(
+            self._transport
+        )
+
     @property
     def _unreceived_bytes(self) -> int:
         """Return the size of the responses that are not sent yet."""
@@ -160,7 +167,7 @@
     @property
     def _closing(self) -> bool:
         """Return whether no further response can be written."""
-        if self._lingering or self._transport is None:
+        if self._linger is not None or self._transport is None:
             return True
         return self._transport.is_closing()
 
@@ -204,9 +211,10 @@
         self._close_reason = reason
         if self._transport is None:
             return
-        responded, self._responded = self._responded, None
-        if responded is not None and self._transport.get_write_buffer_size():
-            self._record(responded, reason, started=True)
+        for response in self._delivery.take(self.undelivered_bytes):
+            self._record(
+                response.request_id, response.received_at, reason, started=True
+            )
         self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -241,7 +249,10 @@
         self._write_responses()
 
     def data_received(self, data: bytes) -> None:
-        if self._lingering or self._discarding:
+        if self._linger is not None:
+            self._linger.record_received(self._elapsed())
+            return
+        if self._discarding:
             return
         now = self._loop.time()
         received_before = self._reader.receiving
@@ -255,7 +266,7 @@
     def _after_parsing(self) -> None:
         """Read on, or pause until the requests read so far are answered."""
         transport = self._transport
-        if transport is None or self._lingering or self._discarding:
+        if transport is None or self._linger or self._discarding:
             return
         if self._reader.upgrades or (self._close_when_idle and self.waiting):
             self._discard_input()
@@ -285,6 +296,7 @@
         self._stop_header_timer()
         if expects_continue and self._transport is not None:
             self._transport.write(CONTINUE_RESPONSE)
+            self._delivery.add_other(len(CONTINUE_RESPONSE))
 
     def handle_request(self, received: request_reader.ReceivedRequest) -> None:
         """Queue a complete request for the handler."""
@@ -314,8 +326,10 @@
         response = caller_messages.encode_response(
             caller_messages.empty_response(status)
         )
-        transport.write(response.join(closes=True))
-        self._linger()
+        data = response.join(closes=True)
+        transport.write(data)
+        self._delivery.add_other(len(data))
+        self._start_linger()
 
     def _discard_input(self) -> None:
         """Parse nothing more; close when the received requests are answered.
@@ -363,14 +377,12 @@
             item, response = found
             last = self._close_when_idle and not self.waiting
             closes = last and self._rejected_with is None
-            transport.write(response.join(closes))
-            self._responded = item.received
-            now = self._loop.time()
-            self._progress.record_step(now)
-            self._progress.record_written(self.unsent_bytes, now)
+            data = response.join(closes)
+            transport.write(data)
+            self._record_written(item.received, len(data))
             self._reserve_unsent()
             if closes:
-                self._linger()
+                self._start_linger()
             elif last and self._rejected_with is not None:
                 self._write_rejection(transport, self._rejected_with)
         self._start_requests()
@@ -378,6 +390,20 @@
             self._reader.parse()
             self._after_parsing()
 
+    def _record_written(
+        self, received: request_reader.ReceivedRequest, size: int
+    ) -> None:
+        if self._delivery.full:
+            self._delivery.confirm(self.undelivered_bytes)
+        headers = received.request.headers
+        request_id = (
+            b"" if self._log is None else self._log.request_id(headers)
+        )
+        self._delivery.add(size, request_id, received.received_at)
+        now = self._loop.time()
+        self._progress.record_step(now)
+        self._progress.record_written(self.unsent_bytes, now)
+
     def _reserve_unsent(self) -> None:
         """Reserve memory for what the caller has not received in time."""
         transport, size = self._transport, self._unreceived_bytes
@@ -413,10 +439,10 @@
             self.handle_reject, http.HTTPStatus.REQUEST_TIMEOUT
         )
 
-    def _linger(self) -> None:
+    def _start_linger(self) -> None:
         """Close for writing and wait for the caller to close its side."""
         assert self._transport is not None
-        self._lingering = True
+        self._linger = lingering_close.LingeringClose(self._elapsed())
         self._reader.close()
         self._transport.write_eof()
         self._transport.resume_reading()
@@ -427,23 +453,40 @@
 
     def _schedule_linger_check(self) -> None:
         self._idle_timer = self._loop.call_later(
-            LINGER_TIMEOUT.total_seconds(), self._check_linger
+            lingering_close.CHECK_INTERVAL.total_seconds(), self._check_linger
         )
 
     def _check_linger(self) -> None:
-        assert self._transport is not None
-        unsent_before = self._progress.unsent_bytes
+        assert self._transport is not None and self._linger is not None
         self._update_progress()
-        if not unsent_before and not self._progress.unsent_bytes:
-            self._transport.close()
-        elif self._idle_seconds_left() <= 0:
+        undelivered = self._progress.unsent_bytes
+        self._linger.record_undelivered(undelivered, self._elapsed())
+        if undelivered and self._idle_seconds_left() <= 0:
             self._transport.abort()
+        elif self._linger.is_over(self._elapsed()):
+            self._idle_timer = self._after_unread_data(self._end_linger)
         else:
             self._schedule_linger_check()
 
+    def _end_linger(self) -> None:
+        assert self._transport is not None and self._linger is not None
+        if self._linger.is_over(self._elapsed()):
+            self._transport.close()
+        else:
+            self._schedule_linger_check()
+
+    def _elapsed(self) -> datetime.timedelta:
+        return datetime.timedelta(seconds=self._loop.time())
+
     def _update_progress(self) -> None:
-        """Record how far the caller has read the responses."""
-        self._progress.record_unsent(self.unsent_bytes, self._loop.time())
+        """Record how far the caller has received the responses."""
+        now, undelivered = self._loop.time(), self.undelivered_bytes
+        if undelivered <= self._progress.unsent_bytes:
+            self._progress.record_unsent(undelivered, now)
+            return
+        # The kernel had taken it when the response was written.
+        self._progress.record_step(now)
+        self._progress.record_written(undelivered, now)
 
     def _idle_seconds_left(self) -> float:
         now = self._loop.time()
@@ -485,7 +528,14 @@
             self._transport.close()
 
     def _close_unless_busy(self) -> None:
-        if self.busy or self._lingering or self._transport is None:
+        if self.busy or self._linger is not None or self._transport is None:
+            return
+        if self.undelivered_bytes:
+            # A request that arrives meanwhile is still answered.
+            self._loop.call_later(
+                lingering_close.CHECK_INTERVAL.total_seconds(),
+                self._close_unless_busy,
+            )
             return
         self._transport.close()
 
@@ -503,22 +553,31 @@
         if reason is None and error is not None:
             reason = UnansweredReason.TRANSPORT_ERROR
         reason = reason or UnansweredReason.CALLER_CLOSED
-        for item in self._pipeline.started:
-            self._record(item.received, reason, started=True)
-        for item in self._pipeline.waiting:
-            self._record(item.received, reason, started=False)
+        if self._log is None:
+            return
+        started = len(self._pipeline.started)
+        for number, item in enumerate(
+            (*self._pipeline.started, *self._pipeline.waiting)
+        ):
+            self._record(
+                self._log.request_id(item.received.request.headers),
+                item.received.received_at,
+                reason,
+                started=number < started,
+            )
 
     def _record(
         self,
-        received: request_reader.ReceivedRequest,
+        request_id: bytes,
+        received_at: float,
         reason: UnansweredReason,
         started: bool,
     ) -> None:
         if self._log is None:
             return
-        open_seconds = self._loop.time() - received.received_at
+        open_seconds = self._loop.time() - received_at
         self._log.record_unanswered(
-            received.request.headers,
+            request_id,
             reason,
             datetime.timedelta(seconds=open_seconds),
             started,
--- a/packages/node/src/balsamramp_node/process/caller_connection_log.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection_log.py
@@ -49,20 +49,26 @@
         self._decisions = decisions
         self._request_id_header = request_id_header.encode()
 
+    def request_id(self, headers: list[tuple[bytes, bytes]]) -> bytes:
+        """Return the caller's identifier of a request, empty without one."""
+        for name, value in headers:
+            if name == self._request_id_header:
+                return value
+        return b""
+
     def record_unanswered(
         self,
-        headers: list[tuple[bytes, bytes]],
+        request_id: bytes,
         reason: UnansweredReason,
         open_for: datetime.timedelta,
         started: bool,
     ) -> None:
-        """Record a complete request that gets no response.
+        """Record a complete request whose response does not arrive whole.
 
         ``open_for`` is the time since it was received, ``started`` tells
         whether its handler was called.
         """
         self._metrics.count("unanswered_requests_total", reason=reason.value)
-        request_id = dict(headers).get(self._request_id_header, b"")
         self._decisions.write(
             "unanswered",
             request_id=request_id.decode("latin-1"),
--- a/packages/node/src/balsamramp_node/process/caller_server.py
+++ b/packages/node/src/balsamramp_node/process/caller_server.py
@@ -123,7 +123,9 @@
                     await next(iter(self._connections)).closed.wait()
         except TimeoutError:
             for connection in list(self._connections):
-                aborted += connection.busy or connection.unsent
+                aborted += bool(
+                    connection.busy or connection.undelivered_bytes
+                )
                 connection.abort()
         if self._log is not None:
             self._log.record_drained(open_count, busy, aborted)
--- a/packages/node/tests/test_caller_connection.py
+++ b/packages/node/tests/test_caller_connection.py
@@ -38,6 +38,8 @@
 GET = b"GET /a/b?x=%2F HTTP/1.1\r\nHost: caja.example\r\n\r\n"
 # More than the socket buffers of both ends hold.
 LARGE_BODY = bytes(32 * 1024 * 1024)
+# Less than the kernel takes at once, more than a caller's small buffer.
+MEDIUM_BYTES = 300_000
 SMALL_CHUNKS = 200_000
 REQUEST_ID_HEADER = "x-request-id"
 LINGER_RESET = struct.pack("ii", 1, 0)
@@ -118,6 +120,10 @@
             return caller_connection.RawResponse(
                 status=200, headers=[], body=LARGE_BODY, close=self.close
             )
+        if request.target == b"/medium":
+            return caller_connection.RawResponse(
+                status=200, headers=[], body=bytes(MEDIUM_BYTES)
+            )
         if request.target == b"/cancelled":
             raise asyncio.CancelledError
         if request.target == b"/unwritable":
@@ -762,6 +768,85 @@
         assert not _run(scenario, run=run).requests
 
 
+@pytest.mark.parametrize("pause_seconds", [0.7, 1.5])
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_rejection_arrives_after_a_pause_of_its_caller(
+    run: typing.Any, pause_seconds: float
+) -> None:
+    """Guards against a close while a late caller is still sending."""
+
+    async def scenario(env: _Environment) -> None:
+        reader, writer = await env.connect()
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\n"
+        writer.write(head + bytes(100_000))
+        await asyncio.sleep(0.05)
+        # The server shares the loop: its timers are late too.
+        time.sleep(pause_seconds)  # noqa: ASYNC251
+        for _ in range(5):
+            writer.write(bytes(10_000))
+            await asyncio.sleep(0.2)
+        assert (await _read_response(reader))[0] == 413
+        assert await reader.read() == b""
+
+    assert not _run(scenario, run=run).requests
+
+
+def _connect_slowly(env: _Environment) -> socket.socket:
+    """Return a connection whose kernel takes little."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+    sock.connect((env.server.address.host, env.server.address.port))
+    sock.setblocking(False)
+    return sock
+
+
+async def _read_body(sock: socket.socket, size: int, seconds: float) -> int:
+    """Read a body of ``size`` evenly within ``seconds``; return its size."""
+    loop = asyncio.get_running_loop()
+    received = b""
+    body = b""
+    with contextlib.suppress(ConnectionError):
+        while len(body) < size:
+            data = await loop.sock_recv(sock, size // 20)
+            if not data:
+                break
+            received += data
+            body = received.partition(b"\r\n\r\n")[2]
+            await asyncio.sleep(seconds * len(data) / size)
+    return min(len(body), size)
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+@pytest.mark.parametrize("ends_by", ["stop", "idle timeout"])
+def test_response_in_the_kernel_is_not_lost_with_its_connection(
+    run: typing.Any, ends_by: str
+) -> None:
+    """Guards against the close of an idle connection that is still read.
+
+    The kernel has taken the whole response, so the server seems to be done.
+    What the caller sends next would reset a closed connection.
+    """
+
+    async def scenario(env: _Environment) -> None:
+        loop = asyncio.get_running_loop()
+        with _connect_slowly(env) as sock:
+            await loop.sock_sendall(sock, _request(b"/medium"))
+            reading = asyncio.create_task(_read_body(sock, MEDIUM_BYTES, 1.5))
+            await asyncio.sleep(0.1)
+            stopping = None
+            if ends_by == "stop":
+                stopping = asyncio.create_task(env.server.stop())
+            await asyncio.sleep(0.7)
+            with contextlib.suppress(ConnectionError):
+                await loop.sock_sendall(sock, GET)
+            assert await reading == MEDIUM_BYTES
+            if stopping is not None:
+                sock.close()
+                await stopping
+
+    assert _run(scenario, run=run, idle_timeout_ms=300).unanswered() == {}
+
+
 def test_caller_that_never_closes_does_not_hold_its_connection() -> None:
     async def scenario(env: _Environment) -> None:
         env.close = True
--- a/packages/node/tests/test_pipelined_requests.py
+++ b/packages/node/tests/test_pipelined_requests.py
@@ -58,6 +58,10 @@
         assert not self.closed_for_writing
         self.data += data
 
+    def get_extra_info(self, name: str) -> None:
+        """Return no socket: the kernel holds nothing."""
+        return
+
     def get_write_buffer_size(self) -> int:
         return 0
 
--- a/packages/node/tests/test_uncontrolled_callers.py
+++ b/packages/node/tests/test_uncontrolled_callers.py
@@ -59,6 +59,10 @@
         """Have the caller read ``size`` bytes."""
         self.unsent -= min(size, self.unsent)
 
+    def get_extra_info(self, name: str) -> None:
+        """Return no socket: the kernel holds nothing."""
+        return
+
     def get_write_buffer_size(self) -> int:
         return self.unsent
 
