Close connections between nodes without a reset

Cause: a node that stops closed its streams once its own buffer was empty. The peer goes on sending pings until it has read the last reply; they reset the connection, and what the kernel still held was lost.

Change: the stream is closed for writing, and further messages are ignored until the peer closes its side. A peer that has everything is waited for half a second, one that receives nothing a second. TLS can't be closed one way and ends as before.

Evidence: test_reply_is_whole_though_its_peer_pings_while_the_node_stops failed on ("Broken pipe", less than the reply arrived) and passes now; a peer that never closes holds the stop up for less than 2 s.

--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import datetime
 import functools
 import socket
@@ -20,7 +21,9 @@
 from balsamramp_node.inbound import reply_scheduler
 from balsamramp_node.outbound import call_transport
 from balsamramp_node.process import decision_log
+from balsamramp_node.process import lingering_close
 from balsamramp_node.process import shutdown_schedule
+from balsamramp_node.process import socket_queue
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
@@ -31,12 +34,24 @@
 # not awaited after the second.
 CONTROL_OBJECTIVE = datetime.timedelta(seconds=1)
 CONTROL_TIMEOUT = datetime.timedelta(seconds=2)
+# When a connection is closed: time for a peer that has received all replies
+# to close its side, and for one that receives nothing.
+LINGER_TIMEOUT = datetime.timedelta(milliseconds=500)
+STALL_TIMEOUT = datetime.timedelta(seconds=1)
 
 
 @attrs.define(eq=False)
 class _Connection:
+    """A connection from another node.
+
+    Once ``finished``, it is closed for writing and further messages are
+    ignored; ``ended`` is set when it is closed.
+    """
+
     reader: frames.FrameReader
     writer: asyncio.StreamWriter
+    finished: bool = False
+    ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     hello: messages.Hello | None = None
     calls: dict[asyncio.Task[typing.Any], messages.CallRequest | None] = (
         attrs.field(factory=dict)
@@ -131,11 +146,35 @@
                 while connection.calls:
                     await asyncio.wait(list(connection.calls))
                 await self._replies.flush(connection.writer)
+                if connection.writer.can_write_eof():
+                    await self._finish(connection)
                 connection.writer.close()
                 await connection.writer.wait_closed()
         except (ConnectionError, TimeoutError):
             connection.writer.transport.abort()
 
+    async def _finish(self, connection: _Connection) -> None:
+        """Close for writing; return when the peer has closed its side.
+
+        What the peer sends until it has read the last reply, such as a ping,
+        would reset a closed connection, and the reply would be lost.
+        """
+        connection.finished = True
+        connection.writer.write_eof()
+        transport = connection.writer.transport
+        linger = lingering_close.LingeringClose(
+            self._clock.monotonic(), LINGER_TIMEOUT, STALL_TIMEOUT
+        )
+        while not linger.is_over(self._clock.monotonic()):
+            interval = lingering_close.CHECK_INTERVAL.total_seconds()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval):
+                    await connection.ended.wait()
+                    return
+            undelivered = transport.get_write_buffer_size()
+            undelivered += socket_queue.unacknowledged_bytes(transport)
+            linger.record_undelivered(undelivered, self._clock.monotonic())
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -158,6 +197,7 @@
             self._connections.discard(connection)
             self._replies.forget(writer)
             writer.close()
+            connection.ended.set()
             for request in connection.calls.values():
                 if request is not None:
                     self._inbound_handler.on_caller_disconnected(request)
@@ -175,6 +215,8 @@
     def _handle_message(
         self, connection: _Connection, message: object
     ) -> None:
+        if connection.finished:
+            return
         if isinstance(message, messages.CallRequest):
             self._start_call(message, connection)
             return
--- a/packages/node/tests/test_streams.py
+++ b/packages/node/tests/test_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import datetime
 import socket
 import time
@@ -48,6 +49,7 @@
 
     def __init__(self) -> None:
         self.runs = 0
+        self.body = b"whole"
         self.started = asyncio.Event()
         self.released = asyncio.Event()
         self.cancelled = asyncio.Event()
@@ -66,7 +68,9 @@
             self.cancelled.set()
             raise
         return result.Success(
-            target_client.TargetResponse(status=200, headers=(), body=b"whole")
+            target_client.TargetResponse(
+                status=200, headers=(), body=self.body
+            )
         )
 
 
@@ -701,3 +705,91 @@
     during, after = asyncio.run(_replace_suspect_stream())
     assert during == 2
     assert after == 1
+
+
+async def _read_evenly(
+    sock: socket.socket, seconds: float, total_bytes: int
+) -> bytes:
+    """Read until the peer closes, in about ``seconds``."""
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    part = total_bytes // PIECES
+    with contextlib.suppress(ConnectionError):
+        while data := await loop.sock_recv(sock, part):
+            received += data
+            await asyncio.sleep(seconds * len(data) / total_bytes)
+    return bytes(received)
+
+
+async def _stop_while_a_reply_is_read(
+    ping_interval: float,
+) -> tuple[bytes, float]:
+    """Return what the peer of a node that stops receives, and the time."""
+    target = _FakeTarget()
+    target.body = bytes(UPLOAD_BYTES)
+    server = _make_server(target, 1)
+    await server.start()
+    loop = asyncio.get_running_loop()
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024)
+        address = server.address
+        await loop.sock_connect(sock, (address.host, address.port))
+        request = messages.CallRequest(
+            call_id="c1",
+            service="s",
+            target="t",
+            incarnation=1,
+            method="GET",
+            path="/",
+            headers=(),
+            timeout=TIMEOUT,
+            idempotent=True,
+            body=b"",
+        )
+        hello = messages.Hello("calling", 1)
+        await loop.sock_sendall(
+            sock, frames.encode(hello) + frames.encode(request)
+        )
+        await target.started.wait()
+        target.released.set()
+        reading = asyncio.create_task(_read_evenly(sock, 1.5, UPLOAD_BYTES))
+        began = loop.time()
+        stopping = asyncio.create_task(server.stop())
+        number = 0
+        while not reading.done():
+            await asyncio.sleep(ping_interval)
+            number += 1
+            await loop.sock_sendall(sock, frames.encode(messages.Ping(number)))
+        received = await reading
+    await stopping
+    return received, loop.time() - began
+
+
+def test_reply_is_whole_though_its_peer_pings_while_the_node_stops() -> None:
+    """Guards against a reset by data that arrives after the last reply."""
+    received, seconds = uvloop.run(_stop_while_a_reply_is_read(0.2))
+    assert len(received) > UPLOAD_BYTES
+    assert seconds < SHORT_TIMEOUT.total_seconds() + 1.0
+
+
+async def _stop_beside_a_peer_that_never_closes(reads: bool) -> float:
+    server = _make_server(_FakeTarget(), 1)
+    await server.start()
+    loop = asyncio.get_running_loop()
+    address = server.address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(frames.encode(messages.Hello("calling", 1)))
+    await reader.readexactly(1)
+    if not reads:
+        writer.transport.pause_reading()
+    began = loop.time()
+    await server.stop()
+    writer.close()
+    return loop.time() - began
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_peer_that_never_closes_does_not_hold_the_stop_up(reads: bool) -> None:
+    seconds = uvloop.run(_stop_beside_a_peer_that_never_closes(reads))
+    assert seconds < SHORT_TIMEOUT.total_seconds()
