Connection limit: spare callers that still receive a response

Cause: a caller whose response lies in the kernel has made no progress that the process sees, so it was among the first to give way, and its answer was lost with what it sent next.

Change: of the connections without progress for longest, those whose callers have received everything are closed first.

Evidence: test_connection_whose_response_is_read_gives_way_after_idle_ones; before, the order was by the last progress alone and the reader was closed.

--- a/packages/node/src/balsamramp_node/process/connection_limit.py
+++ b/packages/node/src/balsamramp_node/process/connection_limit.py
@@ -14,6 +14,8 @@
 # at its limit does not search all of them for each new one.
 CLOSED_SHARE = 1 / 32
 CLOSED_LOG_SECONDS = 10
+# Connections that are looked at for each that is closed.
+CANDIDATES_EACH = 4
 # Connections that may wait to be accepted, in relation to those that may be
 # open, and at least as long as there are few of these.
 BACKLOG_SHARE = 1 / 2
@@ -31,6 +33,11 @@
         None states that the peer waits for this process.
         """
 
+    @property
+    @abstract.abstractmethod
+    def undelivered_bytes(self) -> int:
+        """Return how much its peer has not received of what was sent."""
+
     @abstract.abstractmethod
     def give_way(self) -> None:
         """Close the connection immediately."""
@@ -39,8 +46,10 @@
 class ConnectionLimit:
     """Closes connections without progress when too many are open.
 
-    A connection whose request is being handled is never closed for another.
-    There is no limit for each address: many users may share one.
+    Of those without progress for longest, connections whose peers have
+    received everything go first. A connection whose request is being handled
+    is never closed for another. There is no limit for each address: many
+    users may share one.
     """
 
     def __init__(
@@ -74,7 +83,8 @@
                 continue
             waiting.append((progress_at, number, connection))
         count = max(int(self._maximum * CLOSED_SHARE), 1)
-        closed = heapq.nsmallest(count, waiting)
+        longest = heapq.nsmallest(CANDIDATES_EACH * count, waiting)
+        closed = sorted(longest, key=_has_undelivered)[:count]
         self._metrics.count(
             "connections_closed_for_others_total",
             by=max(len(closed), 1),
@@ -92,3 +102,7 @@
         for _, _, connection in closed:
             connection.give_way()
         return bool(closed)
+
+
+def _has_undelivered(candidate: tuple[float, int, LimitedConnection]) -> bool:
+    return candidate[2].undelivered_bytes > 0
--- a/packages/node/tests/test_uncontrolled_callers.py
+++ b/packages/node/tests/test_uncontrolled_callers.py
@@ -364,12 +364,17 @@
 @attrs.define
 class _Connection(connection_limit.LimitedConnection):
     progress: float | None
+    undelivered: int = 0
     closed: bool = False
 
     @property
     def progress_at(self) -> float | None:
         return self.progress
 
+    @property
+    def undelivered_bytes(self) -> int:
+        return self.undelivered
+
     def give_way(self) -> None:
         self.closed = True
 
@@ -385,6 +390,17 @@
     assert not limit.make_room([_Connection(None) for _ in range(3)])
 
 
+def test_connection_whose_response_is_read_gives_way_after_idle_ones() -> None:
+    """Guards against the loss of responses that the kernel still sends."""
+    limit = connection_limit.ConnectionLimit("x", 3, metrics.Metrics())
+    reader, idle = _Connection(1.0, undelivered=1), _Connection(2.0)
+    late_reader = _Connection(3.0, undelivered=1)
+    assert limit.make_room([reader, idle, late_reader])
+    assert idle.closed and not reader.closed and not late_reader.closed
+    assert limit.make_room([_Connection(None), reader, late_reader])
+    assert reader.closed and not late_reader.closed
+
+
 def test_connection_that_gave_way_is_not_counted_until_it_is_lost() -> None:
     """Guards against many accepted at once, for which one is closed."""
 
