Targets: strays of another service hold no target of the VM up

Callers would see: no answer from a target whose service has no health path, for as long as another writer announces new starts at its address.

Cause: an announcement at the same address counts as a rival, and only a check that succeeds decides between them. Without a health path no check does, so the target waited for as long as the strays came.

Change: the node knows from its settings which service its VM has. A target of another service is checked before it is used, and is no rival to one of that service.

--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -124,6 +124,7 @@
 
 
 HealthProbe = abc.Callable[[Announcement], abc.Awaitable[Health]]
+ServiceCheck = abc.Callable[[str], bool]
 
 
 class LocalTargets(service_manager.Service):
@@ -139,6 +140,10 @@
     target that has ended may seem to have started later. So a second target
     at an address is checked first too, and only a successful check withdraws
     the first. Without checks the later start wins.
+
+    ``is_expected`` tells whether this VM has a target of a service, if that
+    is known. A target of another service is checked first, and one of an
+    expected service is not checked because of it.
     """
 
     name = "targets"
@@ -152,6 +157,7 @@
         lease: datetime.timedelta,
     ) -> None:
         self.probe_health: HealthProbe | None = None
+        self.is_expected: ServiceCheck = lambda service: True
         self._process_started_ms = int(time.now().timestamp() * 1000)
         self._process_started_at = time.monotonic()
         self._probes: set[asyncio.Task[None]] = set()
@@ -230,14 +236,15 @@
     def _verify_if_needed(self, local_target: LocalTarget) -> None:
         """Send no calls to a target yet if it may not be there any more.
 
-        This is so if it is older than this process, or if another target
-        has announced itself at its address.
+        This is so if it is older than this process, if its service is not
+        expected, or if a rival has announced itself at its address.
         """
         announcement = local_target.announcement
         if self.probe_health is None or not announcement.started_ms:
             return
         is_older = announcement.started_ms < self._process_started_ms
-        if not is_older and not self._others_at_url(announcement):
+        is_expected = self.is_expected(announcement.service)
+        if is_expected and not is_older and not self._rivals(announcement):
             return
         local_target.state = messages.TargetState.STARTING
         local_target.unverified = True
@@ -305,7 +312,7 @@
             return True
         if announcement.sequence <= local_target.announcement.sequence:
             return False
-        if self._others_at_url(announcement):
+        if self._rivals(announcement):
             return False
         process_age = self._clock.monotonic() - self._process_started_at
         return process_age > ANNOUNCEMENT_DELAY_MAX
@@ -352,6 +359,17 @@
                 found.append(target)
         return found
 
+    def _rivals(self, announcement: Announcement) -> list[str]:
+        """Return the others at its address that may be there instead."""
+        rivals = []
+        for target in self._others_at_url(announcement):
+            service = self._targets[target].announcement.service
+            if self.is_expected(service) or not self.is_expected(
+                announcement.service
+            ):
+                rivals.append(target)
+        return rivals
+
     def _withdraw_others_at_url(self, announcement: Announcement) -> None:
         """Withdraw targets whose address ``announcement`` has taken over."""
         for target in self._others_at_url(announcement):
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -196,6 +196,7 @@
         manager.on_service_stopped = self._shutdown_log.on_service_stopped
         self._target_client = target_client
         self._services.targets.probe_health = self._check_target_health
+        self._services.targets.is_expected = self._has_target_of
         target_client.on_connection_refused = self._on_connection_refused
         target_client.on_misdirected = self._services.targets.suspend
         target_client.on_statement = (
@@ -361,6 +362,9 @@
         self._services.targets.suspend(target)
         self._services.inbound_handler.assume_cold(target)
 
+    def _has_target_of(self, service: str) -> bool:
+        return service == self._service
+
     async def _check_target_health(
         self, announcement: local_targets.Announcement
     ) -> local_targets.Health:
--- a/packages/node/tests/test_local_targets.py
+++ b/packages/node/tests/test_local_targets.py
@@ -457,3 +457,36 @@
         assert vm.state() is READY
 
     virtual_time.run(main())
+
+
+def test_rival_of_a_service_that_is_not_expected_holds_no_target_up() -> None:
+    """Guards against strays at the address of a target without checks."""
+
+    async def main() -> None:
+        vm = _Vm()
+        vm.local.probe_health = _Probe(targets.Health.UNKNOWN).check
+        vm.local.is_expected = lambda service: service == "caja"
+        now_ms = int(vm.clock.now().timestamp() * 1000)
+        stray = {"target": "stray", "service": "legado"}
+        assert vm.announce(started_ms=now_ms + 9000, **stray)
+        assert vm.state("stray") is STARTING
+        assert vm.announce(started_ms=now_ms + 1)
+        assert vm.state() is READY
+
+    virtual_time.run(main())
+
+
+def test_target_of_a_service_that_is_not_expected_is_checked_first() -> None:
+    async def main() -> None:
+        vm = _Vm()
+        probe = _Probe(targets.Health.UNKNOWN)
+        vm.local.probe_health = probe.check
+        vm.local.is_expected = lambda service: service != "caja"
+        now_ms = int(vm.clock.now().timestamp() * 1000)
+        assert vm.announce(started_ms=now_ms + 1)
+        assert vm.state() is STARTING
+        probe.health = targets.Health.SERVING
+        await vm.clock.sleep(targets.PROBE_INTERVAL_MAX)
+        assert vm.state() is READY
+
+    virtual_time.run(main())
