Targets: a deregistration ends one start of a target

Cause: LocalTargets.withdraw took the present time, so a deregistration that was handled after the target had started again under its identifier shut the new start out for good, while its heartbeats were answered with 200.

Change: it ends the start that it names in "born", or the one that is known; only without both any start before now. A later start is kept.

--- a/packages/node/src/balsamramp_node/inbound/targets.py
+++ b/packages/node/src/balsamramp_node/inbound/targets.py
@@ -428,21 +428,28 @@
         for target in list(self._targets):
             self.drain(target)
 
-    def withdraw(self, target: str) -> bool:
+    def withdraw(self, target: str, started_ms: int = 0) -> bool:
         """Remove ``target``; return False if it is unknown.
 
         Late announcements of the same start are rejected from now on;
-        those of a later start are accepted.
+        those of a later start are accepted. ``started_ms`` is the time of
+        the start that ends, or 0 if not stated: then it is the one that is
+        known, else any before now. A later start is kept.
         """
-        local_target = self._targets.pop(target, None)
-        now_ms = int(self._clock.now().timestamp() * 1000)
+        local_target = self._targets.get(target)
+        known_ms = 0
         if local_target is not None:
-            now_ms = max(now_ms, local_target.announcement.started_ms)
-        self._withdrawn_ms[target] = now_ms
+            known_ms = local_target.announcement.started_ms
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        withdrawn_ms = started_ms or known_ms or now_ms
+        withdrawn_ms = max(withdrawn_ms, self._withdrawn_ms.get(target, 0))
+        self._withdrawn_ms[target] = withdrawn_ms
+        self._withdrawn_ms.move_to_end(target)
         while len(self._withdrawn_ms) > WITHDRAWN_TARGETS_MAX:
             self._withdrawn_ms.popitem(last=False)
-        if local_target is None:
+        if local_target is None or known_ms > withdrawn_ms:
             return False
+        del self._targets[target]
         logging.info("target %s withdrew", target)
         self._publish()
         return True
--- a/packages/node/tests/test_local_targets.py
+++ b/packages/node/tests/test_local_targets.py
@@ -490,3 +490,40 @@
         assert vm.state() is READY
 
     virtual_time.run(main())
+
+
+@pytest.mark.parametrize(
+    ("stated_ms", "known_ms", "left"),
+    [
+        # The known start ends, whether it is stated or not.
+        (2000, 2000, None),
+        (0, 2000, None),
+        # An earlier start ends after the next one has announced itself.
+        (1000, 2000, READY),
+    ],
+)
+def test_withdrawal_ends_one_start_of_a_target(
+    stated_ms: int, known_ms: int, left: messages.TargetState | None
+) -> None:
+    def main(vm: _Vm) -> None:
+        assert vm.announce(started_ms=known_ms, instance=str(known_ms))
+        assert vm.local.withdraw("i-1", stated_ms) is (left is None)
+        assert vm.state() is left
+
+    _run(main)
+
+
+def test_next_start_is_accepted_whenever_the_last_one_is_withdrawn() -> None:
+    """Guards against a withdrawal that is handled after the next start."""
+
+    def main(vm: _Vm) -> None:
+        now_ms = int(vm.clock.now().timestamp() * 1000)
+        born = now_ms - 5000
+        assert vm.announce(started_ms=born, instance=str(born))
+        next_born = now_ms - 100
+        assert vm.local.withdraw("i-1")
+        assert not vm.announce(started_ms=born, instance=str(born))
+        assert vm.announce(started_ms=next_born, instance=str(next_born))
+        assert vm.state() is READY
+
+    _run(main)
--- a/tests/users_platform/test_stray_heartbeats.py
+++ b/tests/users_platform/test_stray_heartbeats.py
@@ -190,3 +190,34 @@
             assert {200} >= set().union(*(item.statuses for item in writers))
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("states_start", [False, True])
+def test_deregistration_that_is_handled_late_spares_the_next_start(
+    tmp_path: pathlib.Path, states_start: bool
+) -> None:
+    """Guards against a start that is shut out by the end of the one before.
+
+    The node is paused while its target leaves and starts again under its
+    identifier, so that it handles the deregistration after the new start.
+    """
+
+    async def main() -> None:
+        async with sidecar_fleet.SidecarFleet(tmp_path, 1) as fleet:
+            fleet.store.put("op", "config", _configuration(3, True))
+            sidecar = await _start_node(fleet)
+            await fleet.wait_until_ready()
+            _announce(sidecar)
+            await _wait_until_served(sidecar)
+            sidecar.heartbeat_task.cancel()
+            before = sidecar.target.born
+            control = f"127.0.0.1:{sidecar.ports['control']}"
+            await _restart_target(sidecar)
+            sidecar.heartbeat_task.cancel()
+            await asyncio.sleep(0.01)
+            document = {"born": before} if states_start else {}
+            await sidecar.target.post(control, "deregister", document)
+            _announce(sidecar)
+            await _wait_until_served(sidecar)
+
+    asyncio.run(main())
