Settings from the environment, for what holds as long as a process

Cause: each field that a release needs was added to the one template, also those that a platform may have no value for.

Change: an option that the settings file leaves out takes its default from BALSAMRAMP_SECTION_NAME, if that is set. A value that is not allowed ends the start with the variable's name; the process_start line has what was taken.

--- a/packages/core/src/balsamramp_core/settings.py
+++ b/packages/core/src/balsamramp_core/settings.py
@@ -25,6 +25,7 @@
     "read",
     "read_text",
     "render",
+    "with_environment",
 ]
 
 Value = str | int | float | bool | datetime.timedelta | tuple[str, ...]
@@ -198,6 +199,33 @@
     return result.Success(Settings(values, file, lines))
 
 
+def with_environment(
+    options: abc.Sequence[Option],
+    prefix: str,
+    environment: abc.Mapping[str, str],
+) -> result.Result[tuple[Option, ...], SettingsError]:
+    """Return ``options`` with defaults from environment variables.
+
+    The variable of option ``name`` in ``section`` is PREFIX_SECTION_NAME;
+    empty ones are ignored. A value in the settings file goes first.
+    """
+    found: list[Option] = []
+    for option in options:
+        variable = f"{prefix}_{option.section}_{option.name}".upper()
+        given = environment.get(variable, "").strip()
+        if not given:
+            found.append(option)
+            continue
+        try:
+            _convert(option, given)
+        except ValueError:
+            expected = f"{given!r} given; expected {describe(option)}"
+            error = SettingsError("environment", 0, variable, expected)
+            return result.Failure(error)
+        found.append(attrs.evolve(option, default=given))
+    return result.Success(tuple(found))
+
+
 def _find_unknown_key(
     parser: configparser.ConfigParser,
     file: str,
--- a/packages/node/src/balsamramp_node/process/process_record.py
+++ b/packages/node/src/balsamramp_node/process/process_record.py
@@ -58,9 +58,15 @@
         self._started_at = time.monotonic()
 
     def write_start(
-        self, settings_text: str, addresses: abc.Mapping[str, str]
+        self,
+        settings_text: str,
+        addresses: abc.Mapping[str, str],
+        environment: abc.Mapping[str, str],
     ) -> None:
-        """Log what the process was given: settings, build, limits, ports."""
+        """Log what the process was given: settings, build, limits, ports.
+
+        ``environment`` holds the settings that come from there.
+        """
         digest = hashlib.sha256(settings_text.encode()).hexdigest()
         self._decisions.write(
             "process_start",
@@ -70,6 +76,7 @@
             python=sys.implementation.cache_tag,
             machine=platform.machine(),
             limits=_describe_limits(),
+            environment=environment,
             addresses=addresses,
         )
 
--- a/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_cmdline.py
@@ -33,6 +33,7 @@
 __all__ = ["run", "start_exit_timer", "start_flushing"]
 
 PROGRAM = "balsamramp-sidecar"
+ENVIRONMENT_PREFIX = "BALSAMRAMP"
 STDOUT_DESCRIPTOR = 1
 # A timer of 0 would be none.
 MIN_TIMER_SECONDS = 0.001
@@ -92,6 +93,7 @@
         self._signals.listen()
         self._stop_requested = asyncio.Event()
         self._node: sidecar.Sidecar | None = None
+        self._options: abc.Sequence[settings.Option] = ()
 
     async def run(self) -> None:
         """Serve until a stop signal."""
@@ -120,9 +122,15 @@
 
     async def _read_settings(self) -> settings_reader.Reading | None:
         """Return the settings, or None if a stop signal ends the wait."""
+        options = settings.with_environment(
+            sidecar_options.OPTIONS, ENVIRONMENT_PREFIX, os.environ
+        )
+        if isinstance(options, result.Failure):
+            raise _InvalidSettingsError(str(options.failure()))
+        self._options = options.unwrap()
         reader = settings_reader.SettingsReader(
             self._path,
-            sidecar_options.OPTIONS,
+            self._options,
             self._clock,
             self._report_invalid_settings,
         )
@@ -171,7 +179,11 @@
         self._record = process_record.ProcessRecord(
             self._decisions, self._clock
         )
-        self._record.write_start(reading.text, _describe_addresses(checked))
+        self._record.write_start(
+            reading.text,
+            _describe_addresses(checked),
+            _describe_environment(self._options),
+        )
         self._sink.flush()
         node = sidecar.Sidecar(
             checked, self._make_adapter(checked), self._clock, self._decisions
@@ -180,7 +192,7 @@
         watcher = settings_watcher.SettingsWatcher(
             self._path,
             reading.text,
-            sidecar_options.OPTIONS,
+            self._options,
             node.reload,
             self._clock,
         )
@@ -252,6 +264,17 @@
     return addresses
 
 
+def _describe_environment(
+    options: abc.Sequence[settings.Option],
+) -> dict[str, str]:
+    """Return the defaults that differ from those of the table."""
+    found = {}
+    for option, own in zip(options, sidecar_options.OPTIONS, strict=True):
+        if option.default is not None and option.default != own.default:
+            found[f"[{option.section}] {option.name}"] = option.default
+    return found
+
+
 def _redirect_logging(decisions: decision_log.DecisionLog) -> None:
     flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(logging.INFO)
--- a/tests/users_platform/deployment_run.py
+++ b/tests/users_platform/deployment_run.py
@@ -361,8 +361,13 @@
 
     async def _supervise(self, node: Node) -> None:
         """Start the node's process, and again whenever it ends."""
+        fields = self._fields(node)
         environment = {
             **_environment(),
+            **{
+                name: _fill_in(text, fields)
+                for name, text in self._role.get("env", {}).items()
+            },
             "BALSAMRAMP_BOOT": str(node.settings),
             "PYTHONPATH": "target/deps",
         }
@@ -381,8 +386,12 @@
 
     def _write_settings(self, node: Node) -> None:
         template = (self._clone / self._role["template"]).read_text()
+        node.settings.write_text(_fill_in(template, self._fields(node)))
+
+    def _fields(self, node: Node) -> dict[str, typing.Any]:
+        """Return what the platform knows of a machine."""
         machine = node.machine
-        fields = {
+        return {
             "nodeName": node.name,
             "zone": machine.zone,
             "region": "region",
@@ -410,7 +419,6 @@
                 "graceS": 6,
             },
         }
-        node.settings.write_text(_fill_in(template, fields))
 
     def _make_nodes(self, one_address: bool) -> typing.Iterator[Node]:
         deployment = self._deployment
