Bound what is remembered of responses on their way

Change: 128 bytes of an identifier, and 16 responses, twice what runs at a time on a connection.

Result: test_long_identifiers_are_not_kept_whole fails on the commit before (16,000 bytes kept) and passes now.

--- a/packages/node/src/balsamramp_node/process/response_delivery.py
+++ b/packages/node/src/balsamramp_node/process/response_delivery.py
@@ -9,7 +9,9 @@
 
 # Responses that are remembered; older ones are forgotten. More are on their
 # way only to a caller that sends many small requests without reading.
-SENT_RESPONSES_MAX = 32
+SENT_RESPONSES_MAX = 16
+# What is kept of an identifier, which a caller may make as long as a header.
+REQUEST_ID_MAX_BYTES = 128
 
 
 @attrs.frozen
@@ -17,9 +19,9 @@
     """A response that was passed to the transport.
 
     ``end`` is the position of its last byte among all bytes of the
-    connection, ``request_id`` the caller's identifier of the request, and
-    ``received_at`` when the request was received, in seconds of the event
-    loop.
+    connection, ``request_id`` the start of the caller's identifier of the
+    request, and ``received_at`` when the request was received, in seconds of
+    the event loop.
     """
 
     end: int
@@ -49,7 +51,11 @@
         """Record a response of ``size`` bytes."""
         self._written_bytes += size
         self._responses.append(
-            SentResponse(self._written_bytes, request_id, received_at)
+            SentResponse(
+                self._written_bytes,
+                request_id[:REQUEST_ID_MAX_BYTES],
+                received_at,
+            )
         )
 
     def add_other(self, size: int) -> None:
--- a/packages/node/tests/test_lingering_close.py
+++ b/packages/node/tests/test_lingering_close.py
@@ -70,6 +70,14 @@
     assert left[-1].request_id == b"r9999"
 
 
+def test_long_identifiers_are_not_kept_whole() -> None:
+    """Guards against memory that callers fill by the size of a header."""
+    delivery = response_delivery.ResponseDelivery()
+    delivery.add(1, b"r" * 16_000, 0.0)
+    (left,) = delivery.take(1)
+    assert left.request_id == b"r" * response_delivery.REQUEST_ID_MAX_BYTES
+
+
 class _Transport:
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
