--- a/tests/users_platform/test_stray_heartbeats.py
+++ b/tests/users_platform/test_stray_heartbeats.py
@@ -79,6 +79,10 @@
             await asyncio.sleep(INTERVAL_SECONDS)
 
 
+async def _have_written(writers: list[_StrayWriter]) -> bool:
+    return all(writer.statuses for writer in writers)
+
+
 def _configuration(
     version: int, has_health_path: bool, *services: str
 ) -> dict[str, typing.Any]:
@@ -162,8 +166,7 @@
             writing = [
                 asyncio.create_task(writer.run(reborn)) for writer in writers
             ]
-            while not all(writer.statuses for writer in writers):  # noqa: ASYNC110
-                await asyncio.sleep(0.05)
+            await fleet.wait_until(lambda: _have_written(writers))
             if moment == "before":
                 _announce(sidecar)
             await _wait_until_served(sidecar)
