--- a/packages/node/src/balsamramp_node/process/caller_connection.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection.py
@@ -555,16 +555,18 @@
         reason = reason or UnansweredReason.CALLER_CLOSED
         if self._log is None:
             return
-        started = len(self._pipeline.started)
-        for number, item in enumerate(
-            (*self._pipeline.started, *self._pipeline.waiting)
+        for started, items in (
+            (True, self._pipeline.started),
+            (False, self._pipeline.waiting),
         ):
-            self._record(
-                self._log.request_id(item.received.request.headers),
-                item.received.received_at,
-                reason,
-                started=number < started,
-            )
+            for item in items:
+                headers = item.received.request.headers
+                self._record(
+                    self._log.request_id(headers),
+                    item.received.received_at,
+                    reason,
+                    started,
+                )
 
     def _record(
         self,
