The store may come back from a copy: order by era, hold what is in force

Operators would see: after a drill, changes that come into force seconds to minutes late or not at all, as versions that are given out again are taken for old ones; evacuations and later configurations undone by the copy; a rollout that starts anew because its order was written again.

Cause: each reader and writer ordered what the store says by its version alone, and what it had acknowledged was taken to last.

Change: the adapter makes one revision of era and version, so all comparisons order by era first; without the header a revision is the version, as before. An answer of an earlier era is dropped, a condition of one is not sent, and an answer of a later one leaves a write in doubt. A feed does not go on over a restore. RestoredIntents, at each node, keeps what is in force until the operators have written it again: no configuration with a lower number, and orders by RestoredRows, for 15 s at most. An order that is written again as it was stays the same order. Rows of nodes, stored outcomes and published states are written again, spread in time.

--- a/packages/core/src/balsamramp_core/intents.py
+++ b/packages/core/src/balsamramp_core/intents.py
@@ -1,6 +1,7 @@
 """Interfaces to an external store of operators' intents."""
 
 import abc
+from collections import abc as collections_abc
 import datetime
 
 import attrs
@@ -23,12 +24,25 @@
     """All resources that operators declared, as of ``revision``.
 
     Sources that return the same revision return the same resources.
-    ``label`` is the operators' name of the version, for logs.
+    ``label`` is the operators' name of the version, for logs, and ``number``
+    orders their configurations. ``written`` has the versions of resources
+    with a row of their own.
+
+    A store may come back from a copy of itself. Then revisions still rise,
+    and a node may have something else in force than ``resources``:
+    ``held_revision`` is that of what it has until the store is no longer
+    behind, and ``settled_revision`` follows.
     """
 
     revision: int
     resources: tuple[resource.Resource, ...]
     label: str = ""
+    number: int = 0
+    written: collections_abc.Mapping[resource.ResourceKey, int] = attrs.field(
+        factory=dict
+    )
+    held_revision: int = 0
+    settled_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -82,6 +96,11 @@
 class OutcomePublisher(abc.ABC):
     """Publishes the state of rollout orders to operators."""
 
+    @property
+    def generation(self) -> int:
+        """Return a number that rises when what was published may be gone."""
+        return 0
+
     @abc.abstractmethod
     async def publish(
         self, outcome: Outcome
--- a/packages/core/src/balsamramp_core/storage.py
+++ b/packages/core/src/balsamramp_core/storage.py
@@ -68,7 +68,16 @@
 
 
 class Table(abc.ABC):
-    """Transactional table of key-value rows."""
+    """Transactional table of key-value rows.
+
+    A table may come back from a copy of itself, without the last writes. Its
+    revisions go on rising, and conditions on those from before then fail.
+    """
+
+    @property
+    def generation(self) -> int:
+        """Return a number that rises when the table comes from a copy."""
+        return 0
 
     @abc.abstractmethod
     async def read(self, key: str) -> result.Result[Row | None, StorageError]:
--- a/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
@@ -20,11 +20,12 @@
 from balsamramp_node.configuration import configuration_reader
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import restored_intents
 from balsamramp_node.configuration import store
 from balsamramp_node.configuration import zone_feed
 from balsamramp_node.process import decision_log
 
-__all__ = ["IntentStoreReader"]
+__all__ = ["IntentStoreReader", "build_configuration"]
 
 # Minimum time between reads, so that a burst of changes is read at once.
 # Kept well below the 2 s within which operators expect a change in force.
@@ -63,8 +64,11 @@
         decisions: decision_log.DecisionLog,
         rng: random.Random,
         feed: zone_feed.ZoneFeed,
+        restored: restored_intents.RestoredIntents,
     ) -> None:
         self._feed = feed
+        self._restored = restored
+        self._latest: intents.Intents | None = None
         self._source = source
         self._store = configurations
         self._readiness = ready
@@ -123,8 +127,14 @@
             self._retry_wait = RETRY_MIN
             self._record_rejection(self._source.rejection)
             latest = read.unwrap()
+            if latest is None and self._restored.is_due:
+                latest = self._latest
             if latest is not None:
-                await self._apply_intents(latest)
+                self._latest = latest
+                merged = self._restored.merge(latest)
+                await self._apply_intents(merged)
+                if self._store.current.version == merged.revision:
+                    self._restored.record_number(merged.number)
             self._feed.record_read()
             if latest is not None:
                 await self._clock.sleep(COALESCE_INTERVAL)
@@ -165,7 +175,7 @@
     async def _apply_intents(self, latest: intents.Intents) -> None:
         while latest.revision > self._store.current.version:
             current = self._store.current
-            built = await _build_configuration(
+            built = await build_configuration(
                 current, latest, self._clock.now()
             )
             if isinstance(built, result.Failure):
@@ -206,7 +216,7 @@
         )
 
 
-async def _build_configuration(
+async def build_configuration(
     current: configuration.Configuration,
     latest: intents.Intents,
     now: datetime.datetime,
--- a/packages/node/src/balsamramp_node/configuration/zone_feed.py
+++ b/packages/node/src/balsamramp_node/configuration/zone_feed.py
@@ -22,6 +22,7 @@
 from balsamramp_core import service_manager
 from balsamramp_node.configuration import distribution
 from balsamramp_node.configuration import read_age
+from balsamramp_node.configuration import restored_intents
 from balsamramp_node.configuration import store
 from balsamramp_node.configuration import tree_sender
 from balsamramp_node.membership import member_list
@@ -95,7 +96,9 @@
         time: clock.Clock,
         counters: metrics.Metrics,
         decisions: decision_log.DecisionLog,
+        restored: restored_intents.RestoredIntents,
     ) -> None:
+        self._restored = restored
         self._own = own
         self._members = members
         self._store = configurations
@@ -195,6 +198,7 @@
             digest=distribution.digest_bytes(current.digest),
             change=encoded,
             compressed=change is None and bool(encoded),
+            configuration_number=self._restored.number,
         )
         self._tree.send(request, _tree_seed(request))
 
@@ -251,6 +255,8 @@
             self._metrics.count("states_missed_total")
             self._behind.set()
             return
+        if self._store.current.version == request.version:
+            self._restored.record_number(request.configuration_number)
         self._told_at = now
         self._record_confirmation()
         self._age.update_read_age(datetime.timedelta())
@@ -272,7 +278,9 @@
         if request.digest == distribution.digest_bytes(current.digest):
             self._store.adopt_version(request.version)
             return
-        if not request.change:
+        if not request.change or not self._restored.may_follow(
+            request.version, request.configuration_number
+        ):
             return
         encoded = request.change
         if request.compressed:
--- a/packages/node/src/balsamramp_node/membership/table_discovery.py
+++ b/packages/node/src/balsamramp_node/membership/table_discovery.py
@@ -1,8 +1,9 @@
 """Peer discovery through one table row per node.
 
-A node writes its row when it starts and deletes it when it stops; changes
-in between propagate by gossip. So the table gets one write and one read for
-each start, and as many for each stop. A row is replaced and deleted only for
+A node writes its row when it starts, again when the table has come back from
+a copy, and deletes it when it stops; changes in between propagate by gossip.
+So the table gets one write and one read for each start, and as many for each
+stop. A row is replaced and deleted only for
 the same or a later start of its node: writes of a predecessor may come after
 its successor's.
 """
@@ -36,6 +37,10 @@
 # Time between checks for rows of departed nodes. A stale row only costs a
 # failed exchange.
 PRUNE_INTERVAL = datetime.timedelta(seconds=60)
+# Interval of checks whether the table has come back from a copy, and the time
+# over which the nodes then write their rows.
+RESTORED_CHECK_INTERVAL = datetime.timedelta(seconds=1)
+RESTORED_SPREAD = datetime.timedelta(seconds=3)
 STOP_TIMEOUT = datetime.timedelta(milliseconds=500)
 # Of a row that does not exist.
 NO_REVISION = 0
@@ -123,15 +128,31 @@
         )
         value = msgspec.json.encode(row)
         # Most nodes find no row, as their predecessor has deleted it.
+        generation = self._table.generation
         registered = await self._commit(self._key, value, NO_REVISION)
-        while not registered and not await self._write(
-            self._key, row.incarnation, value
-        ):
-            await self._clock.sleep(wait * (0.5 + self._random.random()))
-            wait = min(2 * wait, RETRY_MAX)
+        while True:
+            while not registered and not await self._write(
+                self._key, row.incarnation, value
+            ):
+                await self._clock.sleep(wait * (0.5 + self._random.random()))
+                wait = min(2 * wait, RETRY_MAX)
+            if not generation:
+                # Not known before the first response of the store.
+                generation = self._table.generation
+            await self._wait_until_restored(generation)
+            await self._clock.sleep(RESTORED_SPREAD * self._random.random())
+            generation = self._table.generation
+            registered, wait = False, RETRY_MIN
+
+    async def _wait_until_restored(self, generation: int) -> None:
+        """Return when the table is of a later generation; prune meanwhile."""
         while True:
             jitter = 0.5 + self._random.random()
-            await self._clock.sleep(PRUNE_INTERVAL * jitter)
+            prune_at = self._clock.monotonic() + PRUNE_INTERVAL * jitter
+            while self._clock.monotonic() < prune_at:
+                await self._clock.sleep(RESTORED_CHECK_INTERVAL)
+                if self._table.generation > generation:
+                    return
             await self._prune()
 
     async def _prune(self) -> None:
--- a/packages/node/src/balsamramp_node/process/node_dependencies.py
+++ b/packages/node/src/balsamramp_node/process/node_dependencies.py
@@ -1,5 +1,7 @@
 """Interfaces to external systems that a node depends on."""
 
+from collections import abc
+
 import attrs
 
 from balsamramp_core import intents
@@ -49,9 +51,14 @@
     to ``outcome_publisher``. ``organisation_header`` names the organisation
     of a call to its target, or is empty. It counts and reports the calls of
     organisations on the terms of ``usage``, if there are any.
+    ``is_of_one_generation`` tells whether the intents were not restored from
+    a copy between two revisions.
     """
 
     outcome_publisher: intents.OutcomePublisher
     intents: intents.IntentSource
+    is_of_one_generation: abc.Callable[[int, int], bool] = (
+        lambda first, second: True
+    )
     organisation_header: str = ""
     usage: usage_reporting.ReportingTerms | None = None
--- a/packages/node/src/balsamramp_node/process/platform_adapter.py
+++ b/packages/node/src/balsamramp_node/process/platform_adapter.py
@@ -53,6 +53,17 @@
     def services(self) -> tuple[service_manager.Service, ...]:
         """Return the services that the service manager starts and stops."""
 
+    def record_revision(self, revision: int) -> None:
+        """Record a revision of the intents that came into force here."""
+        return
+
+    def is_of_one_generation(self, first: int, second: int) -> bool:
+        """Return whether the intents were not restored between revisions.
+
+        A change of another node then leads from one to the other.
+        """
+        return True
+
     @abc.abstractmethod
     def instrument(
         self, counters: metrics.Metrics, decisions: decision_log.DecisionLog
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -159,6 +159,7 @@
             targets=target_client,
             intents=adapter.intent_source,
             outcome_publisher=adapter.outcome_publisher,
+            is_of_one_generation=adapter.is_of_one_generation,
             organisation_header=adapter.dialect.organisation,
             usage=self._make_reporting_terms(adapter),
             # The ports first: a node that misses one does nothing else.
@@ -190,6 +191,9 @@
             decisions,
             self._shutdown,
         )
+        self._services.store.listen(
+            lambda current: adapter.record_revision(current.version)
+        )
         self._shutdown_log = shutdown_log.ShutdownLog(now, decisions)
         manager = self._services.service_manager
         manager.on_service_stopping = self._shutdown_log.on_service_stopping
--- a/packages/node/src/balsamramp_node/process/sidecar_services.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_services.py
@@ -13,6 +13,7 @@
 from balsamramp_node.configuration import intent_store_reader
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import restored_intents
 from balsamramp_node.configuration import zone_feed
 from balsamramp_node.inbound import call_interceptor
 from balsamramp_node.inbound import call_organisation
@@ -107,6 +108,13 @@
         self,
     ) -> tuple[configuration_reader.ConfigurationReader, read_age.ReadAge]:
         last_read_age = read_age.ReadAge(self._clock)
+        restored = restored_intents.RestoredIntents(
+            self.store,
+            self._sidecar_dependencies.is_of_one_generation,
+            self._clock,
+            self._metrics,
+            self.decisions,
+        )
         self.zone_feed = zone_feed.ZoneFeed(
             self._own_member,
             self.member_list,
@@ -116,6 +124,7 @@
             self._clock,
             self._metrics,
             self.decisions,
+            restored,
         )
         self.service_manager.add(self.zone_feed)
         reader = intent_store_reader.IntentStoreReader(
@@ -128,6 +137,7 @@
             self.decisions,
             self._random,
             self.zone_feed,
+            restored,
         )
         return reader, last_read_age
 
--- a/packages/node/src/balsamramp_node/rollouts/outcome_reporter.py
+++ b/packages/node/src/balsamramp_node/rollouts/outcome_reporter.py
@@ -33,7 +33,7 @@
     a delay. A published state is gossiped as a mark of the rollout, so that
     other nodes do not publish it again. A final state is published only once
     it is stored: operators act on it, and a restart of all nodes must not
-    undo it.
+    undo it. What a restored store may have lost is published again.
     """
 
     name = "outcome-reporter"
@@ -78,11 +78,14 @@
         if intent is None or not intent.revision:
             return
         reported_state = _reported_state(state)
+        generation = self._outcome_publisher.generation
         if not reported_state or rollout_state.is_reported(
-            state, reported_state
+            state, reported_state, generation
         ):
             return
-        if reported_state != RUNNING and not rollout_state.is_stored(state):
+        if reported_state != RUNNING and not rollout_state.is_stored(
+            state, generation
+        ):
             return
         now = self._clock.monotonic()
         first_seen = self._first_seen.setdefault(
@@ -114,7 +117,7 @@
         self._decisions.write(
             "outcome_published", rollout=state.rollout, state=reported_state
         )
-        self._rollouts.mark_reported(state.intent, reported_state)
+        self._rollouts.mark_reported(state.intent, reported_state, generation)
 
 
 def _reported_state(state: rollout_messages.RolloutState) -> str:
--- a/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
@@ -228,23 +228,27 @@
             if next_state != state:
                 self._store_state(next_state)
 
-    def mark_reported(self, intent_id: str, reported_state: str) -> None:
+    def mark_reported(
+        self, intent_id: str, reported_state: str, generation: int = 0
+    ) -> None:
         """Record that ``reported_state`` was published to operators."""
         state = self._states.get(intent_id)
         if state is None:
             return
         now = self._clock.now()
         self._store_state(
-            rollout_state.mark_reported(state, reported_state, now)
+            rollout_state.mark_reported(state, reported_state, now, generation)
         )
 
-    def mark_stored(self, intent_id: str, phases: frozenset[str]) -> None:
+    def mark_stored(
+        self, intent_id: str, phases: frozenset[str], generation: int = 0
+    ) -> None:
         """Record that the table has ``phases`` of an intent."""
         state = self._states.get(intent_id)
         if state is None:
             return
         now = self._clock.now()
-        marked = rollout_state.mark_stored(state, phases, now)
+        marked = rollout_state.mark_stored(state, phases, now, generation)
         if marked != state:
             self._store_state(marked)
 
--- a/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
@@ -42,7 +42,8 @@
     stored, and that there is no row to read, is gossiped as a mark of the
     rollout, so that other nodes leave it. Concurrent writers are safe, since
     each merges its state with the stored one. An intent that started before
-    all nodes and has no row is granted no step and expires.
+    all nodes and has no row is granted no step and expires. A table that came
+    back from a copy has none of the marks, so its rows are written again.
     """
 
     name = "rollout-record"
@@ -81,7 +82,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     def _on_changed_state(self, state: State) -> None:
-        if rollout_state.is_stored(state):
+        if rollout_state.is_stored(state, self._table.generation):
             return
         if self._gossip.is_coordinator(state.service):
             self._has_unstored.set()
@@ -99,9 +100,14 @@
                 async with asyncio.timeout(wait.total_seconds()):
                     await self._has_unstored.wait()
 
+    def _is_settled(self, state: State) -> bool:
+        return _is_history_settled(state) and rollout_state.is_stored(
+            state, self._table.generation
+        )
+
     def _interval_max(self) -> datetime.timedelta:
         for state in self._rollouts.states():
-            if _is_settled(state):
+            if self._is_settled(state):
                 continue
             if self._gossip.is_coordinator(state.service):
                 return COORDINATOR_INTERVAL_MAX
@@ -115,7 +121,9 @@
                 return False
             self._rollouts.expire_unknown_history(state.service)
             current = self._rollouts.state(state.intent)
-            if current is None or rollout_state.is_stored(current):
+            if current is None or rollout_state.is_stored(
+                current, self._table.generation
+            ):
                 continue
             if not await self._write_state(current):
                 return False
@@ -125,7 +133,7 @@
         """Return whether this node reads or writes the row of ``state``."""
         if self._gossip.is_coordinator(state.service):
             return True
-        if _is_settled(state):
+        if self._is_settled(state):
             self._fallback_at.pop(state.intent, None)
             return False
         now = self._clock.monotonic()
@@ -159,7 +167,9 @@
     def _merge_stored(self, stored: State) -> None:
         self._rollouts.merge([stored])
         self._rollouts.mark_stored(
-            stored.intent, rollout_state.outcome_phases(stored)
+            stored.intent,
+            rollout_state.outcome_phases(stored),
+            self._table.generation,
         )
 
     async def _write_state(self, state: State) -> bool:
@@ -185,12 +195,13 @@
             conditions=(storage.Condition(key, revision),),
             writes=(storage.Write(key, msgspec.msgpack.encode(state)),),
         )
+        generation = self._table.generation
         committed = await self._table.commit(transaction)
         ok = isinstance(committed, result.Success)
         self._metrics.count("outcome_writes_total", ok=str(ok).lower())
         if ok:
             phases = rollout_state.outcome_phases(state)
-            self._rollouts.mark_stored(state.intent, phases)
+            self._rollouts.mark_stored(state.intent, phases, generation)
             return True
         kind = storage.StorageErrorKind.UNAVAILABLE
         return committed.failure().kind is not kind
@@ -202,10 +213,6 @@
     ) or rollout_state.is_history_absent(state)
 
 
-def _is_settled(state: State) -> bool:
-    return _is_history_settled(state) and rollout_state.is_stored(state)
-
-
 def _decode_states(rows: list[storage.Row]) -> list[State]:
     """Return the states in ``rows``, without malformed ones."""
     states = []
--- a/packages/node/src/balsamramp_node/rollouts/rollout_state.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_state.py
@@ -179,15 +179,25 @@
 
 
 def mark_reported(
-    state: State, reported_state: str, at: datetime.datetime
+    state: State,
+    reported_state: str,
+    at: datetime.datetime,
+    generation: int = 0,
 ) -> State:
-    """Return ``state`` with ``reported_state`` marked as published."""
-    return _add_mark(state, REPORTED_PREFIX + reported_state, at)
+    """Return ``state`` with ``reported_state`` marked as published.
+
+    A mark holds for one ``generation`` of the store that it was written to.
+    """
+    name = REPORTED_PREFIX + reported_state
+    return _add_mark(state, _of_generation(name, generation), at)
 
 
-def is_reported(state: State, reported_state: str) -> bool:
+def is_reported(
+    state: State, reported_state: str, generation: int = 0
+) -> bool:
     """Return whether ``reported_state`` was published to operators."""
-    return REPORTED_PREFIX + reported_state in state.marks
+    name = REPORTED_PREFIX + reported_state
+    return _of_generation(name, generation) in state.marks
 
 
 def outcome_phases(state: State) -> frozenset[str]:
@@ -200,21 +210,30 @@
 
 
 def mark_stored(
-    state: State, phases: frozenset[str], at: datetime.datetime
+    state: State,
+    phases: frozenset[str],
+    at: datetime.datetime,
+    generation: int = 0,
 ) -> State:
     """Return ``state`` with its ``phases`` marked as stored in the table."""
     for name in sorted(phases):
-        state = _add_mark(state, STORED_PREFIX + name, at)
+        mark = _of_generation(STORED_PREFIX + name, generation)
+        state = _add_mark(state, mark, at)
     return state
 
 
-def is_stored(state: State) -> bool:
+def is_stored(state: State, generation: int = 0) -> bool:
     """Return whether the table has all of the state's outcome phases."""
     return all(
-        STORED_PREFIX + name in state.marks for name in outcome_phases(state)
+        _of_generation(STORED_PREFIX + name, generation) in state.marks
+        for name in outcome_phases(state)
     )
 
 
+def _of_generation(mark: str, generation: int) -> str:
+    return f"{mark}@{generation}" if generation else mark
+
+
 def mark_history_absent(state: State, at: datetime.datetime) -> State:
     """Return ``state`` marked as having no row in the table."""
     return _add_mark(state, HISTORY_ABSENT_MARK, at)
--- a/packages/node/tests/test_intent_store_reader.py
+++ b/packages/node/tests/test_intent_store_reader.py
@@ -22,6 +22,7 @@
 from balsamramp_node.configuration import intent_store_reader
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import restored_intents
 from balsamramp_node.configuration import store
 from balsamramp_node.configuration import zone_feed
 from balsamramp_node.membership import member_list
@@ -74,6 +75,18 @@
     return result.Success(intents.Intents(revision=revision, resources=items))
 
 
+def _never_restored(
+    configurations: store.ConfigurationStore, clock: virtual_time.VirtualClock
+) -> restored_intents.RestoredIntents:
+    return restored_intents.RestoredIntents(
+        configurations,
+        lambda first, second: True,
+        clock,
+        metrics.Metrics(),
+        decision_log.DecisionLog(decision_log.NullSink(), clock),
+    )
+
+
 def _feed_of_one_node(
     configurations: store.ConfigurationStore, clock: virtual_time.VirtualClock
 ) -> zone_feed.ZoneFeed:
@@ -91,6 +104,7 @@
         clock,
         metrics.Metrics(),
         decision_log.DecisionLog(decision_log.NullSink(), clock),
+        _never_restored(configurations, clock),
     )
 
 
@@ -121,6 +135,7 @@
             decision_log.DecisionLog(decision_log.NullSink(), clock),
             random.Random(1),
             _feed_of_one_node(configurations, clock),
+            _never_restored(configurations, clock),
         )
         await reader.start()
         if edits_by_turn is not None:
@@ -216,6 +231,7 @@
             decision_log.DecisionLog(decision_log.NullSink(), clock),
             random.Random(1),
             _feed_of_one_node(configurations, clock),
+            _never_restored(configurations, clock),
         )
         newer = configuration.merge(
             configuration.EMPTY, 7, (CAJA, _entry("b")), ()
@@ -259,6 +275,7 @@
             decision_log.DecisionLog(sink, clock),
             random.Random(1),
             _feed_of_one_node(configurations, clock),
+            _never_restored(configurations, clock),
         )
         await reader.start()
         await clock.sleep(datetime.timedelta(seconds=5))
--- a/packages/node/tests/test_zone_feed.py
+++ b/packages/node/tests/test_zone_feed.py
@@ -21,6 +21,7 @@
 from balsamramp_node.configuration import intent_store_reader
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import readiness
+from balsamramp_node.configuration import restored_intents
 from balsamramp_node.configuration import store
 from balsamramp_node.configuration import zone_feed
 from balsamramp_node.membership import member_list
@@ -127,6 +128,9 @@
             self.clock, random.Random(1)
         )
         self.operators = _Store()
+        self.is_of_one_generation: restored_intents.Comparison = (
+            lambda first, second: True
+        )
         self.members = member_list.MemberList()
         self.nodes = [self._make_node(f"n{i:02}", i) for i in range(NODES)]
 
@@ -142,6 +146,13 @@
             decision_log.NullSink(), self.clock
         )
         age = read_age.ReadAge(self.clock)
+        restored = restored_intents.RestoredIntents(
+            configurations,
+            self.is_of_one_generation,
+            self.clock,
+            counters,
+            decisions,
+        )
         feed = zone_feed.ZoneFeed(
             member,
             self.members,
@@ -151,6 +162,7 @@
             self.clock,
             counters,
             decisions,
+            restored,
         )
         source = _Source(self.operators, READ_SECONDS[member.link_rate])
         reader = intent_store_reader.IntentStoreReader(
@@ -163,6 +175,7 @@
             decisions,
             random.Random(number),
             feed,
+            restored,
         )
         return _Node(member, source, configurations, feed, reader)
 
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -514,6 +514,7 @@
     reader. ``version`` is in force there, with ``digest``. ``change`` leads
     to it from any recent version, or is empty if there was no change or a
     large one that was sent before. It may be ``compressed`` by zlib.
+    ``configuration_number`` orders the operators' configurations.
     """
 
     method = "state"
@@ -526,6 +527,7 @@
     digest: bytes
     change: bytes = b""
     compressed: bool = False
+    configuration_number: int = 0
 
 
 @attrs.frozen
--- a/tests/users_platform/fake_store.py
+++ b/tests/users_platform/fake_store.py
@@ -6,13 +6,22 @@
 import typing
 
 from aiohttp import web
+import attrs
 import msgspec
 
-__all__ = ["FakeStore"]
+__all__ = ["FakeStore", "StoreCopy"]
 
 RowKey = tuple[str, str, str]
 
 
+@attrs.frozen
+class StoreCopy:
+    """What a store held at a moment."""
+
+    rows: dict[RowKey, tuple[bytes, int]]
+    version: int
+
+
 class FakeStore:
     """Rows, conditional transactions and a feed of changes.
 
@@ -20,11 +29,13 @@
     ``refuse`` is a status with which every call is answered, or 0, and
     ``lose_answers`` has writes take effect and the connection end.
     ``forget_history`` makes the feed answer that it is gone, once.
+    ``era`` is stated in all answers unless it is 0.
     """
 
     def __init__(self) -> None:
         self.rows: dict[RowKey, tuple[bytes, int]] = {}
         self.version = 0
+        self.era = 0
         self.calls = 0
         self.refuse = 0
         self.silent = False
@@ -38,6 +49,7 @@
     async def start(self, port: int = 0) -> None:
         """Listen on ``port`` of loopback, or on a free one."""
         app = web.Application()
+        app.on_response_prepare.append(self._state_era)
         app.router.add_post("/v1/rows-tx", self._commit)
         app.router.add_get("/v1/rows-get", self._get)
         app.router.add_get("/v1/rows-feed", self._feed)
@@ -53,6 +65,25 @@
         self._changed.set()
         await self._runner.cleanup()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to come back from later."""
+        return StoreCopy(dict(self.rows), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; waits for changes end without an answer."""
+        self.era += 1
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self._log = [item for item in self._log if item[0] <= copy.version]
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _state_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+
     def put(self, table: str, key: str, document: object) -> int:
         """Write a row as the operator does; return its version."""
         self._write((table, "", key), msgspec.json.encode(document))
@@ -134,8 +165,13 @@
             self.forget_history = False
             return web.Response(status=410)
         after = int(request.query["after"])
+        if after > self.version:
+            return web.Response(status=410)
+        era = self.era
         until = time.monotonic() + int(request.query["waitMs"]) / 1000
         while True:
+            if self.era != era and request.transport is not None:
+                request.transport.abort()
             found = [
                 _row(key, value, version)
                 for version, key, value in self._log
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -551,7 +551,7 @@
     def __init__(self) -> None:
         self.announced: list[targets.Announcement] = []
         self.drained: list[str] = []
-        self.withdrawn: list[str] = []
+        self.withdrawn: list[tuple[str, int]] = []
         self.is_late = False
 
     def announce(
@@ -563,8 +563,8 @@
     def drain(self, target: str) -> None:
         self.drained.append(target)
 
-    def withdraw(self, target: str) -> None:
-        self.withdrawn.append(target)
+    def withdraw(self, target: str, started_ms: int) -> None:
+        self.withdrawn.append((target, started_ms))
 
 
 HEARTBEAT = {
@@ -619,7 +619,7 @@
     assert _post(local, "heartbeat", body) == 200
     assert local.drained == ["i-1"]
     assert _post(local, "deregister", b"{}") == 200
-    assert local.withdrawn == ["i-1"]
+    assert local.withdrawn == [("i-1", 0)]
 
 
 @pytest.mark.parametrize(
--- a/tests/users_platform/test_odd_entries.py
+++ b/tests/users_platform/test_odd_entries.py
@@ -136,14 +136,17 @@
 class _Client:
     """Returns the given rows for each read of the store."""
 
+    era = 0
+
     def __init__(self, rows: list[dict[str, typing.Any]]) -> None:
         self._rows = rows
 
     async def get(
         self, path: str, query: object, timeout: object = None
-    ) -> result.Result[json_object.JsonObject, storage.StorageError]:
+    ) -> result.Result[store_client.StoreReply, storage.StorageError]:
         document = {"rows": self._rows, "ver": 5}
-        return result.Success(json_object.JsonObject(document, "response"))
+        found = json_object.JsonObject(document, "response")
+        return result.Success(store_client.StoreReply(found, self.era))
 
 
 def _row(key: str, value: bytes) -> dict[str, typing.Any]:
@@ -262,8 +265,11 @@
 @pytest.mark.parametrize("value", [*BOMBS, b"", b"{}", b'{"state":7}'])
 def test_odd_status_is_no_outcome(value: bytes) -> None:
     rows = {"rows": [_row("rollout/caja", value)]}
-    response = json_object.JsonObject(rows, "response")
-    assert store_outcome_publisher._read_state(response) == (3, "")
+    reply = store_client.StoreReply(
+        json_object.JsonObject(rows, "response"), 0
+    )
+    status = store_outcome_publisher._read_status(reply)
+    assert (status.version, status.state, status.to) == (3, "", "")
 
 
 @pytest.mark.parametrize(
