Soak: the store comes back from a copy

Cause: no play had a store that loses what it acknowledged.

Change: profile restores draws copies up to 4 s old beside changes, kills, pauses, stops, cuts and evacuations; the operators write again what was lost, in any order, up to a second later.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -42,6 +42,7 @@
     "demand": soak_faults.DEMAND,
     "mixed": soak_faults.FAULTS + soak_faults.PLANNED_WORK,
     "planned": soak_faults.PLANNED_WORK,
+    "restores": soak_faults.RESTORES,
     "start": soak_starts.STARTS,
 }
 
@@ -103,6 +104,8 @@
 
     async def run(self) -> None:
         """Play all faults, then the calm end."""
+        if self._kinds is soak_faults.RESTORES:
+            self._world.store.era = 1
         callers = [
             asyncio.create_task(self._world.call(node, number))
             for node in self._world.nodes
--- a/tests/users_platform/soak_faults.py
+++ b/tests/users_platform/soak_faults.py
@@ -10,7 +10,7 @@
 import soak_checks
 import soak_harness
 
-__all__ = ["DEMAND", "FAULTS", "Fault", "PLANNED_WORK"]
+__all__ = ["DEMAND", "FAULTS", "Fault", "PLANNED_WORK", "RESTORES"]
 
 Node = soak_harness.Node
 
@@ -236,6 +236,24 @@
         self.world.store.forget_history = True
 
 
+class RestoreStore(_Everywhere):
+    """The store comes back from a copy; the operators write again."""
+
+    lasts = (0.2, 4.0)
+
+    async def begin(self) -> None:
+        self._copy = self.world.store.copy()
+
+    async def end(self) -> None:
+        written = self.world.store.copy()
+        self.world.store.refuse = 503
+        await asyncio.sleep(self.rng.uniform(0.0, 0.8))
+        self.world.store.restore(self._copy)
+        self.world.store.refuse = 0
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        self.world.write_again(self._copy, written)
+
+
 class FaultyTarget(Fault):
     """A target loses, cuts, doubles, fails or delays answers."""
 
@@ -427,6 +445,20 @@
     StopInSeries,
     StopNode,
 )
+# Beside a store that comes back from a copy.
+RESTORES: tuple[type[Fault], ...] = (
+    ChangeConfiguration,
+    CutConnections,
+    KillMany,
+    KillNode,
+    PauseNode,
+    RestoreStore,
+    RestoreStore,
+    StopNode,
+    StoreAway,
+    StoreLosesAnswers,
+    TakeZoneOut,
+)
 # Targets that state what they take, and links that carry little.
 DEMAND: tuple[type[Fault], ...] = (
     ChangeConfiguration,
--- a/tests/users_platform/soak_harness.py
+++ b/tests/users_platform/soak_harness.py
@@ -11,6 +11,7 @@
 import typing
 
 import aiohttp
+import fake_store
 import loopback_proxy
 import sidecar_fleet
 import soak_callers
@@ -413,6 +414,26 @@
                     zone, mark.at, until
                 )
 
+    def write_again(
+        self, copy: fake_store.StoreCopy, written: fake_store.StoreCopy
+    ) -> None:
+        """Write the operators' rows again that the store has lost.
+
+        It came back from ``copy`` and had ``written`` before. The
+        configuration is the newest in any case; another row that was written
+        meanwhile stays.
+        """
+        keys = [key for key in written.rows if key[0] == "op"]
+        self.rng.shuffle(keys)
+        for key in keys:
+            if key[2] == "config":
+                self._write_configuration()
+            elif key not in self.store.rows:
+                self.store.put_bytes(key[0], key[2], written.rows[key][0])
+        for key in copy.rows:
+            if key[0] == "op" and key not in written.rows:
+                self.store.remove(key[0], key[2])
+
     async def call(self, node: Node, number: int) -> None:
         """Call ``node`` as one caller does, until ``callers_done``."""
         caller = f"{node.name}-{number}"
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -86,6 +86,17 @@
     assert any(item.status == 200 for item in outcome.exchanges)
 
 
+def test_promises_hold_while_the_store_comes_back_from_copies(
+    tmp_path: pathlib.Path,
+) -> None:
+    outcome = asyncio.run(
+        soak.run_soak(53001, tmp_path, 8.0, SHORT_NODES, profile="restores")
+    )
+    assert not outcome.problems, str(outcome)
+    assert any(item.status == 200 for item in outcome.exchanges)
+    assert any("RestoreStore" in item for item in outcome.faults)
+
+
 @pytest.mark.parametrize("seed", START_SEEDS)
 def test_processes_outlive_troubles_at_their_start(
     seed: int, tmp_path: pathlib.Path
