A late revision of an earlier generation begins no restore

Cause: by reading: any revision of another generation than the one in force counted as a restore, also an earlier one.

Change: only a later one does.

--- a/packages/node/src/balsamramp_node/configuration/restored_intents.py
+++ b/packages/node/src/balsamramp_node/configuration/restored_intents.py
@@ -94,7 +94,7 @@
     def merge(self, latest: intents.Intents) -> intents.Intents:
         """Return the intents to apply, given those of the store."""
         current = self._store.current
-        if current.version and not self._is_same(latest.revision):
+        if self._is_restored(latest.revision):
             self._begin(latest.revision)
         rows = {
             str(item.key): _row_of(item, latest.written.get(item.key, 0))
@@ -138,10 +138,12 @@
             label=latest.label,
         )
 
-    def _is_same(self, revision: int) -> bool:
-        """Return whether no restore lies before ``revision`` that is new."""
+    def _is_restored(self, revision: int) -> bool:
+        """Return whether ``revision`` is the first after a restore."""
         known = max(self._begun_at, self._previous.version)
-        return self._is_of_one_generation(known, revision)
+        if not known or revision <= known:
+            return False
+        return not self._is_of_one_generation(known, revision)
 
     def _begin(self, revision: int) -> None:
         now = self._clock.monotonic()
@@ -160,7 +162,7 @@
         current: configuration.Configuration,
         changed: abc.Iterable[resource.ResourceKey],
     ) -> None:
-        if self._previous.version and not self._is_same(current.version):
+        if self._is_restored(current.version):
             # Another node told of the restore.
             self._begin(current.version)
         self._previous = current
