Callers: a close that lies behind a request keeps it from starting

Seen by callers: nothing; targets worked for callers that had left. Cause: the close of a caller is read after its request, and the request starts in between. A node that stood still or was out of processor time finds both in the socket. The same happens where a request waits for a connection to another node: the connection and the close come in one turn of the event loop.

Change: a connection asks the kernel for the close (POLLRDHUP, one poll a request) before a request starts; entry and stream client ask again after each wait and before a retry, through the presence of the caller in the context of its task. An end of the caller's data cancels its requests at once, not only when the responses before them are written. Requests that start late, and callers that leave, are logged with the delay of the event loop; counters late_starts_total and departed_callers_total.

--- a/packages/node/src/balsamramp_node/outbound/entry_proxy.py
+++ b/packages/node/src/balsamramp_node/outbound/entry_proxy.py
@@ -26,6 +26,7 @@
 from balsamramp_node.outbound import retry_budget
 from balsamramp_node.outbound import router
 from balsamramp_node.outbound import service_room
+from balsamramp_node.process import caller_presence
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import shutdown_schedule
 from balsamramp_wire import messages
@@ -240,6 +241,7 @@
         if not _is_unknown(found):
             return found
         confirmed = await self._confirm_configuration()
+        await caller_presence.confirm()
         found = self._admit(request)
         if confirmed or not _is_unknown(found):
             return found
@@ -380,6 +382,8 @@
     async def _attempt(
         self, progress: _Progress, chosen: picker.Candidate
     ) -> call_transport.Reply:
+        if progress.attempts:
+            await caller_presence.confirm()
         progress.tried.add(chosen.record.target)
         started = self._clock.monotonic()
         stats = chosen.stats
--- a/packages/node/src/balsamramp_node/outbound/stream_client.py
+++ b/packages/node/src/balsamramp_node/outbound/stream_client.py
@@ -17,6 +17,7 @@
 from balsamramp_core import verdict
 from balsamramp_node.outbound import call_transport
 from balsamramp_node.outbound import peer_stream
+from balsamramp_node.process import caller_presence
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
@@ -126,13 +127,16 @@
     ) -> call_transport.Reply:
         """Send ``request`` to the node at ``peer`` and return the reply."""
         deadline = self._clock.monotonic() + request.timeout
-        try:
-            stream = await self._get_stream(
-                peer, min(request.timeout, self._keepalive.connect_timeout)
-            )
-        except (OSError, TimeoutError) as error:
-            self._metrics.count("stream_connect_failures_total")
-            return _connect_failure(peer, request, error)
+        stream = self._find_stream(peer)
+        if stream is None:
+            try:
+                stream = await self._connect_stream(
+                    peer, min(request.timeout, self._keepalive.connect_timeout)
+                )
+            except (OSError, TimeoutError) as error:
+                self._metrics.count("stream_connect_failures_total")
+                return _connect_failure(peer, request, error)
+            await caller_presence.confirm()
         try:
             reply = await self._send(stream, request, deadline)
         except frames.FrameError as error:
@@ -241,6 +245,7 @@
                 stream.probe()
             call.connect_timeout *= 2
             return None
+        await caller_presence.confirm()
         call.streams.append(stream)
         resent = attrs.evolve(call.request, repeat=True)
         return await self._send(stream, resent, call.deadline)
@@ -258,9 +263,23 @@
     async def _get_stream(
         self, peer: settings.Address, timeout: datetime.timedelta
     ) -> peer_stream.PeerStream:
-        stream = self._streams.get(peer)
-        if stream is not None and stream.usable:
+        stream = self._find_stream(peer)
+        if stream is not None:
             return stream
+        return await self._connect_stream(peer, timeout)
+
+    def _find_stream(
+        self, peer: settings.Address
+    ) -> peer_stream.PeerStream | None:
+        """Return the connection to ``peer`` if it accepts calls."""
+        stream = self._streams.get(peer)
+        if stream is None or not stream.usable:
+            return None
+        return stream
+
+    async def _connect_stream(
+        self, peer: settings.Address, timeout: datetime.timedelta
+    ) -> peer_stream.PeerStream:
         task = self._connecting.get(peer)
         if task is None:
             task = asyncio.create_task(self._open_stream(peer))
--- a/packages/node/src/balsamramp_node/process/caller_connection.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection.py
@@ -11,6 +11,7 @@
 from balsamramp_node.process import body_budget
 from balsamramp_node.process import caller_connection_log
 from balsamramp_node.process import caller_messages
+from balsamramp_node.process import caller_presence
 from balsamramp_node.process import connection_limit
 from balsamramp_node.process import handler_runner
 from balsamramp_node.process import lingering_close
@@ -48,6 +49,16 @@
 Handler = handler_runner.Handler
 
 
+class _ConnectedCaller(caller_presence.CallerPresence):
+    """The caller of the requests of one connection."""
+
+    def __init__(self, leave_if_closed: abc.Callable[[], bool]) -> None:
+        self._leave_if_closed = leave_if_closed
+
+    async def has_left(self) -> bool:
+        return self._leave_if_closed()
+
+
 class CallerConnection(
     asyncio.Protocol,
     request_reader.RequestListener,
@@ -57,7 +68,9 @@
 
     A request that is larger or slower than ``limits`` allow is rejected and
     closes the connection, and so is one without room in ``budget``. A
-    request whose caller disconnects is cancelled.
+    request whose caller disconnects is cancelled, and does not start if the
+    close has arrived by then. A caller that closes only its writing side is
+    taken for disconnected.
 
     Pipelined requests run side by side as far as RequestPipeline allows; none
     starts, and no further response is written, while one before it is not
@@ -82,7 +95,12 @@
         self._connections = connections
         self._log = log
         self._closed = asyncio.Event()
-        self._runner = handler_runner.HandlerRunner(handler, self._closed, log)
+        # The caller waits for no response any more.
+        self._departed = asyncio.Event()
+        self._runner = handler_runner.HandlerRunner(
+            handler, self._departed, log
+        )
+        self._presence = _ConnectedCaller(self._leave_if_closed)
         self._loop = asyncio.get_running_loop()
         self._reader = request_reader.RequestReader(
             limits, budget, self._loop.time, self
@@ -232,14 +250,43 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._connections.discard(self)
         self._closed.set()
-        self._record_unanswered(exc)
-        self._pipeline.close()
-        self._reader.close()
+        self._end_requests(exc)
         self._release_unsent()
         for timer in (self._header_timer, self._idle_timer):
             if timer is not None:
                 timer.cancel()
 
+    def eof_received(self) -> None:
+        """Cancel the requests; the transport sends what was written."""
+        self._leave(caller_connection_log.CloseSeen.READ)
+
+    def _leave_if_closed(self) -> bool:
+        """Cancel the requests if the close of the caller has arrived."""
+        if self._departed.is_set():
+            return True
+        if self._transport is None or not socket_queue.has_peer_closed(
+            self._transport
+        ):
+            return False
+        self._leave(caller_connection_log.CloseSeen.BEHIND_DATA)
+        return True
+
+    def _leave(self, seen: caller_connection_log.CloseSeen) -> None:
+        if self._departed.is_set():
+            return
+        if self._log is not None and self.waiting:
+            self._log.record_departed(seen, len(self._pipeline))
+        self._end_requests(None)
+        self._discarding = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def _end_requests(self, error: Exception | None) -> None:
+        self._departed.set()
+        self._record_unanswered(error)
+        self._pipeline.close()
+        self._reader.close()
+
     def pause_writing(self) -> None:
         self._writable = False
 
@@ -345,14 +392,23 @@
 
     def _start_requests(self) -> None:
         while self._writable and not self._closing:
+            if not self._pipeline.may_start or self._leave_if_closed():
+                return
             item = self._pipeline.start_next()
             if item is None:
                 return
             item.task = self._loop.create_task(self._respond(item))
 
     async def _respond(self, item: request_pipeline.PipelinedRequest) -> None:
-        response = await self._runner.run(item.received.request)
-        if self._closed.is_set():
+        caller_presence.set_current(self._presence)
+        received = item.received
+        if self._log is not None:
+            waited = self._loop.time() - received.received_at
+            self._log.record_start(
+                received.request.headers, datetime.timedelta(seconds=waited)
+            )
+        response = await self._runner.run(received.request)
+        if self._departed.is_set():
             return
         try:
             self._pipeline.finish(item, response)
--- a/packages/node/src/balsamramp_node/process/caller_connection_log.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection_log.py
@@ -1,5 +1,6 @@
 """Counts and logs failures to respond to callers."""
 
+from collections import abc
 import datetime
 import enum
 import http
@@ -7,9 +8,27 @@
 from balsamramp_core import metrics
 from balsamramp_node.process import decision_log
 
-__all__ = ["CallerConnectionLog", "HandlerFailure", "UnansweredReason"]
+__all__ = [
+    "CallerConnectionLog",
+    "CloseSeen",
+    "HandlerFailure",
+    "UnansweredReason",
+]
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
+# From this delay on, a caller may have given up a request before it starts.
+LATE_START = datetime.timedelta(milliseconds=250)
+
+
+def _no_delay() -> datetime.timedelta:
+    return datetime.timedelta()
+
+
+class CloseSeen(enum.Enum):
+    """How the close of a caller became known; a label of the counter."""
+
+    READ = "read"
+    BEHIND_DATA = "behind-data"
 
 
 class UnansweredReason(enum.Enum):
@@ -36,7 +55,8 @@
     """Records how the connections of callers end.
 
     ``request_id_header`` is the name of the header with the caller's
-    identifier of a request, in lower case.
+    identifier of a request, in lower case. ``loop_delay`` returns how long
+    data may have waited in the sockets.
     """
 
     def __init__(
@@ -44,7 +64,9 @@
         counters: metrics.Metrics,
         decisions: decision_log.DecisionLog,
         request_id_header: str,
+        loop_delay: abc.Callable[[], datetime.timedelta] = _no_delay,
     ) -> None:
+        self._loop_delay = loop_delay
         self._metrics = counters
         self._decisions = decisions
         self._request_id_header = request_id_header.encode()
@@ -56,6 +78,36 @@
                 return value
         return b""
 
+    def record_start(
+        self,
+        headers: list[tuple[bytes, bytes]],
+        waited: datetime.timedelta,
+    ) -> None:
+        """Record a request that starts long after it may have arrived.
+
+        ``waited`` is the time since it was read.
+        """
+        loop_delay = self._loop_delay()
+        if max(loop_delay, waited) < LATE_START:
+            return
+        self._metrics.count("late_starts_total", source="caller")
+        self._decisions.write(
+            "late_start",
+            request_id=self.request_id(headers).decode("latin-1"),
+            loop_delay_ms=round(loop_delay / MILLISECOND, 1),
+            waited_ms=round(waited / MILLISECOND, 1),
+        )
+
+    def record_departed(self, seen: CloseSeen, requests: int) -> None:
+        """Record a caller that closes while ``requests`` have no response."""
+        self._metrics.count("departed_callers_total", seen=seen.value)
+        self._decisions.write(
+            "caller_departed",
+            seen=seen.value,
+            requests=requests,
+            loop_delay_ms=round(self._loop_delay() / MILLISECOND, 1),
+        )
+
     def record_unanswered(
         self,
         request_id: bytes,
--- a/packages/node/src/balsamramp_node/process/event_loop_monitor.py
+++ b/packages/node/src/balsamramp_node/process/event_loop_monitor.py
@@ -33,6 +33,19 @@
         self._metrics = counters
         self._decisions = decisions
         self._task: asyncio.Task[None] | None = None
+        self._due_at: datetime.timedelta | None = None
+        self._last_delay = NO_DELAY
+
+    @property
+    def delay(self) -> datetime.timedelta:
+        """Return how long data may have waited in the sockets.
+
+        That is the delay of the timer that is due, or of the last one, which
+        ran within the check interval.
+        """
+        if self._due_at is None:
+            return NO_DELAY
+        return max(self._clock.monotonic() - self._due_at, self._last_delay)
 
     async def start(self) -> None:
         self._task = background_task.start(
@@ -46,10 +59,10 @@
 
     async def _run(self) -> None:
         while True:
-            started = self._clock.monotonic()
+            self._due_at = self._clock.monotonic() + CHECK_INTERVAL
             await self._clock.sleep(CHECK_INTERVAL)
-            delay = self._clock.monotonic() - started - CHECK_INTERVAL
-            delay = max(delay, NO_DELAY)
+            delay = max(self._clock.monotonic() - self._due_at, NO_DELAY)
+            self._last_delay = delay
             self._metrics.observe(
                 "event_loop_delay_seconds", delay.total_seconds()
             )
--- a/packages/node/src/balsamramp_node/process/handler_runner.py
+++ b/packages/node/src/balsamramp_node/process/handler_runner.py
@@ -20,17 +20,17 @@
 class HandlerRunner:
     """Returns a response to each request, also when its handler fails.
 
-    A handler is cancelled without a response only once ``closed`` is set.
+    A handler is cancelled without a response only once ``departed`` is set.
     """
 
     def __init__(
         self,
         handler: Handler,
-        closed: asyncio.Event,
+        departed: asyncio.Event,
         log: caller_connection_log.CallerConnectionLog | None,
     ) -> None:
         self._handler = handler
-        self._closed = closed
+        self._departed = departed
         self._log = log
 
     async def run(
@@ -43,7 +43,7 @@
             logging.exception("request handler failed; responding with 502")
             response = self._failure_response(HandlerFailure.EXCEPTION)
         except asyncio.CancelledError:
-            if self._closed.is_set():
+            if self._departed.is_set():
                 raise
             logging.error(
                 "request handler was cancelled while its caller waits;"
--- a/packages/node/src/balsamramp_node/process/http_connection.py
+++ b/packages/node/src/balsamramp_node/process/http_connection.py
@@ -5,7 +5,6 @@
 import datetime
 import enum
 import re
-import select
 import typing
 
 import attrs
@@ -14,6 +13,7 @@
 from balsamramp_core import settings
 from balsamramp_node.process import body_budget
 from balsamramp_node.process import body_parts
+from balsamramp_node.process import socket_queue
 
 __all__ = [
     "ExchangeProgress",
@@ -140,21 +140,9 @@
         """Return whether another request may be sent."""
         if not self._reusable or self._closed or self._transport is None:
             return False
-        return not (self._transport.is_closing() or self._has_unread_data)
-
-    @property
-    def _has_unread_data(self) -> bool:
-        """Return whether data, or the peer's close, waits in the socket.
-
-        The event loop may not have read it yet when it runs late.
-        """
-        assert self._transport is not None
-        sock = self._transport.get_extra_info("socket")
-        if sock is None:
+        if self._transport.is_closing():
             return False
-        poll = select.poll()
-        poll.register(sock, select.POLLIN)
-        return bool(poll.poll(0))
+        return not socket_queue.has_unread_data(self._transport)
 
     @property
     def keep_alive_seconds(self) -> int | None:
--- a/packages/node/src/balsamramp_node/process/request_pipeline.py
+++ b/packages/node/src/balsamramp_node/process/request_pipeline.py
@@ -65,6 +65,11 @@
         """Return the requests that were not started."""
         return self._waiting
 
+    @property
+    def may_start(self) -> bool:
+        """Return whether the next request may start."""
+        return bool(self._waiting) and self._may_start(self._waiting[0])
+
     @property
     def running(self) -> bool:
         """Return whether a request has no response yet."""
@@ -85,7 +90,7 @@
 
     def start_next(self) -> PipelinedRequest | None:
         """Return the next request if it may start, which starts it."""
-        if not self._waiting or not self._may_start(self._waiting[0]):
+        if not self.may_start:
             return None
         item = self._waiting.popleft()
         self._started.append(item)
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -112,6 +112,9 @@
             checked.text("node", "region"),
             time.time_ns(),
         )
+        self._loop_monitor = event_loop_monitor.EventLoopMonitor(
+            now, self._metrics, decisions
+        )
         hello = messages.Hello(identity.node, identity.incarnation)
         streams = stream_client.StreamClient(
             hello, now, self._metrics, keepalive=KEEPALIVE
@@ -173,9 +176,7 @@
                     ("ready-port",),
                 ),
                 self._ports,
-                event_loop_monitor.EventLoopMonitor(
-                    now, self._metrics, decisions
-                ),
+                self._loop_monitor,
                 *adapter.services,
                 streams,
                 target_client,
@@ -398,7 +399,10 @@
             ("entry-calls", "stream-server"),
             self._shutdown,
             caller_connection_log.CallerConnectionLog(
-                self._metrics, self._decisions, adapter.dialect.request_id
+                self._metrics,
+                self._decisions,
+                adapter.dialect.request_id,
+                lambda: self._loop_monitor.delay,
             ),
             budget=self._budget,
             limit=connection_limit.ConnectionLimit(
--- a/packages/node/src/balsamramp_node/process/socket_queue.py
+++ b/packages/node/src/balsamramp_node/process/socket_queue.py
@@ -1,13 +1,17 @@
-"""Asks the kernel what the peer of a connection has not received yet."""
+"""Asks the kernel what waits in the queues of a socket."""
 
 import array
 import asyncio
 import fcntl
+import select
 import termios
 
 from absl import logging
 
-__all__ = ["unacknowledged_bytes"]
+__all__ = ["has_peer_closed", "has_unread_data", "unacknowledged_bytes"]
+
+# POLLHUP and POLLERR are reported in any case.
+PEER_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
@@ -33,3 +37,32 @@
         )
         return 0
     return size[0]
+
+
+def has_peer_closed(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the peer has closed its side or reset the connection.
+
+    The close may lie behind data that is not read yet, and is seen also
+    while reading is paused.
+    """
+    return bool(_poll(transport, select.POLLRDHUP) & PEER_CLOSED)
+
+
+def has_unread_data(transport: asyncio.BaseTransport) -> bool:
+    """Return whether data, or the peer's close, waits in the socket.
+
+    The event loop may not have read it yet when it runs late.
+    """
+    return bool(_poll(transport, select.POLLIN))
+
+
+def _poll(transport: asyncio.BaseTransport, events: int) -> int:
+    """Return which of ``events`` have occurred; none without a socket."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or transport.is_closing():
+        return 0
+    poll = select.poll()
+    poll.register(sock, events)
+    for _, occurred in poll.poll(0):
+        return occurred
+    return 0
