Streams: a late call is confirmed by its sender before it runs

Cause: a call that lay unread, or that the network held up, is read before the cancellation behind it. Its age told so only for a sender that was heard before, and only once the deadline had passed.

Change: a call that is 300 ms old or older, or comes from a start of a node that has not answered a message of this one yet, waits for one round trip: a ping, whose answer is read after all that its sender wrote before. The answer has the sender's clock, so that the age of its messages is known from then on. If the connection ends first the call is dropped, as its sender repeats it or has left. Protocol 3; a node that speaks an earlier one is served as before. Cost: nothing for a call in time from a known sender, one round trip a pair of nodes and start.

test_streams: the stand-in of a peer that is read slowly answers no pings, so it says the protocol that it speaks, 2; what is checked is unchanged.

--- a/packages/node/src/balsamramp_node/inbound/message_age_estimator.py
+++ b/packages/node/src/balsamramp_node/inbound/message_age_estimator.py
@@ -20,11 +20,16 @@
 
 @attrs.define
 class _ClockOffset:
-    """The minimum clock offset of the current and the previous window."""
+    """The minimum clock offset of the current and the previous window.
+
+    It is ``confirmed`` once it includes a message that answered one of this
+    node, which cannot have been in transit for long unnoticed.
+    """
 
     window_start: datetime.timedelta
     minimum: datetime.timedelta
     previous_minimum: datetime.timedelta
+    confirmed: bool = False
 
 
 class MessageAgeEstimator:
@@ -35,7 +40,8 @@
     message is the time by which its transit was longer. The offset is
     kept per incarnation of a node and shared by its connections, so that
     even the first messages of a new connection are recognised as old if
-    this node is late to read them from the socket.
+    this node is late to read them from the socket. As long as there was no
+    answer to a message of this node, all messages may be older.
 
     Example::
 
@@ -65,6 +71,21 @@
         tracked.minimum = min(tracked.minimum, offset)
         return offset - min(tracked.minimum, tracked.previous_minimum)
 
+    def confirm(
+        self,
+        sender: messages.Hello,
+        sent_at: datetime.timedelta,
+        arrived_at: datetime.timedelta,
+    ) -> None:
+        """Record the answer to a message that this node has just sent."""
+        self.age(sender, sent_at, arrived_at)
+        self._offsets[(sender.node, sender.incarnation)].confirmed = True
+
+    def is_confirmed(self, sender: messages.Hello) -> bool:
+        """Return whether the age of the messages of ``sender`` is known."""
+        tracked = self._offsets.get((sender.node, sender.incarnation))
+        return tracked is not None and tracked.confirmed
+
     def _track(self, peer: _Peer, tracked: _ClockOffset) -> None:
         while len(self._offsets) >= PEERS_MAX:
             del self._offsets[next(iter(self._offsets))]
--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -19,6 +19,7 @@
 from balsamramp_node.inbound import inbound_handler
 from balsamramp_node.inbound import message_age_estimator
 from balsamramp_node.inbound import reply_scheduler
+from balsamramp_node.inbound import sender_confirmation
 from balsamramp_node.outbound import call_transport
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import lingering_close
@@ -38,6 +39,9 @@
 # to close its side, and for one that receives nothing.
 LINGER_TIMEOUT = datetime.timedelta(milliseconds=500)
 STALL_TIMEOUT = datetime.timedelta(seconds=1)
+# The caller of a call of this age may have left without this node knowing.
+LATE_CALL_AGE = datetime.timedelta(milliseconds=300)
+MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 @attrs.define(eq=False)
@@ -50,6 +54,7 @@
 
     reader: frames.FrameReader
     writer: asyncio.StreamWriter
+    confirmation: sender_confirmation.SenderConfirmation
     finished: bool = False
     ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     hello: messages.Hello | None = None
@@ -80,6 +85,7 @@
         shutdown: shutdown_schedule.ShutdownSchedule | None = None,
         replies: reply_scheduler.ReplyScheduler | None = None,
         take_listener: abc.Callable[[], socket.socket] | None = None,
+        decisions: decision_log.DecisionLog | None = None,
     ) -> None:
         self._take_listener = take_listener
         self._replies = replies or reply_scheduler.ReplyScheduler(
@@ -97,6 +103,9 @@
         self._clock = time
         self._metrics = counters
         self._address = listen
+        self._decisions = decisions or decision_log.DecisionLog(
+            decision_log.NullSink(), time
+        )
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self._age_estimator = message_age_estimator.MessageAgeEstimator()
@@ -179,7 +188,12 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve the messages of one connection until it ends."""
-        connection = _Connection(frames.FrameReader(reader), writer)
+        confirmation = sender_confirmation.SenderConfirmation(
+            functools.partial(self._send_ping, writer), self._clock
+        )
+        connection = _Connection(
+            frames.FrameReader(reader), writer, confirmation
+        )
         self._connections.add(connection)
         self._metrics.count("stream_connections_total")
         writer.write(frames.encode(self._hello))
@@ -198,10 +212,16 @@
             self._replies.forget(writer)
             writer.close()
             connection.ended.set()
+            confirmation.end()
             for request in connection.calls.values():
                 if request is not None:
                     self._inbound_handler.on_caller_disconnected(request)
 
+    def _send_ping(self, writer: asyncio.StreamWriter, number: int) -> None:
+        # The wait for the reply ends with the connection.
+        if not writer.is_closing():
+            self._replies.write(writer, messages.Ping(number))
+
     async def _receive_hello(self, connection: _Connection) -> None:
         async with asyncio.timeout(HELLO_TIMEOUT.total_seconds()):
             hello = await connection.reader.read()
@@ -228,8 +248,21 @@
             self._serve_control(message, connection)
             return
         if isinstance(message, messages.Ping):
+            now = self._clock.monotonic()
             self._replies.write(
-                connection.writer, messages.Pong(message.number)
+                connection.writer, messages.Pong(message.number, now)
+            )
+            return
+        if isinstance(message, messages.Pong):
+            self._handle_pong(message, connection)
+
+    def _handle_pong(
+        self, pong: messages.Pong, connection: _Connection
+    ) -> None:
+        assert connection.hello is not None
+        if connection.confirmation.handle_pong(pong.number):
+            self._age_estimator.confirm(
+                connection.hello, pong.sent_at, self._clock.monotonic()
             )
 
     def _serve_control(
@@ -261,10 +294,75 @@
     def _start_call(
         self, request: messages.CallRequest, connection: _Connection
     ) -> None:
-        assert connection.hello is not None
+        """Start a call, a late one once its sender has confirmed it."""
+        hello = connection.hello
+        assert hello is not None
         now = self._clock.monotonic()
-        age = self._age_estimator.age(connection.hello, request.sent_at, now)
-        sent_at = now - age
+        age = self._age_estimator.age(hello, request.sent_at, now)
+        known = self._age_estimator.is_confirmed(hello)
+        if known and age < LATE_CALL_AGE:
+            self._run_call(request, connection, age)
+            return
+        if hello.protocol < messages.PROTOCOL_WITH_CONFIRMATION:
+            self._run_call(request, connection, age)
+            return
+        if age >= LATE_CALL_AGE:
+            self._metrics.count("late_starts_total", source="node")
+            self._decisions.write(
+                "late_call",
+                call_id=request.call_id,
+                target=request.target,
+                sender=hello.node,
+                age_ms=round(age / MILLISECOND, 1),
+            )
+        task = asyncio.create_task(
+            self._run_when_confirmed(request, connection, now)
+        )
+        connection.calls[task] = None
+        task.add_done_callback(connection.calls.pop)
+
+    async def _run_when_confirmed(
+        self,
+        request: messages.CallRequest,
+        connection: _Connection,
+        arrived_at: datetime.timedelta,
+    ) -> None:
+        """Run a call if its sender still waits for it.
+
+        Without an answer the call is refused at its deadline. If the
+        connection ends, its sender repeats the call or has left.
+        """
+        assert connection.hello is not None
+        try:
+            async with asyncio.timeout(request.timeout.total_seconds()):
+                confirmed = await connection.confirmation.confirm()
+        except TimeoutError:
+            self._run_call(request, connection, request.timeout)
+            return
+        if not confirmed:
+            self._metrics.count("unconfirmed_calls_total")
+            self._decisions.write(
+                "unconfirmed_call",
+                call_id=request.call_id,
+                target=request.target,
+                sender=connection.hello.node,
+            )
+            return
+        if connection.finished:
+            return
+        age = self._age_estimator.age(
+            connection.hello, request.sent_at, arrived_at
+        )
+        waited = self._clock.monotonic() - arrived_at
+        self._run_call(request, connection, age + waited)
+
+    def _run_call(
+        self,
+        request: messages.CallRequest,
+        connection: _Connection,
+        age: datetime.timedelta,
+    ) -> None:
+        sent_at = self._clock.monotonic() - age
         reply_or_task = self._inbound_handler.start_call(request, age)
         if not isinstance(reply_or_task, asyncio.Task):
             self._reply(connection, request, sent_at, reply_or_task)
--- a/packages/node/src/balsamramp_node/outbound/peer_stream.py
+++ b/packages/node/src/balsamramp_node/outbound/peer_stream.py
@@ -258,6 +258,12 @@
             pending = self._pending_control.get(message.number)
             if pending is not None and not pending.done():
                 pending.set_result(message)
+            return
+        if isinstance(message, messages.Ping):
+            if self._writer.is_closing():
+                return
+            now = self._clock.monotonic()
+            self._write(messages.Pong(message.number, now))
 
     def _handle_late_reply(self, reply: call_transport.Reply) -> None:
         self._late_calls.discard(reply.call_id)
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -227,6 +227,7 @@
             shutdown=self._shutdown,
             replies=replies,
             take_listener=functools.partial(self._ports.take, "stream_port"),
+            decisions=decisions,
         )
         self._services.service_manager.add(peer_server)
         self._services.service_manager.add(
--- /dev/null
+++ b/packages/node/tests/test_late_streams.py
@@ -0,0 +1,272 @@
+"""Calls of other nodes that are read long after they were sent.
+
+Guards against work for callers that had left: what says so, a cancellation
+or the end of the connection, arrives behind the call, and the age of the
+first message of a sender is not known.
+"""
+
+import asyncio
+from collections import abc
+import datetime
+import time
+import typing
+
+import attrs
+import pytest
+from returns import result
+import uvloop
+
+from balsamramp_core import clock
+from balsamramp_core import metrics
+from balsamramp_core import settings
+from balsamramp_node.inbound import inbound_handler
+from balsamramp_node.inbound import stream_server
+from balsamramp_node.inbound import target_client
+from balsamramp_node.inbound import targets
+from balsamramp_node.inbound.concurrency_limits import fixed
+from balsamramp_node.inbound.limiters import concurrency_limiter
+from balsamramp_node.outbound import peer_stream
+from balsamramp_wire import frames
+from balsamramp_wire import messages
+
+LOOPBACK = settings.Address("127.0.0.1", 0)
+LIMIT = 4
+CALLS = 21
+RUN_SECONDS = 0.1
+SETTLE_SECONDS = 0.6
+LATE = datetime.timedelta(seconds=2)
+SHORT = datetime.timedelta(milliseconds=250)
+LONG = datetime.timedelta(seconds=10)
+CALL = messages.CallRequest(
+    call_id="c",
+    service="s",
+    target="t",
+    incarnation=1,
+    method="GET",
+    path="/",
+    headers=(),
+    timeout=LONG,
+    idempotent=True,
+)
+
+
+class _Target(target_client.TargetClient):
+    """Responds after a fixed time and counts its runs."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+
+    async def call(
+        self,
+        target: targets.Announcement,
+        request: messages.CallRequest,
+        time_left: datetime.timedelta,
+    ) -> target_client.TargetCallResult:
+        self.started.append(request.call_id)
+        await asyncio.sleep(RUN_SECONDS)
+        return result.Success(
+            target_client.TargetResponse(status=200, headers=(), body=b"")
+        )
+
+
+class _Membership:
+    def set_targets(self, records: object) -> None:
+        self.records = records
+
+
+@attrs.define(eq=False)
+class _Node:
+    """A node with one target of ``LIMIT`` slots."""
+
+    target: _Target = attrs.field(factory=_Target)
+    counters: metrics.Metrics = attrs.field(factory=metrics.Metrics)
+
+    async def start(self) -> stream_server.StreamServer:
+        """Return the started server for other nodes."""
+        now = clock.SystemClock()
+        local_targets = targets.LocalTargets(
+            typing.cast(typing.Any, _Membership()),
+            now,
+            self.counters,
+            datetime.timedelta(hours=1),
+        )
+        local_targets.announce(
+            targets.Announcement(target="t", service="s", url="http://t")
+        )
+        calls = inbound_handler.InboundHandler(
+            1,
+            local_targets,
+            lambda announced: concurrency_limiter.ConcurrencyLimiter(
+                announced, fixed.FixedLimit(LIMIT), now
+            ),
+            now,
+            self.counters,
+            self.target,
+            lambda: False,
+            typing.cast(typing.Any, None),
+        )
+        server = stream_server.StreamServer(
+            messages.Hello("called", 1), LOOPBACK, calls, now, self.counters
+        )
+        await server.start()
+        return server
+
+
+def _now() -> datetime.timedelta:
+    return datetime.timedelta(seconds=time.monotonic())
+
+
+@attrs.define(eq=False)
+class _Sender:
+    """A connection of another node, written frame by frame."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    protocol: int = messages.PROTOCOL
+    received: list[object] = attrs.field(factory=list)
+
+    def hello(self, age: datetime.timedelta) -> None:
+        """Send the first frame as if it had been written ``age`` ago."""
+        hello = messages.Hello("calling", 1, self.protocol, _now() - age)
+        self.send(hello)
+
+    def calls(
+        self, age: datetime.timedelta, timeout: datetime.timedelta
+    ) -> None:
+        """Send calls that were written ``age`` ago."""
+        for number in range(CALLS):
+            call = attrs.evolve(
+                CALL,
+                call_id=f"c{number}",
+                sent_at=_now() - age,
+                timeout=timeout,
+            )
+            self.send(call)
+
+    def cancel(self) -> None:
+        """Cancel all calls."""
+        for number in range(CALLS):
+            self.send(messages.CallCancel(f"c{number}", "t"))
+
+    def send(self, message: object) -> None:
+        """Write one frame."""
+        self.writer.write(frames.encode(message))
+
+    async def read(self) -> None:
+        """Answer pings until the connection ends."""
+        reader = frames.FrameReader(self.reader)
+        while True:
+            try:
+                message = await reader.read()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            self.received.append(message)
+            if self.writer.is_closing():
+                continue
+            if isinstance(message, messages.Ping):
+                self.send(messages.Pong(message.number, _now()))
+
+
+def _cancel(sender: _Sender) -> None:
+    sender.cancel()
+
+
+def _close(sender: _Sender) -> None:
+    sender.writer.close()
+
+
+def _reset(sender: _Sender) -> None:
+    peer_stream._reset_connection(sender.writer)
+
+
+Leave = abc.Callable[[_Sender], None]
+each_leave = pytest.mark.parametrize("leave", [_cancel, _close, _reset])
+
+
+async def _connect(
+    server: stream_server.StreamServer, protocol: int = messages.PROTOCOL
+) -> _Sender:
+    reader, writer = await asyncio.open_connection(
+        server.address.host, server.address.port
+    )
+    return _Sender(reader, writer, protocol)
+
+
+async def _run_late_calls(
+    leave: Leave, known: bool, timeout: datetime.timedelta
+) -> list[str]:
+    """Return the calls that ran though their callers had left."""
+    node = _Node()
+    server = await node.start()
+    if known:
+        before = await _connect(server)
+        before.hello(datetime.timedelta())
+        reading = asyncio.create_task(before.read())
+        await asyncio.sleep(0.05)
+        before.writer.close()
+        await reading
+    sender = await _connect(server)
+    sender.hello(LATE)
+    sender.calls(LATE, timeout)
+    await asyncio.sleep(0.01)
+    leave(sender)
+    # What the sender wrote before it reads is on its way.
+    reading = asyncio.create_task(sender.read())
+    await asyncio.sleep(SETTLE_SECONDS)
+    sender.writer.close()
+    await reading
+    await server.stop()
+    return node.target.started
+
+
+@each_leave
+@pytest.mark.parametrize("timeout", [SHORT, LONG])
+@pytest.mark.parametrize("known", [False, True])
+def test_late_call_is_not_started_for_a_caller_that_left(
+    leave: Leave, known: bool, timeout: datetime.timedelta
+) -> None:
+    assert uvloop.run(_run_late_calls(leave, known, timeout)) == []
+
+
+async def _serve(
+    age: datetime.timedelta, protocol: int
+) -> tuple[_Node, _Sender]:
+    """Have a sender that waits for its calls send them twice."""
+    node = _Node()
+    server = await node.start()
+    sender = await _connect(server, protocol)
+    reading = asyncio.create_task(sender.read())
+    sender.hello(datetime.timedelta())
+    sender.send(attrs.evolve(CALL, call_id="first", sent_at=_now()))
+    await asyncio.sleep(2 * RUN_SECONDS)
+    sender.calls(age, LONG)
+    await asyncio.sleep(CALLS / LIMIT * RUN_SECONDS + SETTLE_SECONDS)
+    sender.writer.close()
+    await reading
+    await server.stop()
+    return node, sender
+
+
+def _pings(sender: _Sender) -> int:
+    return sum(isinstance(item, messages.Ping) for item in sender.received)
+
+
+@pytest.mark.parametrize("age", [datetime.timedelta(), LATE])
+def test_calls_whose_callers_wait_are_served(age: datetime.timedelta) -> None:
+    node, _ = uvloop.run(_serve(age, messages.PROTOCOL))
+    assert len(node.target.started) == 1 + CALLS
+
+
+def test_only_late_calls_cost_a_round_trip() -> None:
+    _, sender = uvloop.run(_serve(datetime.timedelta(), messages.PROTOCOL))
+    assert _pings(sender) == 1
+    _, sender = uvloop.run(_serve(LATE, messages.PROTOCOL))
+    assert 2 <= _pings(sender) <= 3
+
+
+@pytest.mark.parametrize("age", [datetime.timedelta(), LATE])
+def test_node_that_answers_no_pings_is_served(age: datetime.timedelta) -> None:
+    before = messages.PROTOCOL_WITH_CONFIRMATION - 1
+    node, sender = uvloop.run(_serve(age, before))
+    assert len(node.target.started) == 1 + CALLS
+    assert _pings(sender) == 0
--- a/packages/node/tests/test_streams.py
+++ b/packages/node/tests/test_streams.py
@@ -747,7 +747,8 @@
             idempotent=True,
             body=b"",
         )
-        hello = messages.Hello("calling", 1)
+        # The peer answers no pings.
+        hello = messages.Hello("calling", 1, messages.PROTOCOL_WITH_PARTS)
         await loop.sock_sendall(
             sock, frames.encode(hello) + frames.encode(request)
         )
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -43,6 +43,7 @@
     "ProbeReply",
     "ProbeRequest",
     "PROTOCOL",
+    "PROTOCOL_WITH_CONFIRMATION",
     "PROTOCOL_WITH_PARTS",
     "PushReply",
     "PushRequest",
@@ -59,9 +60,11 @@
 
 Headers = tuple[tuple[str, str], ...]
 
-PROTOCOL = 2
+PROTOCOL = 3
 # First version of the protocol with frames in parts.
 PROTOCOL_WITH_PARTS = 2
+# First version in which both sides of a connection answer pings.
+PROTOCOL_WITH_CONFIRMATION = 3
 
 
 @attrs.frozen
@@ -69,7 +72,7 @@
     """First frame in both directions, which identifies the sender.
 
     ``sent_at`` is read from the sender's monotonic clock. From ``protocol``
-    2 on the sender accepts frames in parts.
+    2 on the sender accepts frames in parts, and from 3 on it answers pings.
     """
 
     node: str
@@ -101,9 +104,14 @@
 
 @attrs.frozen
 class Pong:
-    """Reply to the Ping with the same number."""
+    """Reply to the Ping with the same number.
+
+    ``sent_at`` is read from the sender's monotonic clock. All that it wrote
+    before has been read when the reply is.
+    """
 
     number: int
+    sent_at: datetime.timedelta = datetime.timedelta()
 
 
 @attrs.frozen
