Streams: a peer that has reset its connection does not end the stop

Cause: at a stop the server closes each connection for writing; on one that its peer has just reset this raises RuntimeError, which ends the stop for all others too, so their last replies are not awaited. Found by the new test of a call to a node that does not know its sender: it failed so at its end.

Change: a connection that is closing is left alone.

Measured: the test fails without the change (RuntimeError, the handler is closed) and passes with it.

--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -149,12 +149,16 @@
         )
 
     async def _drain_and_close(self, connection: _Connection) -> None:
+        if connection.writer.is_closing():
+            return
         time_left = self._shutdown.seconds_until(self._shutdown.close_end)
         try:
             async with asyncio.timeout(time_left):
                 while connection.calls:
                     await asyncio.wait(list(connection.calls))
                 await self._replies.flush(connection.writer)
+                if connection.writer.is_closing():
+                    return
                 if connection.writer.can_write_eof():
                     await self._finish(connection)
                 connection.writer.close()
--- a/packages/node/tests/test_late_streams.py
+++ b/packages/node/tests/test_late_streams.py
@@ -26,6 +26,7 @@
 from balsamramp_node.inbound.concurrency_limits import fixed
 from balsamramp_node.inbound.limiters import concurrency_limiter
 from balsamramp_node.outbound import peer_stream
+from balsamramp_node.outbound import stream_client
 from balsamramp_wire import frames
 from balsamramp_wire import messages
 
@@ -270,3 +271,20 @@
     node, sender = uvloop.run(_serve(age, before))
     assert len(node.target.started) == 1 + CALLS
     assert _pings(sender) == 0
+
+
+def test_node_confirms_its_calls_to_another_that_does_not_know_it() -> None:
+    async def main() -> None:
+        node = _Node()
+        server = await node.start()
+        client = stream_client.StreamClient(
+            messages.Hello("calling", 1),
+            clock.SystemClock(),
+            metrics.Metrics(),
+        )
+        await client.call(server.address, CALL)
+        assert node.target.started == ["c"]
+        await client.stop()
+        await server.stop()
+
+    uvloop.run(main())
