Inbound: a call that waited is sent only if its caller still waits

Cause: a call that waits for a slot, or for a connection to its target, starts when that comes free. The end of the connection that brought it may lie unread then, or be read already: calls went on for 0.25 s without anyone to wait.

Change: the handler asks for the callers of a call as the last thing before it is sent, and the target client once more after it opened a connection. Unread data of the sender is read first, in at most 16 turns of the event loop. If all connections have ended, the call waits to be repeated or is given up. For each cancellation the log says how long the call was at its target, and whether it arrived late; late_calls_cancelled_total counts those that were cancelled within 100 ms, which an operator can alarm on.

--- a/packages/node/src/balsamramp_node/inbound/deduplication_cache.py
+++ b/packages/node/src/balsamramp_node/inbound/deduplication_cache.py
@@ -7,6 +7,7 @@
 import attrs
 
 from balsamramp_node.inbound import response_cache
+from balsamramp_node.inbound import waiting_callers
 from balsamramp_node.outbound import call_transport
 from balsamramp_wire import messages
 
@@ -31,7 +32,8 @@
     ``waiter_count`` is the number of callers waiting for the reply,
     ``sent`` is set once the target may have received the call,
     ``idempotent`` if the call may run again, and ``drained`` if it is ended
-    because the node stops.
+    because the node stops. ``callers`` are those that wait, and ``sent_at``
+    is when the target was sent a call that arrived ``late``.
     """
 
     task: asyncio.Task[call_transport.Reply] | None = None
@@ -39,6 +41,11 @@
     sent: bool = False
     idempotent: bool = False
     drained: bool = False
+    callers: waiting_callers.WaitingCallers = attrs.field(
+        factory=waiting_callers.WaitingCallers
+    )
+    sent_at: datetime.timedelta | None = None
+    late: bool = False
 
 
 class DeduplicationCache:
--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -24,7 +24,9 @@
 from balsamramp_node.inbound import target_limiter
 from balsamramp_node.inbound import target_statement
 from balsamramp_node.inbound import targets
+from balsamramp_node.inbound import waiting_callers
 from balsamramp_node.outbound import call_transport
+from balsamramp_node.process import caller_presence
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import shutdown_schedule
 from balsamramp_wire import messages
@@ -32,9 +34,10 @@
 __all__ = ["InboundHandler"]
 
 CANCEL_RETENTION = datetime.timedelta(seconds=60)
-# How long a call goes on after its caller's connection was lost, unless it is
-# repeated on another connection.
-REPEAT_GRACE = datetime.timedelta(milliseconds=250)
+REPEAT_GRACE = waiting_callers.REPEAT_GRACE
+# A late call that is cancelled so soon began for a caller that had left.
+CANCELLED_AT_ONCE = datetime.timedelta(milliseconds=100)
+LATE_CALL_AGE = datetime.timedelta(milliseconds=250)
 DRAIN_CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
 SHED_STATUSES = frozenset([429, 503])
 STATUS_ERROR_MIN = 500
@@ -123,7 +126,8 @@
         from the call's ``timeout``. A call with an idempotency key runs at
         most once for its key.
         """
-        reply_or_task = self.start_call(request, age)
+        caller = caller_presence.current()
+        reply_or_task = self.start_call(request, age, caller)
         if not isinstance(reply_or_task, asyncio.Task):
             return reply_or_task
         return await self._wait_for(request, reply_or_task)
@@ -132,16 +136,20 @@
         self,
         request: messages.CallRequest,
         age: datetime.timedelta = NO_AGE,
+        caller: caller_presence.CallerPresence | None = None,
     ) -> call_transport.Reply | asyncio.Task[call_transport.Reply]:
-        """Start the call; return its task, or its reply if known at once."""
+        """Start the call; return its task, or its reply if known at once.
+
+        It is not sent to its target if ``caller`` has left by then.
+        """
         key = request.idempotency_key
         if not idempotency_store.needs_deduplication(request.idempotent, key):
-            return self._start_or_attach(request, age)
+            return self._start_or_attach(request, age, caller)
         sent_at = self._clock.monotonic() - age
 
         async def run() -> call_transport.Reply:
             reply_or_task = self._start_or_attach(
-                request, self._clock.monotonic() - sent_at
+                request, self._clock.monotonic() - sent_at, caller
             )
             if not isinstance(reply_or_task, asyncio.Task):
                 return reply_or_task
@@ -171,7 +179,10 @@
         return self._cancelled_reply(request, sent=True)
 
     def _start_or_attach(
-        self, request: messages.CallRequest, age: datetime.timedelta
+        self,
+        request: messages.CallRequest,
+        age: datetime.timedelta,
+        caller: caller_presence.CallerPresence | None,
     ) -> call_transport.Reply | asyncio.Task[call_transport.Reply]:
         if request.incarnation != self._incarnation:
             return self._refuse_uncached(request, _stale_incarnation(request))
@@ -184,14 +195,18 @@
                 return existing.reply
             assert existing.task is not None
             existing.waiter_count += 1
+            existing.callers.add(caller)
             return existing.task
         time_left = request.timeout - age
         refusal = self._check_admission(request, time_left)
         if refusal is not None:
             return self._refuse_and_cache(request, refusal, time_left)
         entry = deduplication_cache.CachedCall(
-            waiter_count=1, idempotent=request.idempotent
+            waiter_count=1,
+            idempotent=request.idempotent,
+            late=age >= LATE_CALL_AGE,
         )
+        entry.callers.add(caller)
         task = asyncio.create_task(self._run(request, time_left, entry))
         task.add_done_callback(functools.partial(self._on_task_done, key))
         entry.task = task
@@ -217,8 +232,30 @@
             self._deduplication.add(key, entry, CANCEL_RETENTION)
             return
         if existing.task is not None:
+            self._record_cancelled(call_id, target, existing)
             existing.task.cancel()
 
+    def _record_cancelled(
+        self,
+        call_id: str,
+        target: str,
+        entry: deduplication_cache.CachedCall,
+    ) -> None:
+        since_sent: datetime.timedelta | None = None
+        if entry.sent_at is not None:
+            since_sent = self._clock.monotonic() - entry.sent_at
+            if entry.late and since_sent < CANCELLED_AT_ONCE:
+                self._metrics.count("late_calls_cancelled_total")
+        self._decisions.write(
+            "cancelled",
+            call_id=call_id,
+            target=target,
+            late=entry.late,
+            since_sent_ms=(
+                None if since_sent is None else _milliseconds(since_sent)
+            ),
+        )
+
     def on_caller_disconnected(self, request: messages.CallRequest) -> None:
         """Handle the loss of the connection of a caller that waits.
 
@@ -406,6 +443,7 @@
         time_left: datetime.timedelta,
         entry: deduplication_cache.CachedCall,
     ) -> call_transport.Reply:
+        caller_presence.set_current(entry.callers)
         self._running.add(entry)
         self._link.start(request)
         reply: call_transport.Reply | None = None
@@ -442,6 +480,11 @@
         if failure is not None:
             self._interceptor.on_call_refused(request, target)
             return self._refuse_uncached(request, failure)
+        try:
+            await caller_presence.confirm()
+        except asyncio.CancelledError:
+            limiter.release()
+            raise
         target = self._targets.find(request.target)
         failure = _check_ready(request, target)
         if failure is None and target is not None:
@@ -451,6 +494,7 @@
             return self._refuse_uncached(request, failure)
         assert target is not None
         entry.sent = True
+        entry.sent_at = self._clock.monotonic()
         return await self._call_target(request, target, limiter, deadline)
 
     async def _call_target(
--- a/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
@@ -22,6 +22,7 @@
 from balsamramp_node.inbound import target_statement
 from balsamramp_node.inbound import targets
 from balsamramp_node.process import body_budget
+from balsamramp_node.process import caller_presence
 from balsamramp_node.process import http_connection
 from balsamramp_wire import messages
 
@@ -117,6 +118,8 @@
         connection = await self._acquire_connection(target, request, time_left)
         if isinstance(connection, verdict.Failure):
             return result.Failure(connection)
+        if connection.is_new:
+            await self._confirm_caller(target, connection)
         time_left = deadline - self._clock.monotonic()
         if time_left <= HOP_ALLOWANCE:
             self._return_to_pool(target.url, connection)
@@ -128,6 +131,19 @@
             )
         return await self._exchange(target, request, time_left, connection)
 
+    async def _confirm_caller(
+        self,
+        target: targets.Announcement,
+        connection: http_connection.HttpConnection,
+    ) -> None:
+        """Keep a connection unused if the caller left while it was opened."""
+        try:
+            await caller_presence.read_sockets()
+            await caller_presence.confirm()
+        except asyncio.CancelledError:
+            self._return_to_pool(target.url, connection)
+            raise
+
     async def check_health(
         self, target: targets.Announcement, path: str
     ) -> targets.Health:
--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -21,6 +21,7 @@
 from balsamramp_node.inbound import reply_scheduler
 from balsamramp_node.inbound import sender_confirmation
 from balsamramp_node.outbound import call_transport
+from balsamramp_node.process import caller_presence
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import lingering_close
 from balsamramp_node.process import shutdown_schedule
@@ -41,12 +42,15 @@
 STALL_TIMEOUT = datetime.timedelta(seconds=1)
 # The caller of a call of this age may have left without this node knowing.
 LATE_CALL_AGE = datetime.timedelta(milliseconds=300)
+# Turns of the event loop in which a connection with unread data is read
+# before a call of it goes on.
+READS_MAX = 16
 MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 @attrs.define(eq=False)
-class _Connection:
-    """A connection from another node.
+class _Connection(caller_presence.CallerPresence):
+    """A connection from another node, which sends calls of its callers.
 
     Once ``finished``, it is closed for writing and further messages are
     ignored; ``ended`` is set when it is closed.
@@ -62,6 +66,15 @@
         attrs.field(factory=dict)
     )
 
+    async def has_left(self) -> bool:
+        for _ in range(READS_MAX):
+            if self.ended.is_set():
+                break
+            if not socket_queue.has_unread_data(self.writer.transport):
+                break
+            await caller_presence.read_sockets()
+        return self.ended.is_set()
+
 
 class StreamServer(service_manager.Service):
     """Listens for other nodes and runs one task for each connection.
@@ -367,7 +380,9 @@
         age: datetime.timedelta,
     ) -> None:
         sent_at = self._clock.monotonic() - age
-        reply_or_task = self._inbound_handler.start_call(request, age)
+        reply_or_task = self._inbound_handler.start_call(
+            request, age, connection
+        )
         if not isinstance(reply_or_task, asyncio.Task):
             self._reply(connection, request, sent_at, reply_or_task)
             return
--- /dev/null
+++ b/packages/node/src/balsamramp_node/inbound/waiting_callers.py
@@ -0,0 +1,42 @@
+"""The callers that wait for the response to one call."""
+
+import asyncio
+import contextlib
+import datetime
+
+from balsamramp_node.process import caller_presence
+
+__all__ = ["REPEAT_GRACE", "WaitingCallers"]
+
+# How long a call goes on after its caller's connection was lost, unless it is
+# repeated on another connection.
+REPEAT_GRACE = datetime.timedelta(milliseconds=250)
+
+
+class WaitingCallers(caller_presence.CallerPresence):
+    """Those that sent the call, one for each copy of its message.
+
+    A sender that lost its connection may repeat the call on another.
+    """
+
+    def __init__(self) -> None:
+        self._senders: list[caller_presence.CallerPresence | None] = []
+        self._added = asyncio.Event()
+
+    def add(self, sender: caller_presence.CallerPresence | None) -> None:
+        """Add a sender; None stands for one that never leaves."""
+        self._senders.append(sender)
+        self._added.set()
+
+    async def has_left(self) -> bool:
+        """Return whether all have left and the call is not repeated."""
+        while True:
+            self._added.clear()
+            for sender in reversed(self._senders):
+                if sender is None or not await sender.has_left():
+                    return False
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REPEAT_GRACE.total_seconds()):
+                    await self._added.wait()
+            if not self._added.is_set():
+                return True
--- a/packages/node/src/balsamramp_node/process/http_connection.py
+++ b/packages/node/src/balsamramp_node/process/http_connection.py
@@ -116,7 +116,7 @@
         self._keep_alive_seconds: int | None = None
         self._received_bytes = 0
         self._body_bytes = 0
-        self._sent_at = 0.0
+        self._sent_at: float | None = None
         self._first_byte_at: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._pause_max = 0.0
@@ -126,7 +126,7 @@
     def progress(self) -> ExchangeProgress:
         """Return the progress of the last response, complete or not."""
         first_byte_after = None
-        if self._first_byte_at is not None:
+        if self._first_byte_at is not None and self._sent_at is not None:
             first_byte_after = datetime.timedelta(
                 seconds=self._first_byte_at - self._sent_at
             )
@@ -144,6 +144,11 @@
             return False
         return not socket_queue.has_unread_data(self._transport)
 
+    @property
+    def is_new(self) -> bool:
+        """Return whether no request was sent yet."""
+        return self._sent_at is None
+
     @property
     def keep_alive_seconds(self) -> int | None:
         """Return the timeout of the last Keep-Alive header, if any."""
--- a/packages/node/tests/test_late_streams.py
+++ b/packages/node/tests/test_late_streams.py
@@ -273,6 +273,32 @@
     assert _pings(sender) == 0
 
 
+@each_leave
+def test_call_that_waits_for_a_slot_is_not_started_after_its_caller_left(
+    leave: Leave,
+) -> None:
+    async def main() -> None:
+        node = _Node()
+        server = await node.start()
+        sender = await _connect(server)
+        reading = asyncio.create_task(sender.read())
+        sender.hello(datetime.timedelta())
+        sender.calls(datetime.timedelta(), LONG)
+        while len(node.target.started) < LIMIT:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+        leave(sender)
+        await asyncio.sleep(0)
+        # The slots become free before the sockets are read.
+        time.sleep(RUN_SECONDS)  # noqa: ASYNC251
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert len(node.target.started) == LIMIT
+        sender.writer.close()
+        await reading
+        await server.stop()
+
+    uvloop.run(main())
+
+
 def test_node_confirms_its_calls_to_another_that_does_not_know_it() -> None:
     async def main() -> None:
         node = _Node()
