Standalone: a call whose caller has closed is not sent

Cause: as for the connections of sidecars, but the calls' server there is another one, which does not show its sockets.

Change: before an attempt the event loop runs six turns, in which the close is read and passed on.

--- a/packages/node/src/balsamramp_node/outbound/call_proxy.py
+++ b/packages/node/src/balsamramp_node/outbound/call_proxy.py
@@ -18,6 +18,7 @@
 from balsamramp_node.outbound import call_transport
 from balsamramp_node.outbound import picker
 from balsamramp_node.outbound import router
+from balsamramp_node.process import caller_presence
 from balsamramp_node.process import shutdown_schedule
 from balsamramp_wire import messages
 
@@ -220,6 +221,7 @@
     async def _attempt(
         self, call: "_Call", chosen: picker.Candidate
     ) -> call_transport.Reply:
+        await caller_presence.confirm()
         call.tried.add(chosen.record.target)
         started = self._clock.monotonic()
         message = call.build_message(chosen, started)
--- a/packages/node/src/balsamramp_node/outbound/cancellation.py
+++ b/packages/node/src/balsamramp_node/outbound/cancellation.py
@@ -4,8 +4,14 @@
 from collections import abc
 import typing
 
+from balsamramp_node.process import caller_presence
+
 __all__ = ["CancelOnDisconnect"]
 
+# Turns of the event loop from data in the socket to the event for the
+# application: it reads the close, and three callbacks pass it on.
+DISCONNECT_TURNS = 6
+
 Event = abc.MutableMapping[str, typing.Any]
 Receive = abc.Callable[[], abc.Awaitable[Event]]
 Send = abc.Callable[[Event], abc.Awaitable[None]]
@@ -26,6 +32,7 @@
         self, scope: typing.Any, receive: Receive, send: Send
     ) -> None:
         monitor = _DisconnectMonitor(receive, send)
+        caller_presence.set_current(monitor)
         try:
             await self._application(scope, monitor.receive, monitor.send)
         except asyncio.CancelledError:
@@ -35,7 +42,7 @@
             monitor.stop()
 
 
-class _DisconnectMonitor:
+class _DisconnectMonitor(caller_presence.CallerPresence):
     """Monitors the connection of one request."""
 
     def __init__(self, receive: Receive, send: Send) -> None:
@@ -61,6 +68,13 @@
         self._response_started = True
         await self._send(event)
 
+    async def has_left(self) -> bool:
+        for _ in range(DISCONNECT_TURNS):
+            if self.disconnected:
+                break
+            await asyncio.sleep(0)
+        return self.disconnected
+
     def stop(self) -> None:
         """Stop monitoring the connection."""
         if self._task is not None:
--- a/packages/node/tests/test_departed_callers.py
+++ b/packages/node/tests/test_departed_callers.py
@@ -21,10 +21,13 @@
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_core.resources import caller_limits
+from balsamramp_node.outbound import cancellation
 from balsamramp_node.process import caller_connection
 from balsamramp_node.process import caller_connection_log
+from balsamramp_node.process import caller_presence
 from balsamramp_node.process import caller_server
 from balsamramp_node.process import decision_log
+from balsamramp_node.process import http_server
 from balsamramp_node.process import shutdown_schedule
 
 LIMITS = caller_limits.CallerLimits(
@@ -234,3 +237,48 @@
         assert node.cancelled == []
 
     _play(scenario, run)
+
+
+@both_loops
+@pytest.mark.parametrize("leave", [_close, _reset, _close_for_writing])
+def test_call_whose_close_was_unread_is_not_sent_by_a_standalone_node(
+    leave: abc.Callable[[socket.socket], None], run: Run
+) -> None:
+    """The calls' server is another one there, which hides its sockets."""
+    sent: list[str] = []
+
+    async def application(
+        scope: typing.Any,
+        receive: cancellation.Receive,
+        send: cancellation.Send,
+    ) -> None:
+        while (await receive()).get("more_body"):
+            continue
+        await caller_presence.confirm()
+        sent.append(scope["path"])
+        await asyncio.Event().wait()
+
+    async def main() -> None:
+        server = http_server.HttpServer(
+            "ingress",
+            cancellation.CancelOnDisconnect(application),
+            settings.Address("127.0.0.1", 0),
+            shutdown_timeout=datetime.timedelta(milliseconds=100),
+        )
+        await server.start()
+        address = server.address
+        callers = [
+            socket.create_connection((address.host, address.port))
+            for _ in range(CALLERS + 1)
+        ]
+        await asyncio.sleep(TOLERANCE_SECONDS)
+        for number, sock in enumerate(callers):
+            sock.sendall(_get(number + 1))
+            if number < CALLERS:
+                leave(sock)
+        await asyncio.sleep(TOLERANCE_SECONDS)
+        callers[-1].close()
+        await server.stop()
+
+    run(main())
+    assert sent == [f"/{CALLERS + 1}"]
