Soak: callers that leave, beside processes that stand still

Profile departures: 1 to 25 callers send 1 to 16 requests ahead and close, reset or half-close within 0.6 s, beside SIGSTOP of 0.2 to 6 s, kills, stops, resets, delays and targets short of slots. What left unread at a stopped process must not run; else nothing runs later than 0.8 s after its caller left, 0.3 s of which are for the soak itself.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 import attrs
+import soak_departures
 import soak_faults
 import soak_harness
 import soak_records
@@ -40,6 +41,7 @@
 PROFILES: dict[str, tuple[type[soak_faults.Fault], ...]] = {
     "calm": (),
     "demand": soak_faults.DEMAND,
+    "departures": soak_departures.DEPARTURES,
     "mixed": soak_faults.FAULTS + soak_faults.PLANNED_WORK,
     "planned": soak_faults.PLANNED_WORK,
     "restores": soak_faults.RESTORES,
--- a/tests/users_platform/soak_callers.py
+++ b/tests/users_platform/soak_callers.py
@@ -12,7 +12,7 @@
 import soak_records
 import soak_target
 
-__all__ = ["CallerConnection"]
+__all__ = ["CallerConnection", "encode"]
 
 HEADER_PREFIX = soak_target.HEADER_PREFIX
 HOST = "caja.example"
@@ -75,7 +75,7 @@
         self._exchange = exchange
         self._body, self._signature, self._received = [], "", False
         self._ended = asyncio.get_running_loop().create_future()
-        transport.write(_encode(exchange))
+        transport.write(encode(exchange))
         if not transport.get_write_buffer_size():
             exchange.whole_at = time.monotonic()
         try:
@@ -150,7 +150,8 @@
             self._ended.set_result(None)
 
 
-def _encode(exchange: soak_records.Exchange) -> bytes:
+def encode(exchange: soak_records.Exchange) -> bytes:
+    """Return the bytes of a request."""
     method = "GET" if exchange.repeatable else "POST"
     body = b"" if exchange.repeatable else exchange.path.encode()
     lines = [
--- a/tests/users_platform/soak_checks.py
+++ b/tests/users_platform/soak_checks.py
@@ -28,6 +28,10 @@
 LIMIT_SLACK = 5
 LIMIT_NOTICE = 3.0
 TOUCH = 3.0
+# Time in which work for a caller that has left ends, with that for the soak's
+# own delay.
+DEPARTED_BOUND = 0.5
+DEPARTED_SLACK = 0.3
 # Of what is sent once all faults are over, so much is served at least.
 RECOVERED_PART = 0.9
 
@@ -104,6 +108,7 @@
         found += self._starved()
         if bounds:
             found += self._in_force()
+            found += self._departed()
             found += self._drains()
             found += self._limits()
             found += self._evacuations()
@@ -245,6 +250,28 @@
                 )
         return found
 
+    def _departed(self) -> list[str]:
+        """Return the runs that began after their callers had left.
+
+        A node that stood still meanwhile does not know, unless it had read
+        nothing of the request.
+        """
+        runs = self._runs_of()
+        found = []
+        for item in self.exchanges:
+            if item.ending is not soak_records.Ending.LEFT:
+                continue
+            for run in runs.get(item.request_id, ()):
+                due = item.ended_at + DEPARTED_BOUND + DEPARTED_SLACK
+                known = not self.has_fault(item.node, item.sent_at, run.at)
+                if item.unread or (known and run.at > due):
+                    found.append(
+                        f"{item.request_id} of {item.node} ran at {run.target}"
+                        f" {run.at - item.ended_at:.2f} s after its caller"
+                        f" left; unread: {item.unread}"
+                    )
+        return found
+
     def _drains(self) -> list[str]:
         return [
             f"{run.request_id} reached {run.target} {run.at - mark.at:.2f} s"
--- a/tests/users_platform/soak_harness.py
+++ b/tests/users_platform/soak_harness.py
@@ -60,6 +60,7 @@
         self._world = world
         self._terminated_at: float | None = None
         self._paused_until = 0.0
+        self.paused_since: float | None = None
         self._histories: dict[
             asyncio.subprocess.Process, soak_processes.ProcessHistory
         ] = {}
@@ -179,6 +180,7 @@
         self.started_at = time.monotonic()
         self._terminated_at = None
         self._paused_until = 0.0
+        self.paused_since = None
         await self._world.fleet.restart(self.sidecar)
         self._add_process()
 
@@ -219,11 +221,13 @@
 
     def pause(self) -> None:
         """Have the process stand still."""
+        self.paused_since = time.monotonic()
         self._paused_until = float("inf")
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Have it go on."""
+        self.paused_since = None
         self._paused_until = time.monotonic()
         self._signal(signal.SIGCONT)
 
@@ -470,6 +474,20 @@
         finally:
             node.open_requests -= 1
 
+    def draw_read(self, node: Node) -> soak_records.Exchange:
+        """Return a request that may be repeated, with all of its time."""
+        self._numbers += 1
+        request_id = f"r{self._numbers:07d}"
+        return soak_records.Exchange(
+            request_id=request_id,
+            node=node.name,
+            start=node.starts,
+            path=f"/read/{request_id}",
+            repeatable=True,
+            sent_at=time.monotonic(),
+            timeout=soak_records.ROUTE_TIMEOUT_SECONDS,
+        )
+
     def _draw_exchange(
         self, start: int, node: Node, caller: str
     ) -> soak_records.Exchange:
--- a/tests/users_platform/soak_records.py
+++ b/tests/users_platform/soak_records.py
@@ -20,6 +20,7 @@
     RESET = "connection reset"
     PARTIAL = "answer broken off"
     GIVEN_UP = "given up by the caller"
+    LEFT = "left by the caller soon after it was sent"
 
 
 # Endings that the node or its host brought about, with no whole answer.
@@ -34,7 +35,9 @@
     ``status`` is 0 if no whole answer came. ``asked_version`` is the
     configuration that first had its route, 0 for one there always was.
     ``whole_at`` is when its last byte was sent, 0 if it was not, and
-    ``reused`` tells that its connection had carried an earlier request.
+    ``reused`` tells that its connection had carried an earlier request, and
+    ``unread`` that the node stood still from before it was sent until its
+    caller had left.
     """
 
     request_id: str
@@ -52,6 +55,7 @@
     timeout: float = 1.5
     whole_at: float = 0.0
     reused: bool = False
+    unread: bool = False
     ending: Ending = Ending.OPEN
 
     @property
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -97,6 +97,16 @@
     assert any("RestoreStore" in item for item in outcome.faults)
 
 
+def test_promises_hold_while_callers_leave(tmp_path: pathlib.Path) -> None:
+    outcome = asyncio.run(
+        soak.run_soak(57000, tmp_path, 8.0, SHORT_NODES, profile="departures")
+    )
+    assert not outcome.problems, str(outcome)
+    assert any(item.status == 200 for item in outcome.exchanges)
+    left = soak_records.Ending.LEFT
+    assert any(item.ending is left for item in outcome.exchanges)
+
+
 @pytest.mark.parametrize("seed", START_SEEDS)
 def test_processes_outlive_troubles_at_their_start(
     seed: int, tmp_path: pathlib.Path
@@ -125,6 +135,19 @@
     assert _problems([SENT], [RUN], limits=[noticed]) == []
 
 
+def test_work_for_a_caller_that_left_is_found() -> None:
+    left = attrs.evolve(
+        SENT, repeatable=True, status=0, ending=soak_records.Ending.LEFT
+    )
+    late = attrs.evolve(RUN, at=left.ended_at + 1.0, body=b"")
+    assert _problems([left], [late])
+    assert _problems([left], [attrs.evolve(late, at=10.5)]) == []
+    paused = {"n0": [(10.0, 11.0)]}
+    assert _problems([left], [late], fault_windows=paused) == []
+    unread = attrs.evolve(left, unread=True)
+    assert _problems([unread], [late], fault_windows=paused)
+
+
 def test_a_kept_promise_is_no_problem() -> None:
     assert _problems([SENT], [RUN]) == []
 
