Streams: a large call on a slow link is not taken for late

Cause: the age of a call includes the time in which it was received. A large one on a slow link is older than 0.3 s for that alone, and its confirmation waits behind the next large call. Found while reading.

Change: what counts is the age without the time from its first to its last byte, which the reader of frames knows. One constant for what is late.

--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -19,6 +19,7 @@
 from balsamramp_node.inbound import deduplication_cache
 from balsamramp_node.inbound import idempotency_store
 from balsamramp_node.inbound import link_admission
+from balsamramp_node.inbound import message_age_estimator
 from balsamramp_node.inbound import response_cache
 from balsamramp_node.inbound import target_client
 from balsamramp_node.inbound import target_limiter
@@ -37,7 +38,7 @@
 REPEAT_GRACE = waiting_callers.REPEAT_GRACE
 # A late call that is cancelled so soon began for a caller that had left.
 CANCELLED_AT_ONCE = datetime.timedelta(milliseconds=100)
-LATE_CALL_AGE = datetime.timedelta(milliseconds=250)
+LATE_CALL_AGE = message_age_estimator.LATE_CALL_AGE
 DRAIN_CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
 SHED_STATUSES = frozenset([429, 503])
 STATUS_ERROR_MIN = 500
--- a/packages/node/src/balsamramp_node/inbound/message_age_estimator.py
+++ b/packages/node/src/balsamramp_node/inbound/message_age_estimator.py
@@ -6,8 +6,10 @@
 
 from balsamramp_wire import messages
 
-__all__ = ["MessageAgeEstimator"]
+__all__ = ["LATE_CALL_AGE", "MessageAgeEstimator"]
 
+# The caller of a call of this age may have left without this node knowing.
+LATE_CALL_AGE = datetime.timedelta(milliseconds=300)
 # Clocks that are being slewed drift apart by up to 0.5 ms per second. While
 # messages keep arriving, an offset from the previous window is at most two
 # windows old and thus wrong by at most 60 ms.
--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -40,8 +40,7 @@
 # to close its side, and for one that receives nothing.
 LINGER_TIMEOUT = datetime.timedelta(milliseconds=500)
 STALL_TIMEOUT = datetime.timedelta(seconds=1)
-# The caller of a call of this age may have left without this node knowing.
-LATE_CALL_AGE = datetime.timedelta(milliseconds=300)
+LATE_CALL_AGE = message_age_estimator.LATE_CALL_AGE
 # Turns of the event loop in which a connection with unread data is read
 # before a call of it goes on.
 READS_MAX = 16
@@ -317,13 +316,15 @@
         now = self._clock.monotonic()
         age = self._age_estimator.age(hello, request.sent_at, now)
         known = self._age_estimator.is_confirmed(hello)
-        if known and age < LATE_CALL_AGE:
+        # A large call that was received slowly did not lie anywhere.
+        late = age - connection.reader.transfer >= LATE_CALL_AGE
+        if known and not late:
             self._run_call(request, connection, age)
             return
         if hello.protocol < messages.PROTOCOL_WITH_CONFIRMATION:
             self._run_call(request, connection, age)
             return
-        if age >= LATE_CALL_AGE:
+        if late:
             self._metrics.count("late_starts_total", source="node")
             self._decisions.write(
                 "late_call",
--- a/packages/node/tests/test_late_streams.py
+++ b/packages/node/tests/test_late_streams.py
@@ -35,6 +35,7 @@
 CALLS = 21
 RUN_SECONDS = 0.1
 SETTLE_SECONDS = 0.6
+LARGE_BYTES = 500_000
 LATE = datetime.timedelta(seconds=2)
 SHORT = datetime.timedelta(milliseconds=250)
 LONG = datetime.timedelta(seconds=10)
@@ -265,6 +266,32 @@
     assert 2 <= _pings(sender) <= 3
 
 
+def test_large_call_on_a_slow_link_costs_no_round_trip() -> None:
+    """A ping waits behind the next large call on such a link."""
+
+    async def main() -> None:
+        node = _Node()
+        server = await node.start()
+        sender = await _connect(server)
+        reading = asyncio.create_task(sender.read())
+        sender.hello(datetime.timedelta())
+        sender.send(attrs.evolve(CALL, call_id="first", sent_at=_now()))
+        await asyncio.sleep(2 * RUN_SECONDS)
+        body = bytes(LARGE_BYTES)
+        frame = frames.encode(attrs.evolve(CALL, sent_at=_now(), body=body))
+        for start in range(0, len(frame), LARGE_BYTES // 5):
+            sender.writer.write(frame[start : start + LARGE_BYTES // 5])
+            await asyncio.sleep(RUN_SECONDS)
+        await asyncio.sleep(2 * RUN_SECONDS)
+        assert node.target.started == ["first", "c"]
+        assert _pings(sender) == 1
+        sender.writer.close()
+        await reading
+        await server.stop()
+
+    uvloop.run(main())
+
+
 @pytest.mark.parametrize("age", [datetime.timedelta(), LATE])
 def test_node_that_answers_no_pings_is_served(age: datetime.timedelta) -> None:
     before = messages.PROTOCOL_WITH_CONFIRMATION - 1
--- a/packages/wire/src/balsamramp_wire/frames.py
+++ b/packages/wire/src/balsamramp_wire/frames.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import datetime
 import struct
 import typing
 
@@ -107,6 +108,14 @@
         self._buffer = bytearray()
         self._start = 0
         self._parts: dict[int, bytearray] = {}
+        self._read_at = 0.0
+        self._began_at = 0.0
+        self._transfer = datetime.timedelta()
+
+    @property
+    def transfer(self) -> datetime.timedelta:
+        """Return the time from the first to the last byte of the message."""
+        return self._transfer
 
     async def read(self) -> typing.Any:
         """Return the next message.
@@ -151,6 +160,10 @@
         return bytes(self._parts.pop(part.number))
 
     def _take_payload(self, length: int) -> bytes:
+        seconds = self._read_at - self._began_at
+        self._transfer = datetime.timedelta(seconds=seconds)
+        # What follows in the buffer came with the last read.
+        self._began_at = self._read_at
         start = self._start + HEADER.size
         self._start = start + length
         with memoryview(self._buffer) as view:
@@ -164,4 +177,7 @@
         if not data:
             raise asyncio.IncompleteReadError(bytes(self._buffer), None)
         self._on_data()
+        self._read_at = asyncio.get_running_loop().time()
+        if not self._buffer:
+            self._began_at = self._read_at
         self._buffer += data
