A status that is not HTTP is a failure of whoever answered it

Seen by callers: a target that answered 600 or 999 had that passed on; one that answered 000 or 099 was taken for interim, so the caller waited for its timeout. A store or a collector of usage that did so was waited for too, and a write that was answered 600 counted as not done. Cause: the parser of responses takes any three digits, and all up to 199 counted as interim.

Change: 100 to 199 precede a response, 200 to 599 end it (RFC 9110, section 15). Anything else fails at once: a call may have run, its connection is not used again, it counts against the target, and the `sent` line names the status (target_answers_lost_total has the ending invalid_status). A health check with one is unhealthy, no longer unknown. The same for answers of other nodes, the HTTP client of the standalone node and its storage; a write to a store may have taken effect. The server for callers writes no such status whatever its handler returns.

--- a/packages/node/src/balsamramp_node/inbound/http_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/http_target_client.py
@@ -6,6 +6,7 @@
 from returns import result
 import yarl
 
+from balsamramp_core import http_status
 from balsamramp_core import local_errors
 from balsamramp_core import service_manager
 from balsamramp_core import verdict
@@ -28,6 +29,22 @@
 BODILESS_STATUSES = frozenset([204, 304])
 
 
+class _CheckedResponse(aiohttp.ClientResponse):
+    """Closes the connection of a response whose status is not HTTP.
+
+    One without a body is back in the pool before the status can be read.
+    """
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        protocol = connection.protocol
+        await super().start(connection)
+        if protocol is not None and not http_status.is_final(self.status):
+            protocol.close()
+        return self
+
+
 class HttpTargetClient(service_manager.Service, target_client.TargetClient):
     """Calls targets with an HTTP client session."""
 
@@ -48,6 +65,7 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=AUTOMATIC_HEADERS,
+            response_class=_CheckedResponse,
         )
         # aiohttp retries a request with an idempotent HTTP method when the
         # pooled connection was closed. Only the settings of the service
@@ -111,6 +129,11 @@
     ) -> target_client.TargetCallResult:
         chunks = []
         size_bytes = 0
+        if not http_status.is_final(response.status):
+            response.close()
+            return _truncated_result(
+                f"status that is not HTTP: {response.status:03}"
+            )
         if not _has_length(response):
             response.close()
             return _truncated_result(
--- a/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
+++ b/packages/node/src/balsamramp_node/inbound/pooled_target_client.py
@@ -164,11 +164,11 @@
                 )
         except (OSError, TimeoutError, http_connection.ResponseError) as error:
             logging.info(
-                "health check of target %s failed: %r; health is unknown",
+                "health check of target %s failed: %r",
                 target.target,
                 error,
             )
-            return targets.Health.UNKNOWN
+            return _health_of_failure(error)
         if response.status in STATUS_SUCCESS:
             self._return_to_pool(target.url, connection)
         else:
@@ -418,6 +418,16 @@
     return None
 
 
+def _health_of_failure(error: Exception) -> targets.Health:
+    """Return what a health check without a response tells."""
+    if (
+        isinstance(error, http_connection.ResponseError)
+        and error.failure is http_connection.ResponseFailure.INVALID_STATUS
+    ):
+        return targets.Health.UNHEALTHY
+    return targets.Health.UNKNOWN
+
+
 def _header_value(headers: messages.Headers, name: str) -> str | None:
     for header, value in headers:
         if header == name:
--- a/packages/node/src/balsamramp_node/outbound/peer_stream.py
+++ b/packages/node/src/balsamramp_node/outbound/peer_stream.py
@@ -10,6 +10,7 @@
 import attrs
 
 from balsamramp_core import clock
+from balsamramp_core import http_status
 from balsamramp_core import metrics
 from balsamramp_core import verdict
 from balsamramp_node.outbound import call_transport
@@ -247,6 +248,10 @@
             self._end_pending()
 
     def _handle_message(self, message: object) -> None:
+        if isinstance(
+            message, messages.CallAnswer
+        ) and not http_status.is_final(message.status):
+            message = _invalid_status_failure(message)
         if isinstance(message, messages.CallAnswer | messages.CallFailure):
             future = self._pending_calls.get(message.call_id)
             if future is not None and not future.done():
@@ -373,6 +378,20 @@
     writer.transport.abort()
 
 
+def _invalid_status_failure(
+    answer: messages.CallAnswer,
+) -> messages.CallFailure:
+    return messages.CallFailure(
+        call_id=answer.call_id,
+        failure=verdict.Failure(
+            verdict.Verdict.MAY_HAVE_RUN,
+            verdict.Reason.TRUNCATED,
+            f"status that is not HTTP: {answer.status:03}",
+        ),
+        load=answer.load,
+    )
+
+
 def _deadline_failure(request: messages.CallRequest) -> messages.CallFailure:
     return messages.CallFailure(
         call_id=request.call_id,
--- a/packages/node/src/balsamramp_node/process/caller_messages.py
+++ b/packages/node/src/balsamramp_node/process/caller_messages.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from balsamramp_core import http_status
+
 __all__ = [
     "EncodedResponse",
     "RawHeaders",
@@ -80,7 +82,14 @@
 def encode_response(
     response: RawResponse, omit_body: bool = False
 ) -> EncodedResponse:
-    """Encode ``response``, without the body for HEAD."""
+    """Encode ``response``, without the body for HEAD.
+
+    Raises ValueError if its status is not that of a final response.
+    """
+    if not http_status.is_final(response.status):
+        raise ValueError(
+            f"status of a response is {response.status}, expected 200 to 599"
+        )
     reason = STATUS_REASONS.get(response.status, b"")
     parts = [b"HTTP/1.1 %d %b\r\n" % (response.status, reason)]
     for name, value in response.headers:
--- a/packages/node/src/balsamramp_node/process/http_connection.py
+++ b/packages/node/src/balsamramp_node/process/http_connection.py
@@ -10,6 +10,7 @@
 import attrs
 import httptools
 
+from balsamramp_core import http_status
 from balsamramp_core import settings
 from balsamramp_node.process import body_budget
 from balsamramp_node.process import body_parts
@@ -25,7 +26,6 @@
 
 KEEP_ALIVE_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 BODILESS_STATUSES = frozenset([204, 304])
-STATUS_INFORMATIONAL_MAX = 199
 # Bytes received for one request that are not body: status lines, headers,
 # trailers and chunk extensions, also of informational and skipped responses.
 RESPONSE_HEAD_MAX_BYTES = 64 * 1024
@@ -42,13 +42,16 @@
     MALFORMED = "bytes that are no answer"
     TOO_LARGE = "answer over the limit"
     NO_ROOM = "no memory for the answer"
+    INVALID_STATUS = "status that is not HTTP"
 
 
 class ResponseError(Exception):
     """A request was sent, but no complete response was received."""
 
-    def __init__(self, ending: ResponseFailure) -> None:
-        super().__init__(ending.value)
+    def __init__(self, ending: ResponseFailure, detail: str = "") -> None:
+        super().__init__(
+            f"{ending.value}: {detail}" if detail else ending.value
+        )
         self.failure = ending
 
 
@@ -294,6 +297,12 @@
 
     def on_headers_complete(self) -> None:
         """Complete a response without a body (parser callback)."""
+        status = self._parser.get_status_code()
+        if not (
+            http_status.is_interim(status) or http_status.is_final(status)
+        ):
+            self._fail(ResponseFailure.INVALID_STATUS, f"{status:03}")
+            return
         self._partial.headers_complete = True
         if self._bodiless and not self._is_informational():
             self._reusable = False
@@ -320,7 +329,7 @@
         self._complete()
 
     def _is_informational(self) -> bool:
-        return self._parser.get_status_code() <= STATUS_INFORMATIONAL_MAX
+        return http_status.is_interim(self._parser.get_status_code())
 
     def _body_ends_at_eof(self) -> bool:
         """Return whether the body ends when the peer closes (RFC 9112)."""
@@ -388,8 +397,8 @@
         if not self._reusable:
             self._transport.close()
 
-    def _fail(self, ending: ResponseFailure) -> None:
+    def _fail(self, ending: ResponseFailure, detail: str = "") -> None:
         self._reusable = False
         if self._pending is not None and not self._pending.done():
-            self._pending.set_exception(ResponseError(ending))
+            self._pending.set_exception(ResponseError(ending, detail))
             self.abort()
--- a/packages/node/src/balsamramp_node/process/http_storage.py
+++ b/packages/node/src/balsamramp_node/process/http_storage.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from balsamramp_core import decoding
+from balsamramp_core import http_status
 from balsamramp_core import service_manager
 from balsamramp_core import storage
 
@@ -66,8 +67,10 @@
                     outcome_unknown, f"no response: {error!r}"
                 )
             )
+        text = f"status {response.status:03}"
+        if not http_status.is_final(response.status):
+            return result.Failure(storage.StorageError(outcome_unknown, text))
         if response.status >= 500:
-            text = f"status {response.status}"
             return result.Failure(storage.StorageError(unavailable, text))
         return result.Success((response.status, body))
 
