Inbound: callers of calls that ended are not kept

Cause: the cache of calls kept the connections of a call's callers until its entry expired, at least 10 s after its deadline, with their buffers. Found while reading.

Change: they are kept while the call runs, and an event is made only for a call that waits to be repeated.

Measured: test_closed_connection_is_not_kept_for_calls_that_ended fails without the change (the connection is still there) and passes with it.

--- a/packages/node/src/balsamramp_node/inbound/deduplication_cache.py
+++ b/packages/node/src/balsamramp_node/inbound/deduplication_cache.py
@@ -32,8 +32,8 @@
     ``waiter_count`` is the number of callers waiting for the reply,
     ``sent`` is set once the target may have received the call,
     ``idempotent`` if the call may run again, and ``drained`` if it is ended
-    because the node stops. ``callers`` are those that wait, and ``sent_at``
-    is when the target was sent a call that arrived ``late``.
+    because the node stops. ``callers`` are those that wait while it runs,
+    and ``sent_at`` is when the target was sent a call that arrived ``late``.
     """
 
     task: asyncio.Task[call_transport.Reply] | None = None
@@ -41,9 +41,7 @@
     sent: bool = False
     idempotent: bool = False
     drained: bool = False
-    callers: waiting_callers.WaitingCallers = attrs.field(
-        factory=waiting_callers.WaitingCallers
-    )
+    callers: waiting_callers.WaitingCallers | None = None
     sent_at: datetime.timedelta | None = None
     late: bool = False
 
@@ -97,7 +95,7 @@
         entry = self._entries.get(key)
         if entry is None:
             return
-        entry.task = None
+        entry.task = entry.callers = None
         self._responses.add(entry, reply)
 
     def expire_until(self, now: datetime.timedelta) -> None:
--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -196,7 +196,8 @@
                 return existing.reply
             assert existing.task is not None
             existing.waiter_count += 1
-            existing.callers.add(caller)
+            if existing.callers is not None:
+                existing.callers.add(caller)
             return existing.task
         time_left = request.timeout - age
         refusal = self._check_admission(request, time_left)
@@ -205,9 +206,9 @@
         entry = deduplication_cache.CachedCall(
             waiter_count=1,
             idempotent=request.idempotent,
+            callers=waiting_callers.WaitingCallers(caller),
             late=age >= LATE_CALL_AGE,
         )
-        entry.callers.add(caller)
         task = asyncio.create_task(self._run(request, time_left, entry))
         task.add_done_callback(functools.partial(self._on_task_done, key))
         entry.task = task
@@ -444,7 +445,8 @@
         time_left: datetime.timedelta,
         entry: deduplication_cache.CachedCall,
     ) -> call_transport.Reply:
-        caller_presence.set_current(entry.callers)
+        if entry.callers is not None:
+            caller_presence.set_current(entry.callers)
         self._running.add(entry)
         self._link.start(request)
         reply: call_transport.Reply | None = None
--- a/packages/node/src/balsamramp_node/inbound/waiting_callers.py
+++ b/packages/node/src/balsamramp_node/inbound/waiting_callers.py
@@ -19,19 +19,20 @@
     A sender that lost its connection may repeat the call on another.
     """
 
-    def __init__(self) -> None:
-        self._senders: list[caller_presence.CallerPresence | None] = []
-        self._added = asyncio.Event()
+    def __init__(self, sender: caller_presence.CallerPresence | None) -> None:
+        self._senders = [sender]
+        self._added: asyncio.Event | None = None
 
     def add(self, sender: caller_presence.CallerPresence | None) -> None:
         """Add a sender; None stands for one that never leaves."""
         self._senders.append(sender)
-        self._added.set()
+        if self._added is not None:
+            self._added.set()
 
     async def has_left(self) -> bool:
         """Return whether all have left and the call is not repeated."""
         while True:
-            self._added.clear()
+            self._added = asyncio.Event()
             for sender in reversed(self._senders):
                 if sender is None or not await sender.has_left():
                     return False
--- a/packages/node/tests/test_late_streams.py
+++ b/packages/node/tests/test_late_streams.py
@@ -8,8 +8,10 @@
 import asyncio
 from collections import abc
 import datetime
+import gc
 import time
 import typing
+import weakref
 
 import attrs
 import pytest
@@ -326,6 +328,27 @@
     uvloop.run(main())
 
 
+def test_closed_connection_is_not_kept_for_calls_that_ended() -> None:
+    async def main() -> None:
+        node = _Node()
+        server = await node.start()
+        sender = await _connect(server)
+        reading = asyncio.create_task(sender.read())
+        sender.hello(datetime.timedelta())
+        sender.calls(datetime.timedelta(), LONG)
+        await asyncio.sleep(CALLS / LIMIT * RUN_SECONDS + SETTLE_SECONDS)
+        assert len(node.target.started) == CALLS
+        (connection,) = (weakref.ref(item) for item in server._connections)
+        sender.writer.close()
+        await reading
+        await asyncio.sleep(SETTLE_SECONDS)
+        gc.collect()
+        assert connection() is None
+        await server.stop()
+
+    uvloop.run(main())
+
+
 def test_node_confirms_its_calls_to_another_that_does_not_know_it() -> None:
     async def main() -> None:
         node = _Node()
