Soak: an interrupted node need not know what a target stated

The users' page now says of a target that states that it leaves: a restart or a freeze of the machine since then excuses it; the machine is the one where the request began. The check asked it of every node at any time.

Change: a run is excused if the node at which its request began started or stood still after the statement. Nothing else is: statements that a node acknowledged to a heartbeat bind as before, and so do interruptions of other nodes, for which test_only_an_interruption_excuses_work_for_a_target_that_leaves has a case each.

--- a/tests/users_platform/soak_harness.py
+++ b/tests/users_platform/soak_harness.py
@@ -175,7 +175,12 @@
                 )
             node.write_settings(node.settings_text)
 
+    def _note_interruption(self) -> None:
+        interruptions = self._world.ledger.interruptions
+        interruptions.setdefault(self.name, []).append(time.monotonic())
+
     async def _start_process(self) -> None:
+        self._note_interruption()
         self.starts += 1
         self.started_at = time.monotonic()
         self._terminated_at = None
@@ -221,6 +226,7 @@
 
     def pause(self) -> None:
         """Have the process stand still."""
+        self._note_interruption()
         self.paused_since = time.monotonic()
         self._paused_until = float("inf")
         self._signal(signal.SIGSTOP)
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -135,6 +135,18 @@
     assert _problems([SENT], [RUN], limits=[noticed]) == []
 
 
+def test_only_an_interruption_excuses_work_for_a_target_that_leaves() -> None:
+    late = attrs.evolve(RUN, at=13.0)
+    mark = soak_checks.NoTrafficWindow("i-n0-0", 10.0, stated=True)
+    assert _problems([SENT], [late], drained=[mark])
+    elsewhere = {"n1": [11.0], "n0": [9.0, 14.0]}
+    assert _problems([SENT], [late], drained=[mark], interruptions=elsewhere)
+    own = {"n0": [11.0]}
+    assert _problems([SENT], [late], drained=[mark], interruptions=own) == []
+    acknowledged = attrs.evolve(mark, stated=False)
+    assert _problems([SENT], [late], drained=[acknowledged], interruptions=own)
+
+
 def test_work_for_a_caller_that_left_is_found() -> None:
     left = attrs.evolve(
         SENT, repeatable=True, status=0, ending=soak_records.Ending.LEFT
