--- a/packages/node/tests/test_late_streams.py
+++ b/packages/node/tests/test_late_streams.py
@@ -9,6 +9,7 @@
 from collections import abc
 import datetime
 import gc
+import ssl
 import time
 import typing
 import weakref
@@ -16,6 +17,7 @@
 import attrs
 import pytest
 from returns import result
+import trustme
 import uvloop
 
 from balsamramp_core import clock
@@ -85,7 +87,9 @@
     target: _Target = attrs.field(factory=_Target)
     counters: metrics.Metrics = attrs.field(factory=metrics.Metrics)
 
-    async def start(self) -> stream_server.StreamServer:
+    async def start(
+        self, security: ssl.SSLContext | None = None
+    ) -> stream_server.StreamServer:
         """Return the started server for other nodes."""
         now = clock.SystemClock()
         local_targets = targets.LocalTargets(
@@ -110,7 +114,12 @@
             typing.cast(typing.Any, None),
         )
         server = stream_server.StreamServer(
-            messages.Hello("called", 1), LOOPBACK, calls, now, self.counters
+            messages.Hello("called", 1),
+            LOOPBACK,
+            calls,
+            now,
+            self.counters,
+            security,
         )
         await server.start()
         return server
@@ -135,7 +144,10 @@
         self.send(hello)
 
     def calls(
-        self, age: datetime.timedelta, timeout: datetime.timedelta
+        self,
+        age: datetime.timedelta,
+        timeout: datetime.timedelta,
+        idempotent: bool = True,
     ) -> None:
         """Send calls that were written ``age`` ago."""
         for number in range(CALLS):
@@ -144,6 +156,7 @@
                 call_id=f"c{number}",
                 sent_at=_now() - age,
                 timeout=timeout,
+                idempotent=idempotent,
             )
             self.send(call)
 
@@ -188,30 +201,47 @@
 
 
 async def _connect(
-    server: stream_server.StreamServer, protocol: int = messages.PROTOCOL
+    server: stream_server.StreamServer,
+    protocol: int = messages.PROTOCOL,
+    security: ssl.SSLContext | None = None,
 ) -> _Sender:
     reader, writer = await asyncio.open_connection(
-        server.address.host, server.address.port
+        server.address.host, server.address.port, ssl=security
     )
     return _Sender(reader, writer, protocol)
 
 
+def _make_contexts() -> tuple[ssl.SSLContext, ssl.SSLContext]:
+    """Return the contexts of a server and of a client that trusts it."""
+    authority = trustme.CA()
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    authority.issue_cert("127.0.0.1").configure_cert(server)
+    client = ssl.create_default_context()
+    authority.configure_trust(client)
+    return server, client
+
+
 async def _run_late_calls(
-    leave: Leave, known: bool, timeout: datetime.timedelta
+    leave: Leave,
+    known: bool,
+    timeout: datetime.timedelta,
+    idempotent: bool = True,
+    tls: bool = False,
 ) -> list[str]:
     """Return the calls that ran though their callers had left."""
     node = _Node()
-    server = await node.start()
+    contexts = _make_contexts() if tls else (None, None)
+    server = await node.start(contexts[0])
     if known:
-        before = await _connect(server)
+        before = await _connect(server, security=contexts[1])
         before.hello(datetime.timedelta())
         reading = asyncio.create_task(before.read())
         await asyncio.sleep(0.05)
         before.writer.close()
         await reading
-    sender = await _connect(server)
+    sender = await _connect(server, security=contexts[1])
     sender.hello(LATE)
-    sender.calls(LATE, timeout)
+    sender.calls(LATE, timeout, idempotent)
     await asyncio.sleep(0.01)
     leave(sender)
     # What the sender wrote before it reads is on its way.
@@ -232,6 +262,16 @@
     assert uvloop.run(_run_late_calls(leave, known, timeout)) == []
 
 
+@each_leave
+@pytest.mark.parametrize("known", [False, True])
+@pytest.mark.parametrize("tls", [False, True])
+def test_late_unsafe_call_is_not_started_for_a_caller_that_left(
+    leave: Leave, known: bool, tls: bool
+) -> None:
+    ran = uvloop.run(_run_late_calls(leave, known, LONG, False, tls))
+    assert ran == []
+
+
 async def _serve(
     age: datetime.timedelta, protocol: int
 ) -> tuple[_Node, _Sender]:
