--- a/tests/users_platform/test_departed_callers.py
+++ b/tests/users_platform/test_departed_callers.py
@@ -53,7 +53,7 @@
 ) -> None:
     """Without ``known`` the two processes exchange their first calls then."""
 
-    async def main() -> tuple[list[str], bool]:
+    async def main() -> tuple[list[str], bool, str]:
         async with sidecar_fleet.SidecarFleet(tmp_path) as fleet:
             configuration = sidecar_fleet.configuration(3)
             configuration["routes"]["read"]["timeoutMs"] = 10_000
@@ -80,8 +80,11 @@
                 process.send_signal(signal.SIGCONT)
             await asyncio.sleep(SETTLE_SECONDS)
             runs = [run for run in beside.target.runs if run != "before"]
-            return runs, await _is_served(entry)
+            return runs, await _is_served(entry), entry.log()
 
-    runs, served = asyncio.run(main())
+    runs, served, log = asyncio.run(main())
     assert runs == []
     assert served
+    # The log tells whether the closes had lain behind the requests.
+    seen = log.count('"seen":"behind-data"')
+    assert seen == (CALLERS if stopped == "entry" else 0)
