--- a/packages/node/src/balsamramp_node/inbound/inbound_handler.py
+++ b/packages/node/src/balsamramp_node/inbound/inbound_handler.py
@@ -497,8 +497,9 @@
             return self._refuse_uncached(request, failure)
         assert target is not None
         entry.sent = True
-        entry.sent_at = self._clock.monotonic()
-        return await self._call_target(request, target, limiter, deadline)
+        return await self._call_target(
+            request, target, limiter, deadline, entry
+        )
 
     async def _call_target(
         self,
@@ -506,8 +507,9 @@
         target: targets.LocalTarget,
         limiter: target_limiter.TargetLimiter,
         deadline: datetime.timedelta,
+        entry: deduplication_cache.CachedCall,
     ) -> call_transport.Reply:
-        started = self._clock.monotonic()
+        started = entry.sent_at = self._clock.monotonic()
         outcome = concurrency_limit.CallOutcome.CANCELLED
         call_result: target_client.TargetCallResult | None = None
         try:
--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -64,12 +64,17 @@
     calls: dict[asyncio.Task[typing.Any], messages.CallRequest | None] = (
         attrs.field(factory=dict)
     )
+    _probe: socket_queue.SocketProbe = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._probe = socket_queue.SocketProbe(self.writer.transport)
+
+    def may_have_left(self) -> bool:
+        return self.ended.is_set() or self._probe.has_unread_data()
 
     async def has_left(self) -> bool:
         for _ in range(READS_MAX):
-            if self.ended.is_set():
-                break
-            if not socket_queue.has_unread_data(self.writer.transport):
+            if not self.may_have_left() or self.ended.is_set():
                 break
             await caller_presence.read_sockets()
         return self.ended.is_set()
@@ -317,12 +322,15 @@
         age = self._age_estimator.age(hello, request.sent_at, now)
         known = self._age_estimator.is_confirmed(hello)
         # A large call that was received slowly did not lie anywhere.
-        late = age - connection.reader.transfer >= LATE_CALL_AGE
+        late = (
+            age >= LATE_CALL_AGE
+            and age - connection.reader.transfer >= LATE_CALL_AGE
+        )
         if known and not late:
-            self._run_call(request, connection, age)
+            self._run_call(request, connection, now - age, age)
             return
         if hello.protocol < messages.PROTOCOL_WITH_CONFIRMATION:
-            self._run_call(request, connection, age)
+            self._run_call(request, connection, now - age, age)
             return
         if late:
             self._metrics.count("late_starts_total", source="node")
@@ -355,7 +363,8 @@
             async with asyncio.timeout(request.timeout.total_seconds()):
                 confirmed = await connection.confirmation.confirm()
         except TimeoutError:
-            self._run_call(request, connection, request.timeout)
+            sent_at = self._clock.monotonic() - request.timeout
+            self._run_call(request, connection, sent_at, request.timeout)
             return
         if not confirmed:
             self._metrics.count("unconfirmed_calls_total")
@@ -371,16 +380,17 @@
         age = self._age_estimator.age(
             connection.hello, request.sent_at, arrived_at
         )
-        waited = self._clock.monotonic() - arrived_at
-        self._run_call(request, connection, age + waited)
+        sent_at = arrived_at - age
+        age = self._clock.monotonic() - sent_at
+        self._run_call(request, connection, sent_at, age)
 
     def _run_call(
         self,
         request: messages.CallRequest,
         connection: _Connection,
+        sent_at: datetime.timedelta,
         age: datetime.timedelta,
     ) -> None:
-        sent_at = self._clock.monotonic() - age
         reply_or_task = self._inbound_handler.start_call(
             request, age, connection
         )
--- a/packages/node/src/balsamramp_node/inbound/waiting_callers.py
+++ b/packages/node/src/balsamramp_node/inbound/waiting_callers.py
@@ -29,6 +29,13 @@
         if self._added is not None:
             self._added.set()
 
+    def may_have_left(self) -> bool:
+        """Return whether none is known to wait."""
+        for sender in self._senders:
+            if sender is None or not sender.may_have_left():
+                return False
+        return True
+
     async def has_left(self) -> bool:
         """Return whether all have left and the call is not repeated."""
         while True:
--- a/packages/node/src/balsamramp_node/outbound/cancellation.py
+++ b/packages/node/src/balsamramp_node/outbound/cancellation.py
@@ -68,6 +68,9 @@
         self._response_started = True
         await self._send(event)
 
+    def may_have_left(self) -> bool:
+        return True
+
     async def has_left(self) -> bool:
         for _ in range(DISCONNECT_TURNS):
             if self.disconnected:
--- a/packages/node/src/balsamramp_node/process/caller_connection.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection.py
@@ -57,6 +57,9 @@
     def __init__(self, leave_if_closed: abc.Callable[[], bool]) -> None:
         self._leave_if_closed = leave_if_closed
 
+    def may_have_left(self) -> bool:
+        return self._leave_if_closed()
+
     async def has_left(self) -> bool:
         return self._leave_if_closed()
 
@@ -103,6 +106,7 @@
             handler, self._departed, log
         )
         self._presence = _ConnectedCaller(self._leave_if_closed)
+        self._probe: socket_queue.SocketProbe | None = None
         self._close_timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
         self._reader = request_reader.RequestReader(
@@ -271,9 +275,11 @@
         """Cancel the requests if the close of the caller has arrived."""
         if self._departed.is_set():
             return True
-        if self._transport is None or not socket_queue.has_peer_closed(
-            self._transport
-        ):
+        if self._transport is None:
+            return False
+        if self._probe is None:
+            self._probe = socket_queue.SocketProbe(self._transport)
+        if not self._probe.has_peer_closed():
             return False
         self._leave(caller_connection_log.CloseSeen.BEHIND_DATA)
         return True
@@ -431,9 +437,7 @@
         received = item.received
         if self._log is not None:
             waited = self._loop.time() - received.received_at
-            self._log.record_start(
-                received.request.headers, datetime.timedelta(seconds=waited)
-            )
+            self._log.record_start(received.request.headers, waited)
         response = await self._runner.run(received.request)
         if self._departed.is_set():
             return
--- a/packages/node/src/balsamramp_node/process/caller_connection_log.py
+++ b/packages/node/src/balsamramp_node/process/caller_connection_log.py
@@ -17,11 +17,11 @@
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 # From this delay on, a caller may have given up a request before it starts.
-LATE_START = datetime.timedelta(milliseconds=250)
+LATE_START_SECONDS = 0.25
 
 
-def _no_delay() -> datetime.timedelta:
-    return datetime.timedelta()
+def _no_delay() -> float:
+    return 0.0
 
 
 class CloseSeen(enum.Enum):
@@ -55,8 +55,8 @@
     """Records how the connections of callers end.
 
     ``request_id_header`` is the name of the header with the caller's
-    identifier of a request, in lower case. ``loop_delay`` returns how long
-    data may have waited in the sockets.
+    identifier of a request, in lower case. ``loop_delay`` returns how many
+    seconds data may have waited in the sockets.
     """
 
     def __init__(
@@ -64,7 +64,7 @@
         counters: metrics.Metrics,
         decisions: decision_log.DecisionLog,
         request_id_header: str,
-        loop_delay: abc.Callable[[], datetime.timedelta] = _no_delay,
+        loop_delay: abc.Callable[[], float] = _no_delay,
     ) -> None:
         self._loop_delay = loop_delay
         self._metrics = counters
@@ -81,21 +81,21 @@
     def record_start(
         self,
         headers: list[tuple[bytes, bytes]],
-        waited: datetime.timedelta,
+        waited_seconds: float,
     ) -> None:
         """Record a request that starts long after it may have arrived.
 
-        ``waited`` is the time since it was read.
+        ``waited_seconds`` is the time since it was read.
         """
         loop_delay = self._loop_delay()
-        if max(loop_delay, waited) < LATE_START:
+        if max(loop_delay, waited_seconds) < LATE_START_SECONDS:
             return
         self._metrics.count("late_starts_total", source="caller")
         self._decisions.write(
             "late_start",
             request_id=self.request_id(headers).decode("latin-1"),
-            loop_delay_ms=round(loop_delay / MILLISECOND, 1),
-            waited_ms=round(waited / MILLISECOND, 1),
+            loop_delay_ms=round(loop_delay * 1000, 1),
+            waited_ms=round(waited_seconds * 1000, 1),
         )
 
     def record_departed(self, seen: CloseSeen, requests: int) -> None:
@@ -105,7 +105,7 @@
             "caller_departed",
             seen=seen.value,
             requests=requests,
-            loop_delay_ms=round(self._loop_delay() / MILLISECOND, 1),
+            loop_delay_ms=round(self._loop_delay() * 1000, 1),
         )
 
     def record_unanswered(
--- a/packages/node/src/balsamramp_node/process/caller_presence.py
+++ b/packages/node/src/balsamramp_node/process/caller_presence.py
@@ -24,6 +24,10 @@
 class CallerPresence(abc.ABC):
     """The connection over which the caller of a request is reached."""
 
+    @abc.abstractmethod
+    def may_have_left(self) -> bool:
+        """Return whether something tells, or may tell, that it has left."""
+
     @abc.abstractmethod
     async def has_left(self) -> bool:
         """Return whether the caller left, by all that has arrived from it.
@@ -50,7 +54,9 @@
 async def confirm() -> None:
     """Raise CancelledError if the caller of the current request has left."""
     presence = _current.get()
-    if presence is not None and await presence.has_left():
+    if presence is None or not presence.may_have_left():
+        return
+    if await presence.has_left():
         raise asyncio.CancelledError("the caller has left")
 
 
--- a/packages/node/src/balsamramp_node/process/event_loop_monitor.py
+++ b/packages/node/src/balsamramp_node/process/event_loop_monitor.py
@@ -33,19 +33,18 @@
         self._metrics = counters
         self._decisions = decisions
         self._task: asyncio.Task[None] | None = None
-        self._due_at: datetime.timedelta | None = None
-        self._last_delay = NO_DELAY
+        self._due_at = float("inf")
+        self._last_delay_seconds = 0.0
 
     @property
-    def delay(self) -> datetime.timedelta:
+    def delay_seconds(self) -> float:
         """Return how long data may have waited in the sockets.
 
         That is the delay of the timer that is due, or of the last one, which
-        ran within the check interval.
+        ran within the check interval. It is asked for with each request.
         """
-        if self._due_at is None:
-            return NO_DELAY
-        return max(self._clock.monotonic() - self._due_at, self._last_delay)
+        overdue = asyncio.get_running_loop().time() - self._due_at
+        return max(overdue, self._last_delay_seconds)
 
     async def start(self) -> None:
         self._task = background_task.start(
@@ -59,10 +58,15 @@
 
     async def _run(self) -> None:
         while True:
-            self._due_at = self._clock.monotonic() + CHECK_INTERVAL
+            started = self._clock.monotonic()
+            self._due_at = (
+                asyncio.get_running_loop().time()
+                + CHECK_INTERVAL.total_seconds()
+            )
             await self._clock.sleep(CHECK_INTERVAL)
-            delay = max(self._clock.monotonic() - self._due_at, NO_DELAY)
-            self._last_delay = delay
+            delay = self._clock.monotonic() - started - CHECK_INTERVAL
+            delay = max(delay, NO_DELAY)
+            self._last_delay_seconds = delay.total_seconds()
             self._metrics.observe(
                 "event_loop_delay_seconds", delay.total_seconds()
             )
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -403,7 +403,7 @@
                 self._metrics,
                 self._decisions,
                 adapter.dialect.request_id,
-                lambda: self._loop_monitor.delay,
+                lambda: self._loop_monitor.delay_seconds,
             ),
             budget=self._budget,
             limit=connection_limit.ConnectionLimit(
--- a/packages/node/src/balsamramp_node/process/socket_queue.py
+++ b/packages/node/src/balsamramp_node/process/socket_queue.py
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-__all__ = ["has_peer_closed", "has_unread_data", "unacknowledged_bytes"]
+__all__ = ["SocketProbe", "has_unread_data", "unacknowledged_bytes"]
 
 # POLLHUP and POLLERR are reported in any case.
 PEER_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -39,30 +39,43 @@
     return size[0]
 
 
-def has_peer_closed(transport: asyncio.BaseTransport) -> bool:
-    """Return whether the peer has closed its side or reset the connection.
+class SocketProbe:
+    """Asks for the state of one socket again and again.
 
-    The close may lie behind data that is not read yet, and is seen also
-    while reading is paused.
+    A transport without a socket has no data and no close.
     """
-    return bool(_poll(transport, select.POLLRDHUP) & PEER_CLOSED)
 
+    def __init__(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._poll = select.poll()
+        sock = transport.get_extra_info("socket")
+        if sock is not None and not transport.is_closing():
+            self._poll.register(sock, select.POLLIN | select.POLLRDHUP)
 
-def has_unread_data(transport: asyncio.BaseTransport) -> bool:
-    """Return whether data, or the peer's close, waits in the socket.
+    def has_peer_closed(self) -> bool:
+        """Return whether the peer has closed its side, or reset it.
 
-    The event loop may not have read it yet when it runs late.
-    """
-    return bool(_poll(transport, select.POLLIN))
+        The close may lie behind data that is not read yet, and is seen also
+        while reading is paused.
+        """
+        return bool(self._events() & PEER_CLOSED)
 
+    def has_unread_data(self) -> bool:
+        """Return whether data, or the peer's close, waits in the socket.
 
-def _poll(transport: asyncio.BaseTransport, events: int) -> int:
-    """Return which of ``events`` have occurred; none without a socket."""
-    sock = transport.get_extra_info("socket")
-    if sock is None or transport.is_closing():
+        The event loop may not have read it yet when it runs late.
+        """
+        return self._events() != 0
+
+    def _events(self) -> int:
+        # The number of a closed socket may be another one's by now.
+        if self._transport.is_closing():
+            return 0
+        for _, events in self._poll.poll(0):
+            return events
         return 0
-    poll = select.poll()
-    poll.register(sock, events)
-    for _, occurred in poll.poll(0):
-        return occurred
-    return 0
+
+
+def has_unread_data(transport: asyncio.BaseTransport) -> bool:
+    """Return whether data, or the peer's close, waits in the socket."""
+    return SocketProbe(transport).has_unread_data()
--- a/packages/wire/src/balsamramp_wire/frames.py
+++ b/packages/wire/src/balsamramp_wire/frames.py
@@ -110,12 +110,12 @@
         self._parts: dict[int, bytearray] = {}
         self._read_at = 0.0
         self._began_at = 0.0
-        self._transfer = datetime.timedelta()
+        self._transfer_seconds = 0.0
 
     @property
     def transfer(self) -> datetime.timedelta:
         """Return the time from the first to the last byte of the message."""
-        return self._transfer
+        return datetime.timedelta(seconds=self._transfer_seconds)
 
     async def read(self) -> typing.Any:
         """Return the next message.
@@ -160,8 +160,7 @@
         return bytes(self._parts.pop(part.number))
 
     def _take_payload(self, length: int) -> bytes:
-        seconds = self._read_at - self._began_at
-        self._transfer = datetime.timedelta(seconds=seconds)
+        self._transfer_seconds = self._read_at - self._began_at
         # What follows in the buffer came with the last read.
         self._began_at = self._read_at
         start = self._start + HEADER.size
