Streams: nothing is written to a connection that was just lost

Callers saw 502 for calls that had left or had never been sent: a call that is cancelled after its connection was reset wrote its cancellation to the closed transport, uvloop raised RuntimeError, and that replaced the CancelledError ("request handler failed; responding with 502"). The transport closes before its end has been read, so a stream also counted as usable meanwhile: a call or control request was written to it, or waited there for its deadline. The hello of either side met the same on a connection that was closed at once.

A stream is lost from the close of its transport on: it takes no calls, and nothing is written to it. A new connection that is closed at once is a failed connect. Other writes to transports were read through: replies check for it, callers' connections drop their transport when it closes.

--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -217,7 +217,8 @@
         )
         self._connections.add(connection)
         self._metrics.count("stream_connections_total")
-        writer.write(frames.encode(self._hello))
+        if not writer.is_closing():
+            writer.write(frames.encode(self._hello))
         try:
             await self._receive_hello(connection)
             while True:
--- a/packages/node/src/balsamramp_node/outbound/peer_stream.py
+++ b/packages/node/src/balsamramp_node/outbound/peer_stream.py
@@ -113,7 +113,12 @@
     @property
     def usable(self) -> bool:
         """Return whether the connection accepts further calls."""
-        return not (self._closed or self._unresponsive or self.suspect)
+        return not (self._is_lost or self._unresponsive or self.suspect)
+
+    @property
+    def _is_lost(self) -> bool:
+        # The transport closes before its end has been read.
+        return self._closed or self._writer.is_closing()
 
     @property
     def unsent_bytes(self) -> int:
@@ -129,10 +134,12 @@
         before the reply.
         """
         frame = frames.encode(request)
+        if self._is_lost:
+            return None
         loop = asyncio.get_running_loop()
         future: _ReplyFuture = loop.create_future()
         self._pending_calls[request.call_id] = future
-        self._write_frame(request, frame)
+        self._write_frame(type(request), frame)
         self._start_keepalive()
         wait = request.timeout + REPLY_GRACE
         timer = loop.call_later(
@@ -162,8 +169,10 @@
         loop = asyncio.get_running_loop()
         future: asyncio.Future[messages.ControlAnswer | None]
         future = loop.create_future()
-        call = messages.ControlCall(number, method, body)
-        self._write(call)
+        frame = frames.encode(messages.ControlCall(number, method, body))
+        if self._is_lost:
+            return None
+        self._write_frame(messages.ControlCall, frame)
         self._pending_control[number] = future
         self._start_keepalive()
         try:
@@ -180,9 +189,8 @@
 
     def probe(self) -> None:
         """Send a ping, so that a connection whose peer is gone is reset."""
-        if not self._closed:
-            self._ping_number += 1
-            self._write(messages.Ping(self._ping_number))
+        self._ping_number += 1
+        self._write(messages.Ping(self._ping_number))
 
     def abandon_late_call(self, request: messages.CallRequest) -> None:
         """Cancel a call that waits for a late reply, if there is one.
@@ -216,22 +224,21 @@
         future.set_result(_deadline_failure(request))
 
     def _write(self, message: object) -> None:
-        self._write_frame(message, frames.encode(message))
+        """Write a message unless the connection is lost."""
+        if not self._is_lost:
+            self._write_frame(type(message), frames.encode(message))
 
-    def _write_frame(self, message: object, frame: bytes) -> None:
+    def _write_frame(self, message_type: type, frame: bytes) -> None:
         self._metrics.count(
             "stream_sent_bytes_total",
             len(frame),
-            message=type(message).__name__,
+            message=message_type.__name__,
         )
         self._written_bytes += len(frame)
         self._writer.write(frame)
 
     def _send_cancel(self, request: messages.CallRequest) -> None:
-        if self._closed:
-            return
-        cancel = messages.CallCancel(request.call_id, request.target)
-        self._write(cancel)
+        self._write(messages.CallCancel(request.call_id, request.target))
 
     async def _read_messages(self) -> None:
         try:
@@ -265,8 +272,6 @@
                 pending.set_result(message)
             return
         if isinstance(message, messages.Ping):
-            if self._writer.is_closing():
-                return
             now = self._clock.monotonic()
             self._write(messages.Pong(message.number, now))
 
--- a/packages/node/src/balsamramp_node/outbound/stream_client.py
+++ b/packages/node/src/balsamramp_node/outbound/stream_client.py
@@ -306,6 +306,8 @@
         timeout = CONNECT_TIMEOUT_FACTOR * self._keepalive.connect_timeout
         async with asyncio.timeout(timeout.total_seconds()):
             reader, writer = await self._connect(peer)
+        if writer.is_closing():
+            raise ConnectionResetError(f"{peer} closed a new connection")
         sent_at = self._clock.monotonic()
         hello = attrs.evolve(self._hello, sent_at=sent_at)
         writer.write(frames.encode(hello))
