Zone feed: what a node is told counts from when it was true

Callers got 404 for routes that had been added over 2.5 s before. A node took its configuration for the present one when a read or a message of its zone's reader arrived, however old what it told was; messages of an earlier version confirmed the one in force as well; and the wait for the next confirmation ended with whichever came. A slow reader kept the others from reading.

Each response of the store states the store's clock. RemoteClock bounds its offset from the round trips that there are anyway; the reader's message has the time of its read, and each node computes an upper bound of its age. Confirmations, the silence after which others read, and the age in gossip count from there. A message of an earlier state confirms nothing. The reader polls so that its reads are true 0.7 s apart, also after a change (1.1 s before). A node that a peer has told of a later, different version refuses nothing, and reads the store after 0.5 s, once for each such version.

So that the next record decides: lines "unresolved" have the version, who vouched for it, the bound of its age and the version that a peer had; lines "configuration" have the age of the read; configuration_age_seconds can be alarmed on.

--- a/packages/core/src/balsamramp_core/intents.py
+++ b/packages/core/src/balsamramp_core/intents.py
@@ -7,6 +7,7 @@
 import attrs
 from returns import result
 
+from balsamramp_core import remote_clock
 from balsamramp_core import resource
 from balsamramp_core import storage
 
@@ -59,6 +60,19 @@
 class IntentSource(abc.ABC):
     """Reads complete sets of intents from a store with revisions."""
 
+    @property
+    @abc.abstractmethod
+    def clock(self) -> remote_clock.RemoteClock:
+        """Return the clock of the store, which all nodes have in common."""
+
+    @property
+    @abc.abstractmethod
+    def read_at(self) -> datetime.timedelta | None:
+        """Return when what ``next`` returned last was true, by ``clock``.
+
+        None if the store does not state its time.
+        """
+
     @property
     def rejection(self) -> Rejection | None:
         """Return why the newest configuration is not in use, or None."""
--- a/packages/core/src/balsamramp_core/metrics.py
+++ b/packages/core/src/balsamramp_core/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of one process, exported in the Prometheus text format."""
 
+from collections import abc
 import math
 import typing
 
@@ -33,6 +34,7 @@
         self._counters: dict[str, collectors.Counter] = {}
         self._pending_counts: dict[_CounterKey, int] = {}
         self._gauges: dict[str, collectors.Gauge] = {}
+        self._measured: dict[str, abc.Callable[[], float]] = {}
         self._histograms: dict[str, collectors.Histogram] = {}
         self._series: dict[_CounterKey, histogram.Histogram] = {}
 
@@ -54,6 +56,10 @@
             self._gauges[name] = gauge
         gauge.set(labels, value)
 
+    def measure(self, name: str, read: abc.Callable[[], float]) -> None:
+        """Set the gauge ``name`` to what ``read`` returns at each export."""
+        self._measured[name] = read
+
     def observe(self, name: str, value: float, **labels: str) -> None:
         """Add ``value``, in seconds, to the histogram ``name``."""
         key = (name, *labels.items())
@@ -103,7 +109,9 @@
         return content, dict(headers)
 
     def _collect(self) -> None:
-        """Add the pending counts to the counters of the library."""
+        """Pass pending counts and measured gauges on to the library."""
+        for name, read in self._measured.items():
+            self.set(name, read())
         for (name, *labels), by in self._pending_counts.items():
             counter = self._counters.get(name)
             if counter is None:
--- a/packages/node/src/balsamramp_node/configuration/configuration_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/configuration_reader.py
@@ -18,3 +18,6 @@
 
         Called when a peer has the same version with another digest.
         """
+
+    def record_later_version(self, version: int) -> None:
+        """Record that a peer has a version that this node lacks."""
--- a/packages/node/src/balsamramp_node/configuration/distribution.py
+++ b/packages/node/src/balsamramp_node/configuration/distribution.py
@@ -145,6 +145,7 @@
             # the external store that does not concern the configuration.
             self._store.adopt_version(state.version)
             return
+        self._reader.record_later_version(state.version)
         if self._has_been_behind(own.version):
             self._start_fetch(peer, zone)
 
--- a/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
@@ -96,6 +96,9 @@
     async def resolve_divergence(self) -> None:
         """Do nothing: the external store alone defines each revision."""
 
+    def record_later_version(self, version: int) -> None:
+        self._feed.record_later_version(version)
+
     def dump(self) -> abc.Mapping[str, typing.Any]:
         rejection = self._rejection
         return {
@@ -135,7 +138,7 @@
                 await self._apply_intents(merged)
                 if self._store.current.version == merged.revision:
                     self._restored.record_number(merged.number)
-            self._feed.record_read()
+            self._feed.record_read(self._source.read_at)
             if latest is not None:
                 await self._clock.sleep(COALESCE_INTERVAL)
 
@@ -147,7 +150,7 @@
         self._metrics.count("source_reads_total", ok=str(reachable).lower())
         if reachable:
             self._read_at = self._clock.now()
-            self._age.update_read_age(datetime.timedelta())
+            self._record_read_age()
         if reachable is self._reachable:
             return
         self._reachable = reachable
@@ -157,6 +160,16 @@
         event = "dependency_regained" if reachable else "dependency_lost"
         self._decisions.write(event, dependency="intents", cause=text)
 
+    def _record_read_age(self) -> None:
+        age = self._last_read_age()
+        if age is not None:
+            self._age.update_read_age(age)
+
+    def _last_read_age(self) -> datetime.timedelta | None:
+        """Return how long ago the last read was true, None if unknown."""
+        read_at = self._source.read_at
+        return None if read_at is None else self._source.clock.age(read_at)
+
     def _record_rejection(self, rejection: intents.Rejection | None) -> None:
         if rejection == self._rejection:
             return
@@ -195,6 +208,7 @@
                 previous=current.version,
                 changed=changed_count,
                 source="store",
+                read_age_ms=decision_log.milliseconds(self._last_read_age()),
             )
         self._readiness.record_platform_read()
 
--- a/packages/node/src/balsamramp_node/configuration/zone_feed.py
+++ b/packages/node/src/balsamramp_node/configuration/zone_feed.py
@@ -2,8 +2,10 @@
 
 Reading the store costs each node a copy of the whole configuration, which
 takes a narrow link longer than changes come apart. So one node of the zone
-reads, and tells the others after each read what is in force and what has
-changed. A node that is not told in time reads by itself.
+reads, and tells the others after each read what is in force, what has
+changed, and when that was true by the store's clock. A node that is not told
+in time reads by itself. What arrives late does not count for longer than what
+arrives at once.
 """
 
 import asyncio
@@ -19,7 +21,9 @@
 from balsamramp_core import clock
 from balsamramp_core import configuration_codec
 from balsamramp_core import metrics
+from balsamramp_core import remote_clock
 from balsamramp_core import service_manager
+from balsamramp_node.configuration import confirmation
 from balsamramp_node.configuration import distribution
 from balsamramp_node.configuration import read_age
 from balsamramp_node.configuration import restored_intents
@@ -32,13 +36,14 @@
 
 __all__ = ["ZoneFeed"]
 
-# Long-poll time of the reader, and so the interval of its messages while
-# nothing changes.
+# Interval of the reader's messages while nothing changes: its long-poll time,
+# less what has passed since its last read was true.
 READER_POLL_TIME = datetime.timedelta(milliseconds=700)
+READER_POLL_MIN = datetime.timedelta(milliseconds=100)
 # Long-poll time of a node that is not told. A poll that begins while the
 # store is away is never answered, so it must not last long.
 OWN_POLL_TIME = datetime.timedelta(seconds=1)
-# When it has not been told for this long, the next in rank reads and tells the
+# When what it was told last is this old, the next in rank reads and tells the
 # others. A few more follow one by one, then all others read by themselves,
 # which leaves time for a read before a change has to be in force.
 SILENCE_MAX = datetime.timedelta(milliseconds=1200)
@@ -51,6 +56,10 @@
 # the wait for a later confirmation.
 CONFIRMATION_AGE_MAX = datetime.timedelta(milliseconds=1500)
 CONFIRMATION_WAIT = datetime.timedelta(milliseconds=200)
+# Peers that have a later version tell so again within this time.
+LATER_VERSION_TIME = datetime.timedelta(seconds=3)
+# Time for the zone's reader to tell of a version that a peer has.
+LATER_VERSION_WAIT = datetime.timedelta(milliseconds=500)
 # Resources of the recent changes that each message repeats.
 CHANGE_MAX_KEYS = 32
 # A larger change is compressed and sent a few times only; who misses it reads
@@ -66,6 +75,17 @@
 Mark = tuple[int, int]
 
 
+@attrs.define
+class _LaterVersion:
+    """A version that peers have and this node does not."""
+
+    version: int = 0
+    first_told_at: datetime.timedelta = NEVER
+    last_told_at: datetime.timedelta = NEVER
+    # The latest for which this node has read the store.
+    read_version: int = 0
+
+
 @attrs.define
 class _LargeChange:
     """The change that led to ``version``, if it was large."""
@@ -75,7 +95,7 @@
     encoded: bytes = b""
 
 
-class ZoneFeed(service_manager.Service):
+class ZoneFeed(service_manager.Service, confirmation.Confirmer):
     """Decides which node reads the store, and brings changes into force.
 
     The node with the fastest link reads, among equals the first by name.
@@ -97,8 +117,12 @@
         counters: metrics.Metrics,
         decisions: decision_log.DecisionLog,
         restored: restored_intents.RestoredIntents,
+        store_clock: remote_clock.RemoteClock,
     ) -> None:
         self._restored = restored
+        self._store_clock = store_clock
+        self._later = _LaterVersion()
+        self._confirmed_by = ""
         self._own = own
         self._members = members
         self._store = configurations
@@ -114,12 +138,33 @@
         self._last_marks: dict[str, Mark] = {}
         self._confirmed = asyncio.Event()
         self._confirmed_at = NEVER
+        self._read_at = NEVER
         self._told_at = NEVER
         self._told_by_better_at = NEVER
         self._behind = asyncio.Event()
         self._reading = True
+        self._started_at = time.monotonic()
+        counters.measure("configuration_age_seconds", self._measure_age)
         transport.handle(messages.StateRequest, self._serve_state)
 
+    @property
+    def confirmation(self) -> confirmation.Confirmation:
+        age: datetime.timedelta | None = None
+        if self._confirmed_at != NEVER:
+            age = self._clock.monotonic() - self._confirmed_at
+        later = self._later_version()
+        current = self._store.current
+        is_latest = later <= current.version
+        return confirmation.Confirmation(
+            confirmed=(
+                is_latest and age is not None and age <= CONFIRMATION_AGE_MAX
+            ),
+            version=current.version,
+            source=self._confirmed_by,
+            age=age,
+            later_version=0 if is_latest else later,
+        )
+
     @property
     def is_reader(self) -> bool:
         """Return whether this node tells the others what it reads."""
@@ -134,13 +179,26 @@
     @property
     def poll_time(self) -> datetime.timedelta:
         """Return how long a read of this node waits for a change."""
-        return READER_POLL_TIME if self.is_reader else OWN_POLL_TIME
+        if not self.is_reader:
+            return OWN_POLL_TIME
+        now = self._clock.monotonic()
+        return (
+            max(self._read_at + READER_POLL_TIME, now + READER_POLL_MIN) - now
+        )
 
     async def stop(self) -> None:
         await self._tree.stop()
 
     def dump(self) -> abc.Mapping[str, typing.Any]:
-        return {"reader": self.is_reader, "reading": self._reading}
+        known = self.confirmation
+        return {
+            "reader": self.is_reader,
+            "reading": self._reading,
+            "confirmed": known.confirmed,
+            "confirmed_by": known.source,
+            "age": known.age,
+            "later_version": known.later_version,
+        }
 
     async def wait_until_read_needed(self) -> bool:
         """Wait while others tell this node what is in force.
@@ -162,22 +220,42 @@
         return waited
 
     async def confirm(self) -> bool:
-        """Return whether what is in force was confirmed a moment ago.
-
-        If not, it waits a short time for the next confirmation.
-        """
-        if self._is_confirmed():
-            return True
         try:
             async with asyncio.timeout(CONFIRMATION_WAIT.total_seconds()):
-                await self._confirmed.wait()
+                while not self.confirmation.confirmed:
+                    await self._confirmed.wait()
         except TimeoutError:
-            return self._is_confirmed()
+            return self.confirmation.confirmed
         return True
 
-    def record_read(self) -> None:
-        """Record an own read; tell the others if that is for this node."""
-        self._record_confirmation()
+    def record_later_version(self, version: int) -> None:
+        """Record that a peer has another, later configuration."""
+        now = self._clock.monotonic()
+        if version <= self._store.current.version:
+            return
+        if self._later_version() <= self._store.current.version:
+            self._later = _LaterVersion(version, now, now)
+            return
+        self._later.version = max(self._later.version, version)
+        self._later.last_told_at = now
+        is_overdue = now >= self._later.first_told_at + LATER_VERSION_WAIT
+        if is_overdue and self._later.read_version < self._later.version:
+            self._later.read_version = self._later.version
+            self._behind.set()
+
+    def record_read(self, read_at: datetime.timedelta | None) -> None:
+        """Record an own read; tell the others if that is for this node.
+
+        What is in force here was the present configuration at ``read_at`` by
+        the store's clock. Without that time the read confirms nothing.
+        """
+        age = None if read_at is None else self._store_clock.age(read_at)
+        if read_at is None or age is None:
+            self._metrics.count("undated_reads_total")
+            self._read_at = self._clock.monotonic()
+            return
+        self._record_confirmation(age, self._own.node)
+        self._read_at = max(self._read_at, self._clock.monotonic() - age)
         if not self.is_reader:
             return
         current = self._store.current
@@ -199,6 +277,7 @@
             change=encoded,
             compressed=change is None and bool(encoded),
             configuration_number=self._restored.number,
+            read_at=read_at,
         )
         self._tree.send(request, _tree_seed(request))
 
@@ -248,28 +327,60 @@
         return messages.StateReply(self._store.current.version)
 
     def _handle_state(self, request: messages.StateRequest) -> None:
-        now = self._clock.monotonic()
         if request.version > self._store.current.version:
             self._catch_up(request)
-        if self._store.current.version < request.version:
+        current = self._store.current
+        if current.version < request.version:
             self._metrics.count("states_missed_total")
             self._behind.set()
             return
-        if self._store.current.version == request.version:
+        if current.version == request.version:
             self._restored.record_number(request.configuration_number)
-        self._told_at = now
-        self._record_confirmation()
-        self._age.update_read_age(datetime.timedelta())
+        elif request.digest != distribution.digest_bytes(current.digest):
+            # It tells of an earlier state: it was late, or its reader is.
+            self._metrics.count("states_outdated_total")
+            return
+        age = self._age_of(request)
+        if age is None:
+            self._metrics.count("undated_states_total")
+            return
+        self._metrics.observe(
+            "configuration_told_age_seconds", age.total_seconds()
+        )
+        told_at = self._clock.monotonic() - age
+        self._told_at = max(self._told_at, told_at)
+        self._record_confirmation(age, request.reader)
+        self._age.update_read_age(age)
         reader = self._members.get(request.reader)
         if reader is not None and _rank_key(reader) < _rank_key(self._own):
-            self._told_by_better_at = now
+            self._told_by_better_at = max(self._told_by_better_at, told_at)
 
-    def _is_confirmed(self) -> bool:
+    def _age_of(
+        self, request: messages.StateRequest
+    ) -> datetime.timedelta | None:
+        if request.read_at is None:
+            return None
+        return self._store_clock.age(request.read_at)
+
+    def _measure_age(self) -> float:
+        """Return the age in seconds, that of the process if unknown."""
+        since = max(self._confirmed_at, self._started_at)
+        return (self._clock.monotonic() - since).total_seconds()
+
+    def _later_version(self) -> int:
+        """Return the latest version that peers had a moment ago."""
         now = self._clock.monotonic()
-        return now <= self._confirmed_at + CONFIRMATION_AGE_MAX
+        if now > self._later.last_told_at + LATER_VERSION_TIME:
+            return 0
+        return self._later.version
 
-    def _record_confirmation(self) -> None:
-        self._confirmed_at = self._clock.monotonic()
+    def _record_confirmation(
+        self, age: datetime.timedelta, source: str
+    ) -> None:
+        confirmed_at = self._clock.monotonic() - age
+        if confirmed_at > self._confirmed_at:
+            self._confirmed_at = confirmed_at
+            self._confirmed_by = source
         self._confirmed.set()
         self._confirmed = asyncio.Event()
 
@@ -303,6 +414,7 @@
             previous=current.version,
             changed=len(change.puts) + len(change.deletes),
             source=request.reader,
+            read_age_ms=decision_log.milliseconds(self._age_of(request)),
         )
 
     def _rank_of(self, member: messages.Member) -> int:
--- a/packages/node/src/balsamramp_node/outbound/entry_proxy.py
+++ b/packages/node/src/balsamramp_node/outbound/entry_proxy.py
@@ -17,6 +17,7 @@
 from balsamramp_core import service_manager
 from balsamramp_core import verdict
 from balsamramp_core.resources import entry
+from balsamramp_node.configuration import confirmation
 from balsamramp_node.outbound import call_dispatcher
 from balsamramp_node.outbound import call_transport
 from balsamramp_node.outbound import entry_failures
@@ -55,7 +56,6 @@
 }
 
 
-ConfirmConfiguration = abc.Callable[[], abc.Awaitable[bool]]
 _Resolved = tuple[entry.Entry, key_check.Admission]
 
 
@@ -157,14 +157,12 @@
         decisions: decision_log.DecisionLog,
         rng: random.Random,
         shutdown: shutdown_schedule.ShutdownSchedule | None = None,
-        confirm_configuration: ConfirmConfiguration | None = None,
+        confirmer: confirmation.Confirmer | None = None,
         keys: key_check.KeyCheck | None = None,
         room: service_room.ServiceRoom | None = None,
     ) -> None:
         self._keys = keys
-        self._confirm_configuration = (
-            confirm_configuration or _trust_configuration
-        )
+        self._confirmer = confirmer or confirmation.TrustingConfirmer()
         self._shutdown = shutdown or shutdown_schedule.ShutdownSchedule(time)
         self._running: dict[str, tuple[_Progress, asyncio.Task[object]]] = {}
         self._router = routes
@@ -194,6 +192,7 @@
                 host=request.host,
                 reason=failure.reason.value,
                 configuration=self._router.version,
+                **self._confirmation_fields(),
             )
             return entry_failures.call_failure(call_id, failure)
         matched, admission = resolved.unwrap()
@@ -240,7 +239,7 @@
         found = self._admit(request)
         if not _is_unknown(found):
             return found
-        confirmed = await self._confirm_configuration()
+        confirmed = await self._confirmer.confirm()
         await caller_presence.confirm()
         found = self._admit(request)
         if confirmed or not _is_unknown(found):
@@ -503,6 +502,15 @@
         self._metrics.count("retries_total")
         return True
 
+    def _confirmation_fields(self) -> dict[str, typing.Any]:
+        known = self._confirmer.confirmation
+        return {
+            "confirmed": known.confirmed,
+            "confirmed_by": known.source,
+            "confirmed_age_ms": decision_log.milliseconds(known.age),
+            "later_version": known.later_version,
+        }
+
     def _log_reply(
         self, progress: _Progress, reply: call_transport.Reply
     ) -> None:
@@ -548,10 +556,6 @@
         )
 
 
-async def _trust_configuration() -> bool:
-    return True
-
-
 def _is_unknown(
     found: result.Result[_Resolved, verdict.Failure],
 ) -> bool:
--- a/packages/node/src/balsamramp_node/process/decision_log.py
+++ b/packages/node/src/balsamramp_node/process/decision_log.py
@@ -25,6 +25,7 @@
     "LineSink",
     "LoggerSink",
     "NullSink",
+    "milliseconds",
 ]
 
 # Limits for routine events and for all others. A node at twice its usual load
@@ -230,6 +231,13 @@
         self._decisions.write("message", **fields)
 
 
+def milliseconds(duration: datetime.timedelta | None) -> float | None:
+    """Return a duration as it is logged, None if there is none."""
+    if duration is None:
+        return None
+    return round(duration / datetime.timedelta(milliseconds=1), 1)
+
+
 def _innermost_frame(traceback: typing.Any) -> str:
     """Return the file and line of the innermost frame of a traceback."""
     location = ""
--- a/packages/node/src/balsamramp_node/process/sidecar_services.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_services.py
@@ -125,6 +125,7 @@
             self._metrics,
             self.decisions,
             restored,
+            self._sidecar_dependencies.intents.clock,
         )
         self.service_manager.add(self.zone_feed)
         reader = intent_store_reader.IntentStoreReader(
@@ -248,7 +249,7 @@
             self.decisions,
             self._random,
             self.shutdown,
-            self.zone_feed.confirm,
+            self.zone_feed,
             key_check.KeyCheck(
                 self.store, self._sidecar_dependencies.organisation_header
             ),
--- a/packages/node/tests/test_entry_proxy.py
+++ b/packages/node/tests/test_entry_proxy.py
@@ -14,6 +14,7 @@
 from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_core.resources import entry
+from balsamramp_node.configuration import confirmation
 from balsamramp_node.outbound import call_transport
 from balsamramp_node.outbound import entry_proxy
 from balsamramp_node.outbound import key_check
@@ -23,6 +24,7 @@
 from balsamramp_node.outbound.pickers import expected_finish
 from balsamramp_node.process import decision_log
 from balsamramp_node.process import shutdown_schedule
+from balsamramp_testing import list_sink
 from balsamramp_testing import virtual_time
 from balsamramp_wire import messages
 
@@ -212,6 +214,27 @@
         return True
 
 
+@attrs.define
+class _FakeConfirmer(confirmation.Confirmer):
+    keys: "_FakeKeys"
+    confirmed: bool
+    learns_key: bool
+
+    @property
+    def confirmation(self) -> confirmation.Confirmation:
+        return confirmation.Confirmation(
+            confirmed=self.confirmed,
+            version=7,
+            source="n3",
+            age=0.25 * SECOND,
+            later_version=0 if self.confirmed else 9,
+        )
+
+    async def confirm(self) -> bool:
+        self.keys.known = self.keys.known or self.learns_key
+        return self.confirmed
+
+
 def _make_node(
     respond: Respond,
     restarted: tuple[str, ...] = (),
@@ -222,11 +245,6 @@
     **fields: typing.Any,
 ) -> _Node:
     keys = _FakeKeys()
-
-    async def confirm() -> bool:
-        keys.known = keys.known or learns_key
-        return confirmed
-
     clock = virtual_time.VirtualClock()
     entry_found = entry.Entry(
         name="e",
@@ -253,12 +271,32 @@
         decision_log.DecisionLog(sink, clock),
         random.Random(1),
         schedule,
-        confirm,
+        _FakeConfirmer(keys, confirmed, learns_key),
         typing.cast(typing.Any, keys),
     )
     return _Node(clock, dispatcher, router, proxy, keys)
 
 
+@pytest.mark.parametrize("confirmed", [True, False])
+def test_refusal_of_an_unknown_entry_tells_what_is_known_of_its_age(
+    confirmed: bool,
+) -> None:
+    async def main() -> None:
+        sink = list_sink.ListSink()
+        node = _make_node(succeed, confirmed=confirmed, sink=sink)
+        node.router.knows_entry = False
+        await node.call()
+        line = next(
+            item for item in sink.lines if item["event"] == "unresolved"
+        )
+        assert line["confirmed"] is confirmed
+        assert line["confirmed_by"] == "n3"
+        assert line["confirmed_age_ms"] == 250.0
+        assert line["later_version"] == (0 if confirmed else 9)
+
+    virtual_time.run(main())
+
+
 @pytest.mark.parametrize(
     ("confirmed", "reason"),
     [
--- a/packages/node/tests/test_fetch_delay.py
+++ b/packages/node/tests/test_fetch_delay.py
@@ -18,6 +18,7 @@
 from balsamramp_core import settings
 from balsamramp_core import verdict
 from balsamramp_core.resources import service
+from balsamramp_node.configuration import configuration_reader
 from balsamramp_node.configuration import distribution
 from balsamramp_node.configuration import readiness
 from balsamramp_node.configuration import store
@@ -58,12 +59,24 @@
         )
 
 
+class _Reader(configuration_reader.ConfigurationReader):
+    def __init__(self) -> None:
+        self.later_versions: list[int] = []
+
+    async def resolve_divergence(self) -> None:
+        """Do nothing: no test here has diverged nodes."""
+
+    def record_later_version(self, version: int) -> None:
+        self.later_versions.append(version)
+
+
 @attrs.define
 class _Node:
     clock: virtual_time.VirtualClock
     transport: _Transport
     configurations: store.ConfigurationStore
     distributor: distribution.Distribution
+    reader: _Reader
 
     def put_in_force(self, version: int) -> None:
         item = service.Service(name=f"s{version}")
@@ -106,19 +119,20 @@
     )
     transport = _Transport()
     configurations = store.ConfigurationStore(counters)
+    reader = _Reader()
     distributor = distribution.Distribution(
         own,
         members,
         transport,
         configurations,
-        typing.cast(typing.Any, None),
+        reader,
         transfer_rate_limiter.TransferRateLimiter(clock),
         clock,
         counters,
         random.Random(1),
         fetch_delay,
     )
-    return _Node(clock, transport, configurations, distributor)
+    return _Node(clock, transport, configurations, distributor, reader)
 
 
 def test_fetches_from_peer_after_delay() -> None:
@@ -204,3 +218,19 @@
         await node.distributor.stop()
 
     virtual_time.run(main())
+
+
+def test_reader_knows_of_another_configuration_that_peers_have() -> None:
+    """Guards against a node that takes what it has for the present one."""
+
+    async def main() -> None:
+        node = _make_node(FETCH_DELAY)
+        node.put_in_force(3)
+        digest = node.configurations.current.digest
+        await node.receive_state(2)
+        await node.receive_state(5, distribution.digest_bytes(digest))
+        assert node.reader.later_versions == []
+        await node.receive_state(7)
+        assert node.reader.later_versions == [7]
+
+    virtual_time.run(main())
--- a/packages/node/tests/test_intent_store_reader.py
+++ b/packages/node/tests/test_intent_store_reader.py
@@ -15,6 +15,7 @@
 from balsamramp_core import configuration
 from balsamramp_core import intents
 from balsamramp_core import metrics
+from balsamramp_core import remote_clock
 from balsamramp_core import resource
 from balsamramp_core import storage
 from balsamramp_core.resources import entry
@@ -51,6 +52,17 @@
     ) -> None:
         self._reads = reads
         self._clock = clock
+        self._store_clock = remote_clock.RemoteClock(clock)
+        now = clock.monotonic()
+        self._store_clock.record(now, now, now)
+
+    @property
+    def clock(self) -> remote_clock.RemoteClock:
+        return self._store_clock
+
+    @property
+    def read_at(self) -> datetime.timedelta:
+        return self._clock.monotonic()
 
     def restart(self) -> None:
         """Do nothing: the reads are given."""
@@ -105,6 +117,7 @@
         metrics.Metrics(),
         decision_log.DecisionLog(decision_log.NullSink(), clock),
         _never_restored(configurations, clock),
+        remote_clock.RemoteClock(clock),
     )
 
 
--- a/packages/wire/src/balsamramp_wire/messages.py
+++ b/packages/wire/src/balsamramp_wire/messages.py
@@ -523,6 +523,10 @@
     to it from any recent version, or is empty if there was no change or a
     large one that was sent before. It may be ``compressed`` by zlib.
     ``configuration_number`` orders the operators' configurations.
+
+    ``read_at`` is when this was true, by the store's clock, which all nodes
+    know: a message may wait anywhere. A reader of an earlier release does
+    not tell it.
     """
 
     method = "state"
@@ -536,6 +540,7 @@
     change: bytes = b""
     compressed: bool = False
     configuration_number: int = 0
+    read_at: datetime.timedelta | None = None
 
 
 @attrs.frozen
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -54,7 +54,9 @@
     def __init__(self, store: fake_store.FakeStore) -> None:
         self.store = store
         address = settings.Address("127.0.0.1", store.port)
-        self.client = store_client.StoreClient(address, TIMEOUT)
+        self.client = store_client.StoreClient(
+            address, TIMEOUT, clock.SystemClock()
+        )
         self.table = store_client.StoreTable(self.client)
         self.rows = store_intent_source.StoreIntentSource(self.client)
         self.outcome_publisher = store_outcome_publisher.StoreOutcomePublisher(
--- a/tests/users_platform/test_endless_store.py
+++ b/tests/users_platform/test_endless_store.py
@@ -9,6 +9,7 @@
 import pytest
 import store_client
 
+from balsamramp_core import clock
 from balsamramp_core import settings
 from balsamramp_core import storage
 
@@ -46,7 +47,7 @@
     store.start_bytes, store.unit = CASES[case]
     await store.start()
     address = settings.Address("127.0.0.1", store.port)
-    client = store_client.StoreClient(address, timeout)
+    client = store_client.StoreClient(address, timeout, clock.SystemClock())
     started = time.monotonic()
     response = await call(client)
     seconds = time.monotonic() - started
--- a/tests/users_platform/test_invalid_status.py
+++ b/tests/users_platform/test_invalid_status.py
@@ -67,7 +67,9 @@
 @pytest.mark.parametrize("status", STATUSES)
 def test_read_of_the_store_with_an_invalid_status_fails(status: str) -> None:
     async def main(address: settings.Address) -> typing.Any:
-        client = store_client.StoreClient(address, TIMEOUT)
+        client = store_client.StoreClient(
+            address, TIMEOUT, clock.SystemClock()
+        )
         return await client.get("/v1/rows-get", {})
 
     found = _run(status, main)
@@ -80,7 +82,9 @@
     status: str,
 ) -> None:
     async def main(address: settings.Address) -> typing.Any:
-        client = store_client.StoreClient(address, TIMEOUT)
+        client = store_client.StoreClient(
+            address, TIMEOUT, clock.SystemClock()
+        )
         return await client.post("/v1/rows-tx", {})
 
     found = _run(status, main)
--- a/tests/users_platform/test_restored_store.py
+++ b/tests/users_platform/test_restored_store.py
@@ -22,6 +22,7 @@
 import store_platform_adapter
 import store_revision
 
+from balsamramp_core import clock
 from balsamramp_core import configuration
 from balsamramp_core import intents
 from balsamramp_core import metrics
@@ -56,7 +57,9 @@
     def __init__(self, store: fake_store.FakeStore) -> None:
         address = settings.Address("127.0.0.1", store.port)
         self.clock = virtual_time.VirtualClock()
-        self.client = store_client.StoreClient(address, TIMEOUT)
+        self.client = store_client.StoreClient(
+            address, TIMEOUT, clock.SystemClock()
+        )
         self.table = store_client.StoreTable(self.client)
         self.source = store_intent_source.StoreIntentSource(self.client)
         self.publisher = store_outcome_publisher.StoreOutcomePublisher(
