Soak: the nodes that read are disturbed, beside changes in a row

Profile "configuration": slow, paused, killed readers, readers without a store, late messages, a store that answers as of some time ago, narrow links, beside routes added 0.3 to 0.6 s apart, overlapping. Promises in time hold for all nodes but the disturbed one.

--- a/tests/users_platform/fake_store.py
+++ b/tests/users_platform/fake_store.py
@@ -12,6 +12,8 @@
 __all__ = ["FakeStore", "StoreCopy"]
 
 RowKey = tuple[str, str, str]
+OPERATOR_TABLE = "op"
+BEHIND_CHECK_SECONDS = 0.1
 
 
 @attrs.frozen
@@ -29,7 +31,8 @@
     ``refuse`` is a status with which every call is answered, or 0, and
     ``lose_answers`` has writes take effect and the connection end.
     ``forget_history`` makes the feed answer that it is gone, once.
-    ``era`` is stated in all answers unless it is 0.
+    ``era`` is stated in all answers unless it is 0. Reads of the operators'
+    table are as of ``behind_seconds`` ago, and state the time of then.
     """
 
     def __init__(self) -> None:
@@ -40,9 +43,11 @@
         self.refuse = 0
         self.silent = False
         self.lose_answers = False
+        self.behind_seconds = 0.0
         self.forget_history = False
         self.port = 0
         self._log: list[tuple[int, RowKey, bytes | None]] = []
+        self._written_at: list[tuple[float, int]] = []
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -109,6 +114,7 @@
         else:
             self.rows[key] = (value, self.version)
         self._log.append((self.version, key, value))
+        self._written_at.append((time.monotonic(), self.version))
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -139,9 +145,10 @@
             return refusal
         query = request.query
         place = (query["table"], query.get("part", ""))
+        newest = self._version_of(query["table"])
         found = [
             _row(key, value, version)
-            for key, (value, version) in sorted(self.rows.items())
+            for key, (value, version) in sorted(self._rows_at(newest).items())
             if key[:2] == place
             and query.get("from", "") <= key[2]
             and ("to" not in query or key[2] < query["to"])
@@ -151,7 +158,7 @@
             {
                 "rows": found[:limit],
                 "hasMore": len(found) > limit,
-                **self._stamp(),
+                **self._stamp(query["table"]),
             }
         )
 
@@ -165,31 +172,65 @@
             self.forget_history = False
             return web.Response(status=410)
         after = int(request.query["after"])
-        if after > self.version:
+        if after > self._version_of(request.query["table"]):
             return web.Response(status=410)
         era = self.era
         until = time.monotonic() + int(request.query["waitMs"]) / 1000
         while True:
             if self.era != era and request.transport is not None:
                 request.transport.abort()
+            newest = self._version_of(request.query["table"])
             found = [
                 _row(key, value, version)
                 for version, key, value in self._log
-                if version > after and key[0] == request.query["table"]
+                if after < version <= newest
+                and key[0] == request.query["table"]
             ]
             left = until - time.monotonic()
             if found or left <= 0:
-                body = {"rows": found, "hasMore": False, **self._stamp()}
+                stamp = self._stamp(request.query["table"])
+                body = {"rows": found, "hasMore": False, **stamp}
                 return web.json_response(body)
             changed = self._changed
             try:
-                async with asyncio.timeout(left):
+                async with asyncio.timeout(self._wait_of(left)):
                     await changed.wait()
             except TimeoutError:
                 continue
 
-    def _stamp(self) -> dict[str, int]:
-        return {"ver": self.version, "nowMs": int(time.monotonic() * 1000)}
+    def _wait_of(self, left: float) -> float:
+        # While it is behind, a change shows later than it is made.
+        return min(left, BEHIND_CHECK_SECONDS) if self.behind_seconds else left
+
+    def _version_of(self, table: str) -> int:
+        """Return the version as of which reads of a table are."""
+        if not self.behind_seconds or table != OPERATOR_TABLE:
+            return self.version
+        moment = time.monotonic() - self.behind_seconds
+        versions = (item for at, item in self._written_at if at <= moment)
+        return max(versions, default=0)
+
+    def _rows_at(self, newest: int) -> dict[RowKey, tuple[bytes, int]]:
+        if newest == self.version:
+            return self.rows
+        rows: dict[RowKey, tuple[bytes, int]] = {}
+        for version, key, value in self._log:
+            if version > newest:
+                continue
+            if value is None:
+                rows.pop(key, None)
+            else:
+                rows[key] = (value, version)
+        return rows
+
+    def _stamp(self, table: str = "") -> dict[str, int]:
+        moment = time.monotonic()
+        if table == OPERATOR_TABLE:
+            moment -= self.behind_seconds
+        return {
+            "ver": self._version_of(table),
+            "nowMs": int(moment * 1000),
+        }
 
 
 def _key(item: dict[str, str]) -> RowKey:
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 import attrs
+import soak_configuration
 import soak_departures
 import soak_faults
 import soak_harness
@@ -40,6 +41,7 @@
 # What happens in a play.
 PROFILES: dict[str, tuple[type[soak_faults.Fault], ...]] = {
     "calm": (),
+    "configuration": soak_configuration.CONFIGURATION,
     "demand": soak_faults.DEMAND,
     "departures": soak_departures.DEPARTURES,
     "mixed": soak_faults.FAULTS + soak_faults.PLANNED_WORK,
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -107,6 +107,20 @@
     assert any(item.ending is left for item in outcome.exchanges)
 
 
+def test_promises_hold_while_nodes_that_read_are_disturbed(
+    tmp_path: pathlib.Path,
+) -> None:
+    outcome = asyncio.run(
+        soak.run_soak(
+            60000, tmp_path, 12.0, SHORT_NODES, profile="configuration"
+        )
+    )
+    assert not outcome.problems, str(outcome)
+    assert any(item.status == 200 for item in outcome.exchanges)
+    assert any("ChangesInSuccession" in item for item in outcome.faults)
+    assert any("SlowReader" in item for item in outcome.faults)
+
+
 @pytest.mark.parametrize("seed", START_SEEDS)
 def test_processes_outlive_troubles_at_their_start(
     seed: int, tmp_path: pathlib.Path
