Streams: late calls that wait for their sender are limited

A sender that answers no pings, or a node that reads seconds of calls at once, had all of its late calls held until their deadlines, outside the budget for messages and without a limit.

--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -16,6 +16,7 @@
 from balsamramp_core import service_manager
 from balsamramp_core import settings
 from balsamramp_node.inbound import control_server
+from balsamramp_node.inbound import held_calls
 from balsamramp_node.inbound import inbound_handler
 from balsamramp_node.inbound import message_age_estimator
 from balsamramp_node.inbound import reply_scheduler
@@ -126,6 +127,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self._age_estimator = message_age_estimator.MessageAgeEstimator()
+        self._held = held_calls.HeldCalls()
 
     @property
     def address(self) -> settings.Address:
@@ -342,11 +344,27 @@
                 sender=hello.node,
                 age_ms=round(age / MILLISECOND, 1),
             )
+        if not self._held.add(request):
+            self._metrics.count("held_calls_refused_total")
+            refusal = self._held.refusal(request)
+            self._reply(connection, request, now - age, refusal)
+            return
         task = asyncio.create_task(
             self._run_when_confirmed(request, connection, now)
         )
         connection.calls[task] = None
-        task.add_done_callback(connection.calls.pop)
+        task.add_done_callback(
+            functools.partial(self._on_hold_done, connection, request)
+        )
+
+    def _on_hold_done(
+        self,
+        connection: _Connection,
+        request: messages.CallRequest,
+        task: asyncio.Task[None],
+    ) -> None:
+        connection.calls.pop(task)
+        self._held.remove(request)
 
     async def _run_when_confirmed(
         self,
--- a/packages/node/tests/test_late_streams.py
+++ b/packages/node/tests/test_late_streams.py
@@ -23,6 +23,8 @@
 from balsamramp_core import clock
 from balsamramp_core import metrics
 from balsamramp_core import settings
+from balsamramp_core import verdict
+from balsamramp_node.inbound import held_calls
 from balsamramp_node.inbound import inbound_handler
 from balsamramp_node.inbound import stream_server
 from balsamramp_node.inbound import target_client
@@ -55,6 +57,8 @@
     idempotent=True,
 )
 
+LARGE = attrs.evolve(CALL, body=bytes(held_calls.BYTES_MAX // 8))
+
 
 class _Target(target_client.TargetClient):
     """Responds after a fixed time and counts its runs."""
@@ -404,3 +408,68 @@
         await server.stop()
 
     uvloop.run(main())
+
+
+def test_calls_are_limited_in_number_and_bytes() -> None:
+    held = held_calls.HeldCalls()
+    for _ in range(held_calls.CALLS_MAX):
+        assert held.add(CALL)
+    assert not held.add(CALL)
+    held.remove(CALL)
+    assert held.add(CALL)
+
+    held = held_calls.HeldCalls()
+    taken = sum(held.add(LARGE) for _ in range(20))
+    assert taken * len(LARGE.body) <= held_calls.BYTES_MAX
+    assert held.add(CALL)
+    held.remove(LARGE)
+    assert held.add(LARGE)
+
+
+@pytest.mark.parametrize(
+    ("repeat", "outcome"),
+    [
+        (False, verdict.Verdict.NOT_RUN),
+        (True, verdict.Verdict.MAY_HAVE_RUN),
+    ],
+)
+def test_refusal_of_a_repeated_call_does_not_promise_that_it_has_not_run(
+    repeat: bool, outcome: verdict.Verdict
+) -> None:
+    call = attrs.evolve(CALL, repeat=repeat)
+    refusal = held_calls.HeldCalls().refusal(call)
+    assert refusal.failure.verdict is outcome
+    assert refusal.failure.reason is verdict.Reason.OVERLOADED
+
+
+def test_sender_that_answers_nothing_cannot_fill_a_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(held_calls, "CALLS_MAX", 5)
+
+    async def main() -> None:
+        node = _Node()
+        server = await node.start()
+        sender = await _connect(server)
+        sender.hello(LATE)
+        sender.calls(LATE, datetime.timedelta(seconds=10))
+        await asyncio.sleep(0.2)
+        refused = CALLS - 5
+        assert node.counters.value("held_calls_refused_total") == refused
+        # Its answer gives the room back, and the calls that waited run.
+        reading = asyncio.create_task(sender.read())
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert len(node.target.started) == 5
+        failures = [
+            item
+            for item in sender.received
+            if isinstance(item, messages.CallFailure)
+        ]
+        assert len(failures) == refused
+        sender.calls(LATE, datetime.timedelta(seconds=10))
+        await asyncio.sleep(SETTLE_SECONDS)
+        sender.writer.close()
+        await reading
+        await server.stop()
+
+    asyncio.run(main())
