--- a/packages/core/src/balsamramp_core/intents.py
+++ b/packages/core/src/balsamramp_core/intents.py
@@ -89,6 +89,14 @@
         decrease.
         """
 
+    @abc.abstractmethod
+    async def read_clock(self) -> None:
+        """Have the store state its time, by a call that takes short.
+
+        ``next`` waits at the store, so that what it learns about the clock
+        is loose. Errors are logged.
+        """
+
     @abc.abstractmethod
     def restart(self) -> None:
         """Have the next call return at once, like the first one.
--- a/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
+++ b/packages/node/src/balsamramp_node/configuration/intent_store_reader.py
@@ -34,6 +34,9 @@
 # upper bound leaves time for a read before a change has to be in force.
 RETRY_MIN = datetime.timedelta(milliseconds=200)
 RETRY_MAX = datetime.timedelta(milliseconds=700)
+# How well this node knows the store's clock, and how often it checks that.
+CLOCK_UNCERTAINTY_MAX = datetime.timedelta(milliseconds=250)
+CLOCK_CHECK_INTERVAL = datetime.timedelta(seconds=30)
 AUTHOR = "operators"
 # Resources that are edited before the event loop runs other tasks.
 EDITS_PER_TURN = 50
@@ -77,21 +80,22 @@
         self._metrics = counters
         self._decisions = decisions
         self._random = rng
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: tuple[asyncio.Task[None], ...] = ()
         self._reachable: bool | None = None
         self._retry_wait = RETRY_MIN
         self._read_at: datetime.datetime | None = None
         self._rejection: intents.Rejection | None = None
 
     async def start(self) -> None:
-        self._task = background_task.start(
-            self._run, self._clock, self._metrics
+        self._tasks = tuple(
+            background_task.start(run, self._clock, self._metrics)
+            for run in (self._run, self._keep_clock)
         )
 
     async def stop(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def resolve_divergence(self) -> None:
         """Do nothing: the external store alone defines each revision."""
@@ -116,6 +120,15 @@
                 self._source.restart()
                 await self._clock.sleep(RETRY_MAX)
 
+    async def _keep_clock(self) -> None:
+        """Measure the store's clock anew before its bounds are too wide."""
+        while True:
+            jitter = 0.5 + self._random.random()
+            await self._clock.sleep(CLOCK_CHECK_INTERVAL * jitter)
+            uncertainty = self._source.clock.uncertainty
+            if uncertainty is None or uncertainty > CLOCK_UNCERTAINTY_MAX:
+                await self._source.read_clock()
+
     async def _follow(self) -> None:
         while True:
             if await self._feed.wait_until_read_needed():
--- a/packages/node/src/balsamramp_node/configuration/zone_feed.py
+++ b/packages/node/src/balsamramp_node/configuration/zone_feed.py
@@ -37,7 +37,7 @@
 __all__ = ["ZoneFeed"]
 
 # Interval of the reader's messages while nothing changes: its long-poll time,
-# less what has passed since its last read was true.
+# less what has passed since its last read.
 READER_POLL_TIME = datetime.timedelta(milliseconds=700)
 READER_POLL_MIN = datetime.timedelta(milliseconds=100)
 # Long-poll time of a node that is not told. A poll that begins while the
@@ -249,13 +249,12 @@
         What is in force here was the present configuration at ``read_at`` by
         the store's clock. Without that time the read confirms nothing.
         """
+        self._read_at = self._clock.monotonic()
         age = None if read_at is None else self._store_clock.age(read_at)
         if read_at is None or age is None:
             self._metrics.count("undated_reads_total")
-            self._read_at = self._clock.monotonic()
             return
         self._record_confirmation(age, self._own.node)
-        self._read_at = max(self._read_at, self._clock.monotonic() - age)
         if not self.is_reader:
             return
         current = self._store.current
--- a/packages/node/tests/test_configuration_age.py
+++ b/packages/node/tests/test_configuration_age.py
@@ -24,6 +24,7 @@
 SECOND_READER = 7
 LATE_NODE = 5
 GOSSIP_SECONDS = 0.5
+CALM_SECONDS = 1200
 
 Disturb = abc.Callable[[feed_zone.FeedZone], None]
 
@@ -279,3 +280,33 @@
         await zone.stop()
 
     virtual_time.run(main())
+
+
+def test_clock_of_the_store_is_kept_known_at_little_cost() -> None:
+    """Guards against bounds that widen until nodes read in place of one."""
+
+    async def main() -> None:
+        zone = await feed_zone.started_zone()
+        reads = [node.source.reads for node in zone.nodes]
+        measured: list[set[str]] = []
+        clock_reads = [0] * len(zone.nodes)
+        for _ in range(CALM_SECONDS):
+            await asyncio.sleep(1)
+            measured.append(set())
+            for index, node in enumerate(zone.nodes):
+                assert await node.feed.confirm()
+                if node.source.clock_reads > clock_reads[index]:
+                    clock_reads[index] = node.source.clock_reads
+                    measured[-1].add(node.member.node)
+        for index, node in enumerate(zone.nodes):
+            made = node.source.reads - reads[index]
+            allowed = 0.0
+            if index == FIRST_READER:
+                pace = zone_feed.READER_POLL_TIME.total_seconds()
+                allowed = CALM_SECONDS / pace + 1
+            assert made <= allowed, node.member.node
+            assert node.source.clock_reads <= CALM_SECONDS / 180
+        assert max(len(nodes) for nodes in measured) <= 3
+        await zone.stop()
+
+    virtual_time.run(main())
--- a/packages/node/tests/test_intent_store_reader.py
+++ b/packages/node/tests/test_intent_store_reader.py
@@ -64,6 +64,9 @@
     def read_at(self) -> datetime.timedelta:
         return self._clock.monotonic()
 
+    async def read_clock(self) -> None:
+        """Do nothing: the clock of the store is the own one."""
+
     def restart(self) -> None:
         """Do nothing: the reads are given."""
 
--- a/packages/testing/src/balsamramp_testing/feed_zone.py
+++ b/packages/testing/src/balsamramp_testing/feed_zone.py
@@ -122,6 +122,7 @@
     def __init__(self, operators: OperatorsStore, read_seconds: float) -> None:
         self.copies = 0
         self.reads = 0
+        self.clock_reads = 0
         self.away = False
         self.delay_seconds = 0.0
         self.lag_seconds = 0.0
@@ -143,6 +144,13 @@
     def restart(self) -> None:
         self._revision = 0
 
+    async def read_clock(self) -> None:
+        self.clock_reads += 1
+        sent_at = self._operators.clock.monotonic()
+        await asyncio.sleep(self.delay_seconds)
+        received_at = self._operators.clock.monotonic()
+        self._store_clock.record(sent_at, received_at, self._operators.now)
+
     async def next(
         self, poll_time: datetime.timedelta
     ) -> result.Result[intents.Intents | None, storage.StorageError]:
