Soak: a process that stood still in its stop may be forced to end

An exit code of 3 is explained now only if the process was stopped by SIGSTOP after its stop signal.

--- a/tests/users_platform/soak_processes.py
+++ b/tests/users_platform/soak_processes.py
@@ -10,6 +10,8 @@
 STOP_SIGNALS = frozenset((signal.SIGINT, signal.SIGTERM))
 # Until then a signal may come before the first line of the program.
 INTERPRETER_START_SECONDS = 0.5
+# Exit code of a process whose time to stop is over.
+EXIT_FORCED = 3
 # In /proc/PID/status; a blocked signal waits for its handler.
 PROVIDED_FIELDS = ("SigBlk:", "SigIgn:", "SigCgt:")
 
@@ -21,6 +23,7 @@
     started_at: float
     _sent: set[int] = attrs.field(factory=set, init=False)
     _provided: set[int] = attrs.field(factory=set, init=False)
+    _paused_in_stop: bool = attrs.field(default=False, init=False)
 
     @property
     def asked(self) -> bool:
@@ -47,6 +50,8 @@
 
     def note_signal(self, number: int) -> None:
         """Note a signal sent while the process ran."""
+        if number == signal.SIGSTOP and self._sent & STOP_SIGNALS:
+            self._paused_in_stop = True
         self._sent.add(number)
 
     def explains(self, code: int, at: float) -> bool:
@@ -57,6 +62,9 @@
         """
         if code == 0:
             return bool(self._sent & STOP_SIGNALS)
+        if code == EXIT_FORCED:
+            # Its time to stop goes on while it stands still.
+            return self._paused_in_stop
         if code == -signal.SIGKILL:
             return signal.SIGKILL in self._sent
         if -code not in self._sent - self._provided:
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -306,6 +306,25 @@
     assert history.explains(code, at=10.4) is explained
 
 
+@pytest.mark.parametrize(
+    ("sent", "explained"),
+    [
+        ((signal.SIGTERM, signal.SIGSTOP, signal.SIGCONT), True),
+        ((signal.SIGSTOP, signal.SIGCONT, signal.SIGTERM), False),
+        ((signal.SIGTERM,), False),
+        ((signal.SIGSTOP, signal.SIGCONT), False),
+        ((), False),
+    ],
+)
+def test_forced_end_is_found_unless_the_process_stood_still_in_its_stop(
+    sent: tuple[int, ...], explained: bool
+) -> None:
+    history = soak_processes.ProcessHistory(started_at=10.0)
+    for number in sent:
+        history.note_signal(number)
+    assert history.explains(3, at=20.0) is explained
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
 @pytest.mark.parametrize("field", ["SigBlk", "SigIgn", "SigCgt"])
 def test_default_action_after_a_handler_is_found(
