Tests: both nodes that read first are disturbed at once

The first is cut off from the store or from the zone, is served old states, is slow, or stands still with messages that it has taken; the second is slow, is served old states, or stands still.

--- a/packages/node/tests/test_configuration_age.py
+++ b/packages/node/tests/test_configuration_age.py
@@ -310,3 +310,59 @@
         await zone.stop()
 
     virtual_time.run(main())
+
+
+def _cut_off_from_the_store(zone: feed_zone.FeedZone) -> None:
+    zone.nodes[FIRST_READER].source.away = True
+
+
+def _cut_off_from_the_zone(zone: feed_zone.FeedZone) -> None:
+    for node in zone.nodes:
+        if node is not zone.nodes[FIRST_READER]:
+            zone.network.partition(
+                zone.nodes[FIRST_READER].member.node, node.member.node
+            )
+
+
+def _served_old_states(zone: feed_zone.FeedZone) -> None:
+    zone.nodes[FIRST_READER].source.lag_seconds = 1.5
+
+
+def _slow(zone: feed_zone.FeedZone) -> None:
+    zone.nodes[FIRST_READER].source.delay_seconds = 1.0
+
+
+def _stands_still(zone: feed_zone.FeedZone) -> None:
+    """It takes messages and does not pass them on."""
+    zone.network.unresponsive.add(zone.nodes[FIRST_READER].member.node)
+    zone.nodes[FIRST_READER].source.delay_seconds = 60.0
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        _cut_off_from_the_store,
+        _cut_off_from_the_zone,
+        _served_old_states,
+        _slow,
+        _stands_still,
+    ],
+)
+@pytest.mark.parametrize("second", ["slow", "old states", "stands still"])
+def test_change_is_in_time_while_both_nodes_that_read_are_disturbed(
+    first: Disturb, second: str
+) -> None:
+    def disturb(zone: feed_zone.FeedZone) -> None:
+        first(zone)
+        next_reader = zone.nodes[SECOND_READER]
+        if second == "slow":
+            next_reader.source.delay_seconds = 1.0
+        elif second == "old states":
+            next_reader.source.lag_seconds = 1.5
+        else:
+            zone.network.unresponsive.add(next_reader.member.node)
+            next_reader.source.delay_seconds = 60.0
+
+    changes = _play(disturb, [FIRST_READER, SECOND_READER])
+    assert changes.latest_in_force < APPLY_SECONDS
+    assert changes.oldest_confirmed < APPLY_SECONDS
