--- a/packages/testing/src/balsamramp_testing/feed_zone.py
+++ b/packages/testing/src/balsamramp_testing/feed_zone.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import datetime
 import random
 
@@ -193,12 +194,10 @@
         state = self._operators.state_at(self._operators.now - lag)
         if state.revision != self._revision:
             return state
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(poll_time.total_seconds()):
                 await self._operators.changed.wait()
                 await asyncio.sleep(self.lag_seconds)
-        except TimeoutError:
-            pass
         return self._operators.state_at(self._operators.now - lag)
 
 
