--- a/review/harness-3/backend.py
+++ b/review/harness-3/backend.py
@@ -116,7 +116,9 @@
         self._writers.add(writer)
         try:
             while True:
-                request = await http_wire.read_message(reader)
+                request = await http_wire.read_message(
+                    reader, keeps_body=False
+                )
                 writer.write(await self._answer(request))
                 await writer.drain()
         except (EOFError, ConnectionError, asyncio.CancelledError):
@@ -144,7 +146,7 @@
         await self.work_on(request)
         run.ended = time.monotonic()
         headers[PREFIX + "Response-Signature"] = f"{self.name}.{request_id}"
-        body = f"answer to {request_id}\n".encode() + request.body
+        body = f"answer to {request_id}\n".encode()
         return http_wire.encode("HTTP/1.1 200 OK", headers, body)
 
     async def work_on(self, request: http_wire.Message) -> None:
--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -267,7 +267,8 @@
                     **(headers or {}),
                 }
                 start = f"{method} {path} HTTP/1.1"
-                writer.write(http_wire.encode(start, fields, body))
+                fields["Content-Length"] = str(len(body))
+                await _write(writer, start, fields, body)
                 message = await http_wire.read_message(reader, True)
                 return Reply(request_id, sent, time.monotonic(), message)
             finally:
@@ -279,6 +280,23 @@
     return Reply(request_id, sent, time.monotonic(), None, error)
 
 
+async def _write(
+    writer: asyncio.StreamWriter,
+    start: str,
+    headers: dict[str, str],
+    body: bytes,
+) -> None:
+    """Write a request in pieces, as fast as it is taken."""
+    lines = [start]
+    for name, value in headers.items():
+        lines.append(f"{name}: {value}")
+    writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n")
+    view = memoryview(body)
+    for begin in range(0, len(view), http_wire.PIECE_BYTES):
+        writer.write(view[begin : begin + http_wire.PIECE_BYTES])
+        await writer.drain()
+
+
 def _fill(template: str, fields: dict[str, object]) -> str:
     return PLACEHOLDER.sub(
         lambda match: str(fields.get(match[1], "")), template
--- a/review/harness-3/http_wire.py
+++ b/review/harness-3/http_wire.py
@@ -4,8 +4,9 @@
 
 import attrs
 
-__all__ = ["Message", "encode", "read_message"]
+__all__ = ["PIECE_BYTES", "Message", "encode", "read_message"]
 
+PIECE_BYTES = 64 * 1024
 BODILESS_STATUSES = (b"204", b"304")
 
 
@@ -38,7 +39,9 @@
 
 
 async def read_message(
-    reader: asyncio.StreamReader, is_response: bool = False
+    reader: asyncio.StreamReader,
+    is_response: bool = False,
+    keeps_body: bool = True,
 ) -> Message:
     """Return the next message; raises EOFError where none follows whole."""
     lines = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
@@ -49,13 +52,23 @@
     body = b""
     if headers.get(b"transfer-encoding", b"").lower() == b"chunked":
         body = await _read_chunks(reader)
-    elif b"content-length" in headers:
+    elif b"content-length" in headers and keeps_body:
         body = await reader.readexactly(int(headers[b"content-length"]))
+    elif b"content-length" in headers:
+        await _skip(reader, int(headers[b"content-length"]))
     elif is_response and lines[0].split()[1] not in BODILESS_STATUSES:
         body = await reader.read()
     return Message(lines[0], headers, body)
 
 
+async def _skip(reader: asyncio.StreamReader, size: int) -> None:
+    while size:
+        data = await reader.read(min(size, PIECE_BYTES))
+        if not data:
+            raise EOFError("the message ends early")
+        size -= len(data)
+
+
 async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
     parts = []
     while True:
