--- a/review/harness-3/backend.py
+++ b/review/harness-3/backend.py
@@ -51,6 +51,11 @@
         self._beating: asyncio.Task[None] | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def warm_up_left_ms(self) -> int:
+        """Return for how long it stays cold."""
+        return 0
+
     async def start(self, host: str, port: int, control: str) -> None:
         """Serve at an address; tell the sidecar at ``control`` of it."""
         self.address = f"{host}:{port}"
@@ -83,7 +88,7 @@
             "version": self.version,
             "slots": self.slots,
             "state": self.state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": self.warm_up_left_ms,
             "sequence": self._sequence,
             "born": self.born,
         }
@@ -133,6 +138,9 @@
             "Keep-Alive": "timeout=10",
         }
         if request.path == "/health":
+            if self.warm_up_left_ms:
+                left = str(self.warm_up_left_ms)
+                headers[PREFIX + "Warmup-Ms"] = left
             status = 200 if self.state == "ready" else 503
             return http_wire.encode(f"HTTP/1.1 {status} X", headers)
         request_id = request.header(PREFIX + "Request-Id")
--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -111,18 +111,24 @@
     def __init__(self) -> None:
         self.store = store.Store()
         self.machines: list[Machine] = []
-        self.failed: list[str] = []
+        # Boots of backends that were replaced by later ones.
+        self.ended: list[backend.Backend] = []
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-3-"))
         self._deploy = tomllib.loads(
             (ROOT / "deploy" / "system.toml").read_text()
         )
         self._role = self._deploy["roles"]["sidecar"]
         self._ports = _free_ports()
+        self._make_backend: type[backend.Backend] = backend.Backend
 
     async def start(
-        self, services: list[str], configuration: dict[str, object]
+        self,
+        services: list[str],
+        configuration: dict[str, object],
+        make_backend: type[backend.Backend] = backend.Backend,
     ) -> None:
         """Start the store and one machine for each entry of ``services``."""
+        self._make_backend = make_backend
         await self.store.start("127.0.0.1", self._ports["store"])
         self.store.put("op", "config", configuration)
         for number, name in enumerate(services):
@@ -138,7 +144,7 @@
             f"127.0.0.{10 + number}",
             zone,
             self._ports,
-            backend.Backend(f"i-{number:08x}", service_name, zone),
+            self._make_backend(f"i-{number:08x}", service_name, zone),
             self._folder / f"{name}.ini",
         )
         self.machines.append(machine)
