--- a/review/11/run.py
+++ b/review/11/run.py
@@ -1,176 +1,97 @@
-"""Bodies of legal size, many at once, for the backends of one service."""
+"""Requests that offer another protocol, as some HTTP clients do."""
 
 import asyncio
 import collections
-import contextlib
+import hashlib
 import os
 import pathlib
-import signal
 import sys
-import time
 
+import backend
 import fleet
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# The machines of the site: 13, of which 3 have the service that is asked.
-SERVICES = ["reservas"] * 3 + ["catalogo"] * 6 + ["caja"] * 4
-ASKED = "reservas"
-ROUTE_TIMEOUT_MS = 1200
+SERVICES = ["caja", "caja", "caja", "catalogo", "catalogo", "catalogo"]
+TIMEOUT_MS = 1200
 REQUEST_TIMEOUT_MS = 2500
-WORK_SECONDS = 0.12
-# Of the 67108864 bytes that the configuration allows, and the site's usual.
-LARGE_BYTES = 10_000_000
-USUAL_BYTES = 4_000
-# At each machine without the service.
-CLIENTS = 5
-PAUSE_SECONDS = 0.1
-CROWD_SECONDS = 75.0
-MEMORY_BYTES = 300 * 1_000_000
-WATCH_SECONDS = 0.02
-RESTART_SECONDS = 0.5
-# The rule's own figures.
-ENDS_MIN = 3
-MACHINES_MIN = 2
+REQUESTS = 60
+PAUSE_SECONDS = 0.05
+# The site's mean for a payment.
+BODY_BYTES = 4_000
+# What a client for HTTP/2 sends in clear text (RFC 7540, section 3.2). A
+# server that doesn't take it up serves the request as it is.
+OFFER = {
+    "Connection": "Upgrade, HTTP2-Settings",
+    "Upgrade": "h2c",
+    "HTTP2-Settings": "AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA",
+}
 
 
-class Platform:
-    """Kills a process that has more memory than its machine, as pages say.
-
-    It starts the process again after a short delay.
-    """
-
-    def __init__(self, cluster: fleet.Fleet, lines: list[str]) -> None:
-        self.ends: collections.Counter[str] = collections.Counter()
-        self.most: collections.Counter[str] = collections.Counter()
-        self._cluster = cluster
-        self._lines = lines
-        self._started = time.monotonic()
-        self._restarts: set[asyncio.Task[None]] = set()
-
-    @property
-    def is_broken(self) -> bool:
-        """Return whether the rule is broken."""
-        often = [n for n in self.ends.values() if n >= ENDS_MIN]
-        return len(often) >= MACHINES_MIN
-
-    async def watch(self) -> None:
-        """Look at the memory of all processes again and again."""
-        while True:
-            for machine in self._cluster.machines:
-                self._look(machine)
-            await asyncio.sleep(WATCH_SECONDS)
-
-    def _look(self, machine: fleet.Machine) -> None:
-        process = machine.process
-        assert process is not None
-        if process.poll() is not None:
-            return
-        size = _resident_bytes(process.pid)
-        self.most[machine.name] = max(self.most[machine.name], size)
-        if size <= MEMORY_BYTES:
-            return
-        machine.signal(signal.SIGKILL)
-        process.wait()
-        self.ends[machine.name] += 1
-        at = time.monotonic() - self._started
-        self._lines.append(
-            f"{at:.1f} s: {machine.name} has {size} bytes, over"
-            f" {MEMORY_BYTES}; killed, end {self.ends[machine.name]}"
-        )
-        task = asyncio.create_task(self._restart(machine))
-        self._restarts.add(task)
-        task.add_done_callback(self._restarts.discard)
-
-    async def _restart(self, machine: fleet.Machine) -> None:
-        await asyncio.sleep(RESTART_SECONDS)
-        self._cluster.start_sidecar(machine)
-
-
-def _resident_bytes(pid: int) -> int:
-    status = pathlib.Path(f"/proc/{pid}/status")
-    with contextlib.suppress(OSError):
-        for line in status.read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) * 1024
-    return 0
-
-
-async def send_many(
-    machine: fleet.Machine,
-    number: int,
-    platform: Platform,
-    seen: dict[str, fleet.Reply],
-) -> None:
-    """Send one request after the other until the time is over."""
-    body = bytes(LARGE_BYTES if TROUBLE else USUAL_BYTES)
-    end = time.monotonic() + CROWD_SECONDS
-    count = 0
-    while time.monotonic() < end and not platform.is_broken:
-        count += 1
-        request_id = f"{machine.name}-{number}-{count}"
-        request = ("POST", f"{ASKED}.example", "/hold/")
-        seen[request_id] = await fleet.send(
-            machine, request_id, request, REQUEST_TIMEOUT_MS, body
-        )
-        await asyncio.sleep(PAUSE_SECONDS)
+def body_of(number: int) -> bytes:
+    """Return the body of a request, which no other has."""
+    part = hashlib.sha256(str(number).encode()).hexdigest().encode()
+    return (part * (BODY_BYTES // len(part) + 1))[:BODY_BYTES]
 
 
 async def play(cluster: fleet.Fleet, lines: list[str]) -> int:
     """Play the case; return the exit code."""
-    names = sorted(set(SERVICES))
-    routes = {
-        f"r-{name}": fleet.route(name, "/hold/", "unsafe", ROUTE_TIMEOUT_MS)
-        for name in names
-    }
     configuration = {
         "version": 7,
-        "routes": routes,
-        "services": {name: fleet.service() for name in names},
+        "routes": {
+            "pay": fleet.route("caja", "/pay/", "unsafe", TIMEOUT_MS),
+            "list": fleet.route("catalogo", "/list/", "safe", TIMEOUT_MS),
+        },
+        "services": {"caja": fleet.service(), "catalogo": fleet.service()},
         "limits": fleet.LIMITS,
     }
     await cluster.start(SERVICES, configuration)
-    await asyncio.sleep(3.0)
     for machine in cluster.machines:
-        machine.backend.work = WORK_SECONDS
-    platform = Platform(cluster, lines)
+        machine.backend.keeps_bodies = True
+    await asyncio.sleep(4.0)
+    sent: dict[str, bytes] = {}
     seen: dict[str, fleet.Reply] = {}
-    watching = asyncio.create_task(platform.watch())
-    async with asyncio.TaskGroup() as group:
-        for machine in cluster.machines:
-            if machine.backend.service == ASKED:
-                continue
-            for number in range(CLIENTS):
-                group.create_task(send_many(machine, number, platform, seen))
-    watching.cancel()
-    report(cluster, platform, seen, lines)
-    return 1 if platform.is_broken else 0
+    for number in range(REQUESTS):
+        machine = cluster.machines[number % len(cluster.machines)]
+        request_id = f"pay-{number}"
+        sent[request_id] = body_of(number)
+        seen[request_id] = await fleet.send(
+            machine,
+            request_id,
+            ("POST", "caja.example", f"/pay/{number}/"),
+            REQUEST_TIMEOUT_MS,
+            sent[request_id],
+            OFFER if TROUBLE else {},
+        )
+        await asyncio.sleep(PAUSE_SECONDS)
+    return judge(cluster, sent, seen, lines)
 
 
-def report(
+def judge(
     cluster: fleet.Fleet,
-    platform: Platform,
+    sent: dict[str, bytes],
     seen: dict[str, fleet.Reply],
     lines: list[str],
-) -> None:
-    """Write what was sent, answered and run."""
-    ran = {}
+) -> int:
+    """Apply the rule; return the exit code."""
+    runs: list[backend.Run] = []
     for machine in cluster.machines:
-        for run in machine.backend.runs:
-            ran[run.request_id] = machine.name
-    lost = 0
-    for request_id, reply in seen.items():
-        lost += request_id in ran and reply.outcome != "200"
+        runs += machine.backend.runs
+    changed = 0
+    for run in runs:
+        is_changed = run.body != sent[run.request_id]
+        changed += is_changed
         lines.append(
-            f"{request_id}: {reply.ended - reply.sent:.3f} s, {reply.outcome},"
-            f" run beside {ran.get(request_id, 'none')}"
+            f"{run.request_id}: sent {len(sent[run.request_id])} bytes, run"
+            f" with {len(run.body)}, {'changed' if is_changed else 'the same'}"
+            f"; its caller got {seen[run.request_id].outcome}"
         )
     outcomes = collections.Counter(item.outcome for item in seen.values())
     lines.append(f"requests: {dict(outcomes)}")
-    lines.append(f"run by a backend, and not answered 200: {lost}")
-    lines.append(f"most memory, in bytes: {dict(platform.most)}")
-    lines.append(f"ends for memory: {dict(platform.ends)}")
-    broken = "is broken" if platform.is_broken else "holds"
-    lines.append(f"Fault {broken}")
+    lines.append(f"runs: {len(runs)}, with another body: {changed}")
+    lines.append("UNASKED is broken" if changed else "UNASKED holds")
+    if not runs:
+        return 2
+    return 1 if changed else 0
 
 
 def main() -> int:
--- a/review/harness-3/backend.py
+++ b/review/harness-3/backend.py
@@ -21,6 +21,7 @@
     request_id: str
     method: str
     path: str
+    body: bytes
     began: float
     ended: float | None = None
 
@@ -41,6 +42,7 @@
         self.work = 0.02
         self.state = "ready"
         self.statements: dict[str, str] = {}
+        self.keeps_bodies = False
         self.runs: list[Run] = []
         self.acks: list[tuple[float, str, int]] = []
         self.born = int(time.time() * 1000)
@@ -122,7 +124,7 @@
         try:
             while True:
                 request = await http_wire.read_message(
-                    reader, keeps_body=False
+                    reader, keeps_body=self.keeps_bodies
                 )
                 writer.write(await self._answer(request))
                 await writer.drain()
@@ -149,7 +151,13 @@
         if request.header(PREFIX + "Target-Instance") not in ("", self.name):
             headers[PREFIX + "Not-Executed"] = "1"
             return http_wire.encode("HTTP/1.1 421 X", headers)
-        run = Run(request_id, request.method, request.path, time.monotonic())
+        run = Run(
+            request_id,
+            request.method,
+            request.path,
+            request.body,
+            time.monotonic(),
+        )
         self.runs.append(run)
         await self.work_on(request)
         run.ended = time.monotonic()
