--- a/review/harness-3/store.py
+++ b/review/harness-3/store.py
@@ -14,6 +14,7 @@
 HISTORY_SECONDS = 20.0
 
 Key = tuple[str, str, str]
+Rows = dict[Key, tuple[bytes, int]]
 
 
 class Store:
@@ -24,7 +25,7 @@
     """
 
     def __init__(self) -> None:
-        self.rows: dict[Key, tuple[bytes, int]] = {}
+        self.rows: Rows = {}
         self.version = 0
         self.era = 0
         self.delay = 0.004
@@ -33,6 +34,8 @@
         self.writes: list[tuple[float, str, str]] = []
         self._log: list[tuple[int, float, Key, bytes | None]] = []
         self._changed = asyncio.Event()
+        self._away = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -57,6 +60,23 @@
         found = self.rows.get((table, "", key))
         return None if found is None else json.loads(found[0])
 
+    def copy(self) -> tuple[Rows, int]:
+        """Return what the store holds, to come back from later."""
+        return dict(self.rows), self.version
+
+    def go_away(self) -> None:
+        """End all connections, and take none until ``come_back``."""
+        self._away = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def come_back(self, copy: tuple[Rows, int]) -> None:
+        """Answer again, from a copy, in the next era."""
+        self.era += 1
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self._log = [item for item in self._log if item[0] <= copy[1]]
+        self._away = False
+
     def _write(self, key: Key, value: bytes | None) -> None:
         self.version += 1
         if value is None:
@@ -72,8 +92,9 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
-            while True:
+            while not self._away:
                 request = await http_wire.read_message(reader)
                 status, document = await self._answer(request)
                 await asyncio.sleep(self.delay)
@@ -89,6 +110,7 @@
         except (EOFError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(
