Rollouts: an order is found again by nodes that start with the store alone

Cause: the identity of an order had the era of the store in it, and nodes that ran kept the identity of the first writing when the order was written again. The outcome was stored under that name; a node that starts knows the table alone and computes another. Class: a stored name that is made from what only those present know.

Change: the identity is of the service, the version and the number under which the table holds the order, which a copy keeps. An order that is written again gets the identity of its new row, and all nodes carry state and evidence over by the earlier numbers that the order bears; outcome and state are stored and published once more. A node that knows of the rewriting alone grants no step.

--- a/packages/core/src/balsamramp_core/resources/rollout.py
+++ b/packages/core/src/balsamramp_core/resources/rollout.py
@@ -29,7 +29,8 @@
     shift at ``start`` and is shifted completely by ``deadline``.
     ``aborted_by`` is the operator who aborted the rollout, or empty.
     ``revision`` is the revision of the order that created the rollout, or
-    0 without an order.
+    0 without an order, and ``earlier_revisions`` are those of the same order
+    before a restore of its store.
 
     Options: ``keep_old_seconds`` (default 600), the time after the last
     step for which the old version stays ready for a rollback; ``late``
@@ -50,6 +51,7 @@
     keep_old_seconds: int = KEEP_OLD_SECONDS
     late: LatePolicy = LatePolicy.ROLL_BACK
     revision: int = 0
+    earlier_revisions: tuple[int, ...] = ()
 
     def is_old(self, version: str) -> bool:
         """Return whether ``new`` replaces ``version``."""
--- a/packages/core/src/balsamramp_core/resources/rollout_order.py
+++ b/packages/core/src/balsamramp_core/resources/rollout_order.py
@@ -15,7 +15,9 @@
 
     Unlike a rollout, an order has no start time: it starts when the first
     node receives it. ``revision`` distinguishes an order from an earlier
-    one for the same version.
+    one for the same version, and each node that reads the store finds the
+    same one. ``earlier_revisions`` are those that the order had before it
+    was written again after a restore of the store, the latest first.
     """
 
     kind = "rollout-order"
@@ -25,6 +27,7 @@
     new: str
     duration_seconds: float
     revision: int
+    earlier_revisions: tuple[int, ...] = ()
 
     @property
     def duration(self) -> datetime.timedelta:
--- a/packages/core/src/balsamramp_core/restored_rows.py
+++ b/packages/core/src/balsamramp_core/restored_rows.py
@@ -13,6 +13,7 @@
 # Longest time for which a row is in force that the table does not have.
 # Its writer writes it again once the table is back.
 HOLD_TIME = datetime.timedelta(seconds=15)
+EARLIER_REVISIONS_MAX = 8
 
 
 @attrs.frozen
@@ -20,13 +21,14 @@
     """A row; ``value`` tells it from others of its key.
 
     ``version`` is that of the table, 0 if it is not known. ``revision``
-    names the write that brought the row into force: writing the same again
-    after a restore is no other write.
+    names the write that the table holds, and ``earlier_revisions`` the
+    writes of the same before restores, the latest first.
     """
 
     value: typing.Any
     version: int
     revision: int
+    earlier_revisions: tuple[int, ...] = ()
 
 
 Rows = abc.Mapping[str, KnownRow]
@@ -64,7 +66,7 @@
     lower version than the known one, is taken for what the copy holds; any
     other was written since. So a known row stays in force until its key is
     written or deleted again, for ``HOLD_TIME`` at most. One that is written
-    with the same value in that time keeps its revision.
+    with the same value in that time continues the known one.
     """
 
     def __init__(
@@ -102,7 +104,7 @@
         for key in {*self._known, *table}:
             row, known = table.get(key), self._known.get(key)
             if row and known and row.value == known.value:
-                merged[key] = self._keep_revision(key, row, known, holds)
+                merged[key] = self._continue(key, row, known, holds)
             elif holds and self._is_behind(key, row):
                 held.add(key)
         for key in held:
@@ -119,15 +121,22 @@
             if _version(table, key) != _version(self._first, key):
                 self._changed.add(key)
 
-    def _keep_revision(
+    def _continue(
         self, key: str, row: KnownRow, known: KnownRow, holds: bool
     ) -> KnownRow:
-        """Return a row, as the known one if it was written again lately."""
+        """Return a row, with earlier revisions if it was written again."""
         if holds:
             self._rewritten[key] = row.version
         if self._rewritten.get(key) != row.version:
             return row
-        return attrs.evolve(row, revision=known.revision)
+        earlier = [known.revision, *known.earlier_revisions]
+        if row.revision in earlier:
+            earlier.remove(row.revision)
+        row = attrs.evolve(
+            row, earlier_revisions=tuple(earlier[:EARLIER_REVISIONS_MAX])
+        )
+        self._known[key] = row
+        return row
 
     def _is_behind(self, key: str, row: KnownRow | None) -> bool:
         """Return whether a key is still as the copy has it."""
--- a/packages/node/src/balsamramp_node/configuration/restored_intents.py
+++ b/packages/node/src/balsamramp_node/configuration/restored_intents.py
@@ -103,7 +103,7 @@
         }
         self._read_orders = rows
         if self._restored is None:
-            return latest
+            return self._with_earlier_revisions(latest, rows)
         now = self._clock.monotonic()
         merged = self._restored.merge(rows, now)
         is_behind = latest.number < self._number and now < self._restored.until
@@ -127,6 +127,28 @@
             number=self._number if is_behind else latest.number,
         )
 
+    def _with_earlier_revisions(
+        self, latest: intents.Intents, rows: restored_rows.Rows
+    ) -> intents.Intents:
+        """Return intents with what other nodes told of restores before.
+
+        A node that started after a restore knows the earlier revisions of an
+        order from its peers only.
+        """
+        told: dict[str, resource.Resource] = {}
+        for key, row in rows.items():
+            known = self._orders.get(key)
+            if known is None or not known.earlier_revisions:
+                continue
+            if (known.value, known.revision) == (row.value, row.revision):
+                told[key] = _resource_of(known)
+        if not told:
+            return latest
+        resources = tuple(
+            told.get(str(item.key), item) for item in latest.resources
+        )
+        return attrs.evolve(latest, resources=resources)
+
     def _record_held(self, held: list[str], latest: intents.Intents) -> None:
         was_held, self._is_held = self._is_held, bool(held)
         if was_held == self._is_held:
@@ -184,12 +206,18 @@
 def _row_of(item: resource.Resource, version: int) -> restored_rows.KnownRow:
     if not isinstance(item, rollout_order.RolloutOrder):
         return restored_rows.KnownRow(item, version, 0)
-    value = attrs.evolve(item, revision=0)
-    return restored_rows.KnownRow(value, version, item.revision)
+    value = attrs.evolve(item, revision=0, earlier_revisions=())
+    return restored_rows.KnownRow(
+        value, version, item.revision, item.earlier_revisions
+    )
 
 
 def _resource_of(row: restored_rows.KnownRow) -> resource.Resource:
     item: resource.Resource = row.value
     if isinstance(item, rollout_order.RolloutOrder):
-        return attrs.evolve(item, revision=row.revision)
+        return attrs.evolve(
+            item,
+            revision=row.revision,
+            earlier_revisions=row.earlier_revisions,
+        )
     return item
--- a/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
@@ -357,9 +357,10 @@
     ) -> None:
         keys = [key for key in changed if key.kind in KINDS]
         for key in keys:
-            previous_id = self._ids.pop(str(key), None)
-            self._intents.pop(previous_id or "", None)
             item = current.resources.get(key)
+            previous_id = self._ids.pop(str(key), None)
+            if previous_id is not None:
+                self._intents.pop(previous_id)
             if isinstance(item, rollout.Rollout):
                 self._add_intent(item, item.start >= self._started_at)
             elif isinstance(item, rollout_order.RolloutOrder):
@@ -387,9 +388,16 @@
                 KEEP_OLD_FRACTION * order.duration_seconds
             ),
             revision=order.revision,
+            earlier_revisions=order.earlier_revisions,
         )
-        stored = self._states.get(rollout_state.intent_id(intent))
-        return intent if stored is None else _with_start(intent, stored.start)
+        for intent_id in (
+            rollout_state.intent_id(intent),
+            *rollout_state.earlier_intent_ids(intent),
+        ):
+            stored = self._states.get(intent_id)
+            if stored is not None:
+                return _with_start(intent, stored.start)
+        return intent
 
     def _add_intent(
         self, intent: rollout.Rollout, knows_history: bool
@@ -401,13 +409,34 @@
         state = self._states.get(intent_id)
         if state is None:
             state = rollout_state.initial_state(intent)
-            if knows_history:
+            if knows_history and not intent.earlier_revisions:
                 state = rollout_state.mark_history_known(state, intent.start)
+        state = self._continue_earlier(intent, state)
         now = self._clock.now()
         updated = rollout_policy.apply_operator_abort(intent, state, now)
         if updated != self._states.get(intent_id):
             self._store_state(updated)
 
+    def _continue_earlier(
+        self, intent: rollout.Rollout, state: State
+    ) -> State:
+        """Return ``state`` with what the order reached before a restore."""
+        for earlier_id in rollout_state.earlier_intent_ids(intent):
+            earlier = self._states.get(earlier_id)
+            if earlier is None or earlier_id in self._intents:
+                continue
+            state = rollout_state.continue_state(state, earlier)
+            evidence = self._evidence.pop(earlier_id, None)
+            if evidence is not None:
+                self._evidence.setdefault(state.intent, evidence)
+            self._forget(earlier)
+        return state
+
+    def _forget(self, state: State) -> None:
+        del self._states[state.intent]
+        self._by_service[state.service].discard(state.intent)
+        self._update_digest(state.intent, 0)
+
     def _drop_deleted_intents(self) -> None:
         for intent_id, state in list(self._states.items()):
             if intent_id in self._intents:
@@ -416,9 +445,7 @@
             is_rolled_back = rollout_state.phase(state) in ROLLED_BACK_PHASES
             if is_rolled_back and not self._is_named_by_later_intent(state):
                 continue
-            del self._states[intent_id]
-            self._by_service[state.service].discard(intent_id)
-            self._update_digest(intent_id, 0)
+            self._forget(state)
 
     def _is_named_by_later_intent(self, state: State) -> bool:
         for intent in self._intents.values():
--- a/packages/node/src/balsamramp_node/rollouts/rollout_state.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_state.py
@@ -15,6 +15,8 @@
     "Cause",
     "RolloutPhase",
     "bucket_of",
+    "continue_state",
+    "earlier_intent_ids",
     "enter_phase",
     "epoch",
     "initial_state",
@@ -88,11 +90,11 @@
     A changed deadline or an abort keeps the id; a change of the versions
     or of the start makes a new intent. An order is identified by its
     revision instead of its start, which differs between nodes: each uses
-    the time at which it received the order.
+    the time at which it received the order. So a node that starts with the
+    store alone finds the id under which other nodes stored an outcome.
     """
     if intent.revision:
-        key = f"{intent.service} {intent.new} {intent.revision}"
-        return f"{intent.name}.{xxhash.xxh64_hexdigest(key.encode())}"
+        return _order_id(intent, intent.revision)
     key = (
         f"{intent.service} {intent.old} {intent.new} "
         f"{intent.start.astimezone(datetime.UTC).isoformat()}"
@@ -100,6 +102,18 @@
     return f"{intent.name}.{xxhash.xxh64_hexdigest(key.encode())}"
 
 
+def earlier_intent_ids(intent: rollout.Rollout) -> list[str]:
+    """Return the ids that ``intent`` had before restores of its store."""
+    return [
+        _order_id(intent, revision) for revision in intent.earlier_revisions
+    ]
+
+
+def _order_id(intent: rollout.Rollout, revision: int) -> str:
+    key = f"{intent.service} {intent.new} {revision}"
+    return f"{intent.name}.{xxhash.xxh64_hexdigest(key.encode())}"
+
+
 def initial_state(intent: rollout.Rollout) -> State:
     """Return the state of an intent without any mark."""
     return State(
@@ -127,6 +141,20 @@
     return attrs.evolve(left, start=start, marks=marks)
 
 
+def continue_state(state: State, earlier: State) -> State:
+    """Return ``state`` with what the same order has reached as ``earlier``.
+
+    What was stored and published of ``earlier`` bears another id, so it is
+    to be stored and published once more.
+    """
+    marks = {
+        name: mark
+        for name, mark in earlier.marks.items()
+        if not name.startswith((STORED_PREFIX, REPORTED_PREFIX))
+    }
+    return merge_states(state, attrs.evolve(earlier, marks=marks))
+
+
 def phase(state: State) -> RolloutPhase:
     """Return the entered phase that is last in ``RolloutPhase``."""
     for item in PHASES_LAST_FIRST:
