Rollouts: a version that has no alternative is not shut out for want of evidence

Callers saw: an order without a known history excluded the version that it names, and at its deadline for good, though no other version ran: every call refused.

Cause: excluded_versions and the canary share took for granted that there is another version for the calls to go back to.

Change: a node counts a version as alone when no other one that may run calls has targets: each zone with registered nodes has had a live node for 6 s, and registered nodes that never joined had 4 s more. Targets of dead nodes count as long as the member list keeps them, so a cut zone and a node that starts do not take the new version for the only one. At the deadline an alone version is finished, not expired.

--- a/packages/node/src/balsamramp_node/membership/membership.py
+++ b/packages/node/src/balsamramp_node/membership/membership.py
@@ -135,6 +135,11 @@
         current = self._store.current.version
         return {**self._versions, self._own.node: current}
 
+    @property
+    def discovered(self) -> abc.Sequence[settings.Address]:
+        """Return the addresses that discovery found last."""
+        return self._discovered
+
     def set_addresses(
         self,
         stream: settings.Address,
--- a/packages/node/src/balsamramp_node/membership/peer_discovery.py
+++ b/packages/node/src/balsamramp_node/membership/peer_discovery.py
@@ -17,6 +17,11 @@
 
     lists_every_node: typing.ClassVar[bool] = False
 
+    @property
+    def zones(self) -> frozenset[str]:
+        """Return the zones with registered nodes; empty if not known."""
+        return frozenset()
+
     @abc.abstractmethod
     async def read(self) -> list[settings.Address]:
         """Return control addresses; empty if they cannot be read."""
--- a/packages/node/src/balsamramp_node/membership/table_discovery.py
+++ b/packages/node/src/balsamramp_node/membership/table_discovery.py
@@ -75,6 +75,11 @@
         self._key = f"{PREFIX}{own.zone}/{own.node}"
         self._task: asyncio.Task[None] | None = None
         self._withdrawn = False
+        self._zones: frozenset[str] = frozenset()
+
+    @property
+    def zones(self) -> frozenset[str]:
+        return self._zones
 
     async def start(self) -> None:
         self._task = background_task.start(self._run, self._clock)
@@ -106,7 +111,9 @@
         if isinstance(scanned, result.Failure):
             return []
         found = []
+        zones = {self._own.zone}
         for row in scanned.unwrap():
+            zones.add(row.key.removeprefix(PREFIX).partition("/")[0])
             if row.key == self._key:
                 continue
             try:
@@ -119,6 +126,7 @@
                 )
                 continue
             found.append(entry.address)
+        self._zones = frozenset(zones)
         return found
 
     async def _run(self) -> None:
--- a/packages/node/src/balsamramp_node/process/node_services.py
+++ b/packages/node/src/balsamramp_node/process/node_services.py
@@ -40,6 +40,7 @@
 from balsamramp_node.rollouts import rollout_gossip
 from balsamramp_node.rollouts import rollout_interceptor
 from balsamramp_node.rollouts import rollout_persistence
+from balsamramp_node.rollouts import version_presence
 from balsamramp_node.rollouts import zone_states
 from balsamramp_wire import messages
 
@@ -218,7 +219,18 @@
             self._settings.text("rollouts", "policy")
         )
         self.rollout_controller = rollout_controller.RolloutController(
-            self.store, policy_type(), self._clock, self._metrics, recorder
+            self.store,
+            policy_type(),
+            self._clock,
+            self._metrics,
+            recorder,
+            version_presence.MemberVersions(
+                self.membership,
+                self.member_list,
+                self.peer_discovery,
+                self.store,
+                self._clock,
+            ),
         )
         self.rollout_gossip = rollout_gossip.RolloutGossip(
             self.rollout_controller,
--- a/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
@@ -24,6 +24,7 @@
 from balsamramp_node.rollouts import rollout_report
 from balsamramp_node.rollouts import rollout_state
 from balsamramp_node.rollouts import traffic_split
+from balsamramp_node.rollouts import version_presence
 from balsamramp_wire import rollout_messages
 
 __all__ = ["RolloutController"]
@@ -60,8 +61,10 @@
         time: clock.Clock,
         counters: metrics.Metrics,
         recorder: evidence_recorder.EvidenceRecorder,
+        presence: version_presence.VersionPresence,
     ) -> None:
         self._policy = policy
+        self._presence = presence
         self._clock = time
         self._metrics = counters
         self._recorder = recorder
@@ -186,10 +189,11 @@
         """Return the evidence stored on this node for an intent."""
         return self._evidence.get(intent_id) or rollout_evidence.Evidence()
 
-    def expire_unknown_history(self, service: str) -> None:
-        """Expire rollouts of ``service`` past their deadline without history.
+    def end_unknown_history(self, service: str) -> None:
+        """End rollouts of ``service`` past their deadline without history.
 
-        Only those expire for which a node has looked for a row in vain.
+        Only those end for which a node has looked for a row in vain. They
+        expire, unless no other version is left that calls could go back to.
         """
         now = self._clock.now()
         for intent_id in list(self._by_service.get(service, ())):
@@ -201,6 +205,11 @@
                 continue
             if not rollout_state.is_history_absent(state):
                 continue
+            if rollout_state.phase(state) in TERMINAL_PHASES:
+                continue
+            if self._is_alone(intent):
+                self._store_state(self._finish_alone(state, now))
+                continue
             expired = rollout_state.enter_phase(
                 state,
                 PHASE.EXPIRED,
@@ -208,12 +217,12 @@
                 rollout_state.Cause.LATE.value,
                 "the history from before the restart of all nodes is lost",
             )
-            if expired != state:
-                self._store_state(expired)
+            self._store_state(expired)
 
     def decide(self, is_coordinator: abc.Callable[[str], bool]) -> None:
         """Apply the policy to the services that this node coordinates."""
         now = self._clock.now()
+        self._presence.refresh()
         self._prune_evidence(now)
         self._update_outdated_splits(now)
         for intent_id, intent in list(self._intents.items()):
@@ -311,9 +320,13 @@
     ) -> State:
         current_id = self._current_intent_id(intent.service, now)
         if current_id in (None, intent_id) or intent.start > now:
-            return self._policy.decide(
+            decided = self._policy.decide(
                 intent, state, self.evidence(intent_id), now
             )
+            is_expired = rollout_state.phase(decided) is PHASE.EXPIRED
+            if is_expired and self._is_alone(intent):
+                return self._finish_alone(state, now)
+            return decided
         if rollout_state.phase(state) in (PHASE.COMPLETED, PHASE.REVALIDATING):
             return rollout_state.enter_phase(state, PHASE.FINISHED, now)
         assert current_id is not None
@@ -325,6 +338,32 @@
             f"superseded by rollout {self._intents[current_id].name}",
         )
 
+    def _is_alone(self, intent: rollout.Rollout) -> bool:
+        """Return whether no version is left that ``intent`` replaces.
+
+        Other versions that are rolled back may not run calls either.
+        """
+        ignored = traffic_split.excluded_versions(
+            self._service_states(intent.service),
+            self._states[rollout_state.intent_id(intent)],
+        )
+        return self._presence.is_alone(intent.service, intent.new, ignored)
+
+    def _finish_alone(self, state: State, now: datetime.datetime) -> State:
+        """Return ``state`` finished, as the version has all calls already."""
+        text = "no other version has targets"
+        state = rollout_state.advance_to_step(
+            state, self._policy.last_step, now
+        )
+        for entered in (PHASE.COMPLETED, PHASE.FINISHED):
+            state = rollout_state.enter_phase(state, entered, now, text=text)
+        return state
+
+    def _service_states(self, service: str) -> list[State]:
+        return [
+            self._states[item] for item in self._by_service.get(service, ())
+        ]
+
     def _store_state(self, state: State) -> None:
         previous = self._states.get(state.intent)
         intent = self._intents.get(state.intent)
@@ -476,11 +515,21 @@
             current_id = self._current_intent_id(service, now)
             if (current_id or "") != split.intent_id:
                 self._update_split(service)
+            elif split.intent is not None:
+                is_alone = self._is_new_alone(split.intent)
+                if is_alone is not split.is_new_alone:
+                    self._update_split(service)
+
+    def _is_new_alone(self, intent: rollout.Rollout) -> bool:
+        """Return whether calls are not divided, for want of other versions."""
+        state = self._states[rollout_state.intent_id(intent)]
+        phase = rollout_state.phase(state)
+        if phase in (PHASE.ROLLED_BACK, PHASE.FINISHED):
+            return False
+        return self._is_alone(intent)
 
     def _update_split(self, service: str) -> None:
-        states = [
-            self._states[item] for item in self._by_service.get(service, ())
-        ]
+        states = self._service_states(service)
         current_id = self._current_intent_id(service, self._clock.now())
         if not states:
             self._splits.pop(service, None)
@@ -492,13 +541,25 @@
             self._splits[service] = split
             return
         state = self._states[current_id]
+        intent = self._intents[current_id]
+        is_alone = self._is_new_alone(intent)
+        before = self._splits.get(service)
+        if is_alone and not (before and before.is_new_alone):
+            logging.info(
+                "rollout %s: version %s of %s gets all calls, as no other"
+                " version has targets",
+                intent.name,
+                intent.new,
+                service,
+            )
         self._splits[service] = traffic_split.TrafficSplit(
-            self._intents[current_id],
+            intent,
             current_id,
             rollout_state.epoch(state),
             self._policy.share(state),
-            traffic_split.excluded_versions(states, state),
+            traffic_split.excluded_versions(states, state, is_alone),
             rollout_state.phase(state) is not PHASE.FINISHED,
+            is_alone,
         )
 
     def _prune_evidence(self, now: datetime.datetime) -> None:
--- a/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
@@ -119,7 +119,7 @@
                 continue
             if not await self._read_service(state):
                 return False
-            self._rollouts.expire_unknown_history(state.service)
+            self._rollouts.end_unknown_history(state.service)
             current = self._rollouts.state(state.intent)
             if current is None or rollout_state.is_stored(
                 current, self._table.generation
--- a/tests/users_platform/test_rollout_over_a_restore.py
+++ b/tests/users_platform/test_rollout_over_a_restore.py
@@ -223,3 +223,49 @@
         assert world.state() == "rolled_back"
 
     _run(tmp_path, main)
+
+
+def test_only_version_is_served_though_nothing_is_known_of_its_order(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against an order that leaves a service without any target.
+
+    All nodes are killed as the store is back, before the outcome is stored
+    once more.
+    """
+
+    async def main(world: _World) -> None:
+        world.order()
+        await world.press("running")
+        world.copy()
+        await world.press("completed")
+        await world.stop_old()
+        await asyncio.sleep(1.0)
+        for sidecar in world.fleet.sidecars:
+            sidecar.process.send_signal(signal.SIGSTOP)
+        await world.restore()
+        await world.kill_all()
+        assert await world.served_after_recovery() == CALLS_JUDGED
+        await world.press("completed")
+
+    _run(tmp_path, main)
+
+
+def test_order_for_the_version_in_service_refuses_no_calls(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a share of calls for which there are no targets."""
+
+    async def main(world: _World) -> None:
+        for sidecar in world.new:
+            sidecar.target.version = OLD
+        await asyncio.sleep(8.0)
+        document = {"service": "caja", "to": OLD, "durationS": ROLLOUT_SECONDS}
+        world.store.put("op", ORDER_KEY, document)
+        refused = 0
+        async with asyncio.timeout(60.0):
+            while world.state() != "completed":
+                refused += await world.call() != 200
+        assert refused == 0
+
+    _run(tmp_path, main)
