Rollouts: a version stays out when its unfinished order is replaced

Cause: the state of the replaced order was dropped, and with it what was known of its version, which counted as old then and got the rest of the calls. Class: evidence is kept by order, though it is about the version.

Change: an order that names another version rolls the unfinished one back as superseded, unless its version is the only one. The state is stored and gossiped as any rolled-back one, until a later order names the version.

--- a/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
@@ -399,7 +399,7 @@
             item = current.resources.get(key)
             previous_id = self._ids.pop(str(key), None)
             if previous_id is not None:
-                self._intents.pop(previous_id)
+                self._supersede(self._intents.pop(previous_id), item)
             if isinstance(item, rollout.Rollout):
                 self._add_intent(item, item.start >= self._started_at)
             elif isinstance(item, rollout_order.RolloutOrder):
@@ -438,6 +438,34 @@
                 return _with_start(intent, stored.start)
         return intent
 
+    def _supersede(
+        self, intent: rollout.Rollout, later: resource.Resource | None
+    ) -> None:
+        """Roll back an unfinished order that names another version now.
+
+        What is known of the version holds on, and calls go back to the other
+        versions, unless there are none.
+        """
+        if not isinstance(later, rollout_order.RolloutOrder):
+            return
+        if not intent.revision or later.new == intent.new:
+            return
+        state = self._states[rollout_state.intent_id(intent)]
+        unfinished = (PHASE.WAITING, PHASE.PROGRESSING)
+        if rollout_state.phase(state) not in unfinished:
+            return
+        if self._is_alone(intent):
+            return
+        self._store_state(
+            rollout_state.enter_phase(
+                state,
+                PHASE.ROLLED_BACK,
+                self._clock.now(),
+                rollout_state.Cause.SUPERSEDED.value,
+                f"superseded by an order for {later.new}",
+            )
+        )
+
     def _add_intent(
         self, intent: rollout.Rollout, knows_history: bool
     ) -> None:
--- a/packages/node/tests/test_rollout_orders.py
+++ b/packages/node/tests/test_rollout_orders.py
@@ -6,7 +6,6 @@
 
 import datetime
 
-import attrs
 import pytest
 
 from balsamramp_core import configuration
@@ -236,6 +235,42 @@
     assert node.share("v2") == 1
 
 
+def test_order_back_to_the_version_in_service_takes_the_other_out() -> None:
+    """Guards against the rest of the calls for an unproved version."""
+    node = _Node("v1", "v2")
+    node.apply(_order("v2", 50))
+    node.run(1.0)
+    assert 0 < node.share("v2") < 0.2
+    node.apply(_order("v1", 60))
+    assert (node.share("v1"), node.share("v2")) == (1, 0)
+    node.run(1.5 * DURATION_SECONDS)
+    assert node.phase() is PHASE.FINISHED
+    assert (node.share("v1"), node.share("v2")) == (1, 0)
+
+
+def test_orders_that_follow_each_other_never_take_all_versions_out() -> None:
+    node = _Node("v1", "v2")
+    revision = 50
+    for new in ("v2", "v1", "v2", "v1", "v2"):
+        revision += 1
+        node.apply(_order(new, revision))
+        assert node.share("v1") >= 0.9
+    node.run(1.0)
+    assert 0 < node.share("v2") < 0.2
+    assert node.share("v1") > 0.8
+
+
+def test_later_version_replaces_the_proved_one_only() -> None:
+    node = _Node("v1", "v2", "v3")
+    node.apply(_order("v2", 50))
+    node.run(1.0)
+    node.apply(_order("v3", 60))
+    node.run(1.0)
+    assert node.share("v2") == 0
+    assert 0 < node.share("v3") < 0.2
+    assert node.share("v1") > 0.8
+
+
 def test_completed_version_is_the_baseline_of_the_next_order() -> None:
     node = _Node("v1", "v2", "v3")
     node.apply(_order("v2", 50))
--- a/tests/users_platform/test_rollout_over_a_restore.py
+++ b/tests/users_platform/test_rollout_over_a_restore.py
@@ -53,7 +53,9 @@
         self.store.put("op", "config", sidecar_fleet.configuration(3))
         for zone in ZONES:
             await self.fleet.start(f"entry-{zone}", "catalogo", zone)
-            self.old.append(await self.fleet.start(f"old-{zone}", "caja", zone))
+            self.old.append(
+                await self.fleet.start(f"old-{zone}", "caja", zone)
+            )
         await self.fleet.wait_until_ready()
         for zone in ZONES:
             sidecar = await self.fleet.start(f"new-{zone}", "caja", zone)
