Requests: the body of a request that offers an upgrade is read

Cause: the parser ends such a request at its headers, and the reader passed on what it had. Class: a body that is shorter than its head states is taken for whole because the parser says that the message has ended.

Change: another parser, which gets only the headers that tell where the body ends, reads on; nothing is read after that request, as before.

--- a/packages/node/src/balsamramp_node/process/request_reader.py
+++ b/packages/node/src/balsamramp_node/process/request_reader.py
@@ -34,6 +34,9 @@
 REQUEST_LINE_MAX_BYTES = 32
 # ": " and the end of the line.
 FIELD_FRAMING_BYTES = 4
+# Header fields that tell where a body ends.
+LENGTH_HEADER = b"content-length"
+BODY_HEADERS = (LENGTH_HEADER, b"transfer-encoding")
 
 Limits = abc.Callable[[], caller_limits.CallerLimits]
 
@@ -55,11 +58,25 @@
     header_bytes: int = 0
     received_bytes: int = 0
     headers_complete: bool = False
+    upgraded_method: str = ""
     framing_bytes: int = 0
     unreserved_bytes: int = REQUEST_BYTES
     body: body_parts.BodyParts = attrs.field(factory=body_parts.BodyParts)
     reservation: body_budget.Reservation | None = None
 
+    @property
+    def body_headers(self) -> caller_messages.RawHeaders:
+        """Return the header fields that tell where the body ends."""
+        return [item for item in self.headers if item[0] in BODY_HEADERS]
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the body has the stated length, if there is one."""
+        for name, value in self.headers:
+            if name == LENGTH_HEADER and int(value) != self.body.size:
+                return False
+        return True
+
     @property
     def received_min_bytes(self) -> int:
         """Return how many bytes the parsed headers had at least."""
@@ -222,11 +239,13 @@
             received = None
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
+        except httptools.HttpParserUpgrade as error:
             # No protocol upgrade is supported: the request gets a normal
             # response, and nothing is read after it.
-            self._upgrades = True
-            self.close()
+            if self._partial is None:
+                self.close()
+                return
+            self._read_body_without_upgrade(data[error.args[0] :])
             return
         except httptools.HttpParserCallbackError as error:
             logging.exception("a request cannot be read; refusing it")
@@ -246,6 +265,22 @@
         elif partial is not None and not partial.headers_complete:
             self._check_head(partial, len(data))
 
+    def _read_body_without_upgrade(self, data: memoryview) -> None:
+        """Read the body of a request that asked for another protocol.
+
+        The parser ends such a request at its headers. Another parser, which
+        gets only the headers that tell where the body ends, reads on.
+        """
+        partial = self._partial
+        assert partial is not None and self._parser is not None
+        partial.upgraded_method = self._parser.get_method().decode("latin-1")
+        lines = [name + b": " + value for name, value in partial.body_headers]
+        head = b"\r\n".join([b"POST / HTTP/1.1", *lines, b"", b""])
+        self._parser = httptools.HttpRequestParser(self)
+        self._parse_piece(memoryview(head))
+        if data and self._parser is not None:
+            self._parse_piece(data)
+
     def _check_head(self, partial: _PartialRequest, size: int) -> None:
         """Check the headers that are not complete yet."""
         if self._message_completed:
@@ -270,6 +305,9 @@
         """Start a new request (parser callback)."""
         if self._parser is None:
             return
+        if self._partial is not None:
+            # The other parser goes on with the request.
+            return
         self._has_received = True
         self._partial = _PartialRequest(self._now())
         if self._budget is not None:
@@ -287,7 +325,7 @@
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target (parser callback)."""
         partial = self._partial
-        if partial is None:
+        if partial is None or partial.headers_complete:
             return
         partial.target += url
         self._count_header(partial, len(url))
@@ -311,7 +349,7 @@
     def on_headers_complete(self) -> None:
         """Check the length of the body (parser callback)."""
         partial = self._partial
-        if partial is None:
+        if partial is None or partial.headers_complete:
             return
         partial.headers_complete = True
         expects_continue = False
@@ -348,21 +386,36 @@
     def on_message_complete(self) -> None:
         """Pass the complete request on (parser callback)."""
         self._message_completed = True
-        partial, self._partial = self._partial, None
+        partial = self._partial
         if partial is None or self._parser is None:
             return
+        if self._parser.should_upgrade():
+            if partial.body_headers:
+                return
+            self._upgrades = True
+        if not partial.is_complete:
+            self._reject(http.HTTPStatus.BAD_REQUEST)
+            return
+        self._partial = None
+        method = self._parser.get_method().decode("latin-1")
         request = caller_messages.RawRequest(
-            method=self._parser.get_method().decode("latin-1"),
+            method=partial.upgraded_method or method,
             target=partial.target,
             headers=partial.headers,
             body=partial.body.join(),
-            keep_alive=self._parser.should_keep_alive(),
+            keep_alive=(
+                not partial.upgraded_method
+                and self._parser.should_keep_alive()
+            ),
         )
         if partial.reservation is not None:
             partial.reservation.keep()
         self._listener.handle_request(
             ReceivedRequest(request, self._now(), partial.reservation)
         )
+        if partial.upgraded_method:
+            self._upgrades = True
+            self.close()
 
     def _reserve_head(self, partial: _PartialRequest) -> bool:
         """Reserve the memory of the headers; return whether there is room."""
--- a/packages/node/tests/test_request_reader.py
+++ b/packages/node/tests/test_request_reader.py
@@ -220,3 +220,55 @@
     with mock.patch.object(parts, "append", side_effect=MemoryError):
         found = _read(b"POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\nab", [])
     assert found.rejected is http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
+UPGRADES = strategies.sampled_from(
+    [
+        b"connection: upgrade\r\nupgrade: x\r\n",
+        b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+        b"HTTP2-Settings: AAMAAABkAAQAAP__\r\n",
+    ]
+)
+
+
+@hypothesis.settings(max_examples=200, deadline=None)
+@hypothesis.given(
+    upgrade=UPGRADES,
+    method=strategies.sampled_from(["POST", "PUT", "GET", "DELETE"]),
+    body=strategies.binary(max_size=2500),
+    chunked=strategies.booleans(),
+    behind=strategies.sampled_from(
+        [b"", b"GET /b HTTP/1.1\r\n\r\n", b"\0junk"]
+    ),
+    cuts=strategies.lists(strategies.integers(0, 3000), max_size=6),
+)
+def test_request_that_offers_an_upgrade_keeps_its_body(
+    upgrade: bytes,
+    method: str,
+    body: bytes,
+    chunked: bool,
+    behind: bytes,
+    cuts: list[int],
+) -> None:
+    """Guards against a request that is run with an empty body."""
+    head = f"{method} /a HTTP/1.1\r\nhost: x\r\n".encode() + upgrade
+    if chunked:
+        sent = head + b"transfer-encoding: chunked\r\n\r\n"
+        if body:
+            sent += f"{len(body):x}\r\n".encode() + body + b"\r\n"
+        sent += b"0\r\n\r\n"
+    else:
+        sent = head + f"content-length: {len(body)}\r\n\r\n".encode() + body
+    listener = _read(sent + behind, cuts)
+    assert listener.rejected is None
+    (request,) = listener.requests
+    assert (request[0], request[1], request[3]) == (method, b"/a", body)
+    assert listener.heads == 1
+
+
+def test_cut_off_request_that_offers_an_upgrade_is_not_passed_on() -> None:
+    sent = (
+        b"POST /a HTTP/1.1\r\nconnection: upgrade\r\nupgrade: x\r\n"
+        b"content-length: 4\r\n\r\nabc"
+    )
+    assert _read(sent, []).requests == []
