--- a/tests/users_platform/loopback_proxy.py
+++ b/tests/users_platform/loopback_proxy.py
@@ -22,10 +22,10 @@
 
 @attrs.define(eq=False)
 class _Link:
-    """One connection through the proxy; a ``silent`` one swallows bytes."""
+    """One connection through the proxy; ``silent`` ways swallow bytes."""
 
     writers: list[asyncio.StreamWriter]
-    silent: bool = False
+    silent: set[Direction] = attrs.field(factory=set)
 
 
 class LoopbackProxy:
@@ -80,10 +80,14 @@
         for event in self._open.values():
             event.set()
 
-    def blackhole(self) -> None:
-        """Swallow all further bytes of the connections that there are."""
+    def blackhole(self, *ways: Direction) -> int:
+        """Swallow all further bytes of the connections that there are.
+
+        By default both ways; return how many connections there are.
+        """
         for link in self._links:
-            link.silent = True
+            link.silent.update(ways or Direction)
+        return len(self._links)
 
     def reset(self) -> None:
         """Reset the connections that there are."""
@@ -128,12 +132,12 @@
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 await self._open[way].wait()
-                if link.silent:
+                if way in link.silent:
                     continue
                 writer.write(data)
                 await writer.drain()
         await self._open[way].wait()
-        if not link.silent and not writer.is_closing():
+        if way not in link.silent and not writer.is_closing():
             # The other direction goes on until its own end.
             with contextlib.suppress(OSError):
                 writer.write_eof()
