Rollouts: a stored outcome ends with a later one for the same version

Callers would have seen a service without any version: one that was rolled back, completed by a second order and put in service is shut out by a start of all nodes once that order is deleted, as the first outcome is still stored.

Cause: a rolled-back outcome is taken over without its order, a completed one only with it. Found while looking at what a node that starts finds of its predecessors; not seen with processes.

Change: what is read of a service leaves out outcomes that a later completion of the same version has made void.

Evidence: test_outcome_of_a_later_order_makes_an_earlier_one_void fails on the code before and passes now.

--- a/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_persistence.py
@@ -30,6 +30,9 @@
 COORDINATOR_INTERVAL_MAX = datetime.timedelta(seconds=3)
 OTHER_INTERVAL_MAX = datetime.timedelta(seconds=8)
 
+PHASE = rollout_state.RolloutPhase
+COMPLETED_PHASES = (PHASE.COMPLETED, PHASE.FINISHED)
+
 State = rollout_messages.RolloutState
 
 
@@ -149,6 +152,7 @@
             return True
         prefix = f"{KEY_PREFIX}{service}/"
         after = ""
+        found: list[State] = []
         while True:
             scanned = await self._table.scan(prefix, after, SCAN_ROWS_MAX)
             if isinstance(scanned, result.Failure):
@@ -158,8 +162,9 @@
             if not rows:
                 break
             after = rows[-1].key
-            for stored in _decode_states(rows):
-                self._merge_stored(stored)
+            found += _decode_states(rows)
+        for stored in _without_superseded(found):
+            self._merge_stored(stored)
         self._scanned_services.add(service)
         self._rollouts.mark_history_absent(service)
         return True
@@ -213,6 +218,29 @@
     ) or rollout_state.is_history_absent(state)
 
 
+def _without_superseded(states: list[State]) -> list[State]:
+    """Return states without outcomes that a later one has made void.
+
+    A version that was rolled back and completed by a later order is no
+    longer excluded, even if that order is gone.
+    """
+    completed_at = {
+        state.new: state.start
+        for state in sorted(states, key=lambda item: item.start)
+        if rollout_state.phase(state) in COMPLETED_PHASES
+    }
+    left = []
+    for state in states:
+        is_rolled_back = (
+            rollout_state.phase(state) in rollout_state.ROLLED_BACK_PHASES
+        )
+        later = completed_at.get(state.new)
+        if is_rolled_back and later is not None and state.start < later:
+            continue
+        left.append(state)
+    return left
+
+
 def _decode_states(rows: list[storage.Row]) -> list[State]:
     """Return the states in ``rows``, without malformed ones."""
     states = []
--- a/packages/node/tests/test_outcome_order.py
+++ b/packages/node/tests/test_outcome_order.py
@@ -351,3 +351,42 @@
             state=messages.MemberState.ALIVE,
             targets=targets,
         )
+
+
+@pytest.mark.parametrize("is_later", [True, False])
+def test_outcome_of_a_later_order_makes_an_earlier_one_void(
+    is_later: bool,
+) -> None:
+    """Guards against a version in service that a start of all shuts out.
+
+    It was rolled back, and completed by a second order that is deleted now.
+    """
+
+    async def main() -> None:
+        node = _Node(True)
+        state = node.controller.state(INTENT_ID)
+        assert state is not None
+        hour = datetime.timedelta(hours=1 if is_later else -1)
+        outcomes = {
+            "first": rollout_state.enter_phase(
+                attrs.evolve(state, intent="first", new="v3"),
+                PHASE.ROLLED_BACK,
+                state.start,
+            ),
+            "second": rollout_state.enter_phase(
+                attrs.evolve(
+                    state, intent="second", new="v3", start=state.start + hour
+                ),
+                PHASE.FINISHED,
+                state.start + hour,
+            ),
+        }
+        for name, stored in outcomes.items():
+            key = f"{rollout_persistence.KEY_PREFIX}caja/{name}"
+            write = storage.Write(key, msgspec.msgpack.encode(stored))
+            await node.table.commit(storage.Transaction((), (write,)))
+        await node.persistence._synchronise()
+        is_excluded = node.controller.is_version_excluded("caja", "v3")
+        assert is_excluded is not is_later
+
+    virtual_time.run(main())
