Soak: orders of versions beside restores and a kill of all

Profile rollouts orders the version in service and kills all processes at once, beside what restores play; it waits for the 15 s that the users' pages give before it judges.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -33,6 +33,8 @@
 # Time for nodes to find each other again after the last fault, and then
 # the time in which requests have to be served.
 SETTLING_SECONDS = 8.0
+# The same where all nodes may have lost what they knew of an order.
+RECOVERY_SECONDS = 15.0
 CALM_SECONDS = 3.0
 COUNTERS_TIMEOUT_SECONDS = 2.0
 STATUS_READY = "200"
@@ -47,6 +49,7 @@
     "mixed": soak_faults.FAULTS + soak_faults.PLANNED_WORK,
     "planned": soak_faults.PLANNED_WORK,
     "restores": soak_faults.RESTORES,
+    "rollouts": soak_faults.ROLLOUTS,
     "start": soak_starts.STARTS,
 }
 
@@ -108,7 +111,7 @@
 
     async def run(self) -> None:
         """Play all faults, then the calm end."""
-        if self._kinds is soak_faults.RESTORES:
+        if soak_faults.RestoreStore in self._kinds:
             self._world.store.era = 1
         callers = [
             asyncio.create_task(self._world.call(node, number))
@@ -122,7 +125,10 @@
                 await asyncio.sleep(wait)
                 kind = self._world.rng.choice(self._kinds)
                 group.create_task(self._fault(kind(self._world)))
-        await asyncio.sleep(SETTLING_SECONDS)
+        forgets_orders = soak_faults.KillAll in self._kinds
+        await asyncio.sleep(
+            RECOVERY_SECONDS if forgets_orders else SETTLING_SECONDS
+        )
         self._world.ledger.calm_from = time.monotonic()
         await asyncio.sleep(CALM_SECONDS)
         # Requests that are on their way get their answers.
--- a/tests/users_platform/soak_faults.py
+++ b/tests/users_platform/soak_faults.py
@@ -10,7 +10,14 @@
 import soak_checks
 import soak_harness
 
-__all__ = ["DEMAND", "FAULTS", "Fault", "PLANNED_WORK", "RESTORES"]
+__all__ = [
+    "DEMAND",
+    "FAULTS",
+    "Fault",
+    "PLANNED_WORK",
+    "RESTORES",
+    "ROLLOUTS",
+]
 
 Node = soak_harness.Node
 
@@ -18,6 +25,7 @@
 BUSY_CHECK_SECONDS = 0.02
 # A node needs some of it for its own messages and for the configuration.
 LINK_BYTES_PER_SECOND = (125_000, 625_000)
+ROLLOUT_SECONDS = (4.0, 20.0)
 # Routes that one change adds.
 GROWN_BY = (100, 400)
 
@@ -80,6 +88,16 @@
         await asyncio.gather(*(node.restart() for node in self._killed))
 
 
+class KillAll(_Everywhere):
+    """All processes end at once, so that what they knew is gone."""
+
+    async def begin(self) -> None:
+        await asyncio.gather(*(node.kill() for node in self.world.nodes))
+
+    async def end(self) -> None:
+        await asyncio.gather(*(node.restart() for node in self.world.nodes))
+
+
 class StopNode(Fault):
     """A process is asked to end, at times twice, and starts again."""
 
@@ -254,6 +272,19 @@
         self.world.write_again(self._copy, written)
 
 
+class OrderVersion(_Everywhere):
+    """Operators order the version that all targets of a service have."""
+
+    lasts = (0.0, 0.1)
+
+    async def begin(self) -> None:
+        self.world.order_version(
+            self.node.service,
+            self.node.target.version,
+            self.rng.uniform(*ROLLOUT_SECONDS),
+        )
+
+
 class FaultyTarget(Fault):
     """A target loses, cuts, doubles, fails or delays answers."""
 
@@ -461,6 +492,15 @@
     StoreLosesAnswers,
     TakeZoneOut,
 )
+# Orders of versions beside all that can make the system forget them.
+ROLLOUTS: tuple[type[Fault], ...] = (
+    *RESTORES,
+    KillAll,
+    KillAll,
+    OrderVersion,
+    OrderVersion,
+    OrderVersion,
+)
 # Targets that state what they take, and links that carry little.
 DEMAND: tuple[type[Fault], ...] = (
     ChangeConfiguration,
--- a/tests/users_platform/soak_harness.py
+++ b/tests/users_platform/soak_harness.py
@@ -407,6 +407,13 @@
         self._asked.append(self._version)
         self.ledger.versions[self._version] = time.monotonic()
 
+    def order_version(
+        self, service: str, version: str, seconds: float
+    ) -> None:
+        """Order a rollout."""
+        document = {"service": service, "to": version, "durationS": seconds}
+        self.store.put("op", f"rollout/{service}", document)
+
     def evacuate_zone(self, zone: str) -> None:
         """Take a zone out of service."""
         self.store.put("op", f"evacuate/{zone}", {})
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -23,6 +23,8 @@
 }
 SHORT_SEEDS = (1,)
 START_SEEDS = (1, 2)
+# An order that nobody knew the history of shut out the only version.
+ROLLOUT_SEED = 66000
 SHORT_SECONDS = 6.0
 SHORT_NODES = 4
 
@@ -121,6 +123,19 @@
     assert any("SlowReader" in item for item in outcome.faults)
 
 
+def test_orders_shut_no_service_out_whatever_is_forgotten(
+    tmp_path: pathlib.Path,
+) -> None:
+    outcome = asyncio.run(
+        soak.run_soak(
+            ROLLOUT_SEED, tmp_path, 12.0, SHORT_NODES, profile="rollouts"
+        )
+    )
+    assert not outcome.problems, str(outcome)
+    assert any(item.status == 200 for item in outcome.exchanges)
+    assert any("OrderVersion" in item for item in outcome.faults)
+
+
 @pytest.mark.parametrize("seed", START_SEEDS)
 def test_processes_outlive_troubles_at_their_start(
     seed: int, tmp_path: pathlib.Path
