Calls: a node asks for room before it sends a large body to another

Cause: a node limits what its own callers send, but the node beside a target holds the sum of what all others let in, three times on its way.

Change: bodies over 64 KiB need room at the receiving node, which grants 30% of its memory with three copies counted, and one body of any size if there is no other. Without room the call is refused before it is sent: not run, 503.

--- a/packages/core/src/balsamramp_core/verdict.py
+++ b/packages/core/src/balsamramp_core/verdict.py
@@ -25,6 +25,7 @@
     DEADLINE = "deadline"
     DRAINING = "draining"
     DUPLICATE = "duplicate"
+    NO_MEMORY = "no-memory"
     NO_TARGET = "no-target"
     NOT_READY = "not-ready"
     OVERLOADED = "overloaded"
--- a/packages/node/src/balsamramp_node/inbound/stream_server.py
+++ b/packages/node/src/balsamramp_node/inbound/stream_server.py
@@ -15,6 +15,7 @@
 from balsamramp_core import metrics
 from balsamramp_core import service_manager
 from balsamramp_core import settings
+from balsamramp_node.inbound import body_room
 from balsamramp_node.inbound import control_server
 from balsamramp_node.inbound import held_calls
 from balsamramp_node.inbound import inbound_handler
@@ -104,7 +105,9 @@
         replies: reply_scheduler.ReplyScheduler | None = None,
         take_listener: abc.Callable[[], socket.socket] | None = None,
         decisions: decision_log.DecisionLog | None = None,
+        room: body_room.BodyRoom | None = None,
     ) -> None:
+        self._room = room
         self._take_listener = take_listener
         self._replies = replies or reply_scheduler.ReplyScheduler(
             0.0,
@@ -439,6 +442,8 @@
         sent_at: datetime.timedelta,
         reply: call_transport.Reply,
     ) -> None:
+        if self._room is not None:
+            self._room.release(request.call_id)
         self._send(
             connection,
             reply,
--- a/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
+++ b/packages/node/src/balsamramp_node/outbound/stream_control_transport.py
@@ -62,7 +62,11 @@
         if response is None:
             return _failure(peer, "connection lost")
         if not response.served:
-            return _failure(peer, "the peer has no handler for it")
+            return _failure(
+                peer,
+                "the peer has no handler for it",
+                verdict.Reason.BAD_REQUEST,
+            )
         try:
             reply: typing.Any = decoding.decode_msgpack(
                 response.body, request.reply
--- a/packages/node/src/balsamramp_node/process/process_limits.py
+++ b/packages/node/src/balsamramp_node/process/process_limits.py
@@ -10,6 +10,9 @@
 # Share of the memory for messages. The rest is for the program, and for the
 # copies of a message that is joined or sent.
 MESSAGES_MEMORY_SHARE = 0.2
+# Share of the memory for large bodies of calls that other nodes send, with
+# their copies.
+PEER_BODIES_MEMORY_SHARE = 0.3
 # Share of the memory for connections of callers beside their messages.
 CONNECTIONS_MEMORY_SHARE = 0.05
 CONNECTION_BYTES = 8 * 1024
@@ -49,6 +52,11 @@
         """Return the memory for messages."""
         return int(self.memory_bytes * MESSAGES_MEMORY_SHARE)
 
+    @property
+    def peer_body_bytes(self) -> int:
+        """Return the memory for large bodies of calls of other nodes."""
+        return int(self.memory_bytes * PEER_BODIES_MEMORY_SHARE)
+
     @property
     def caller_connections(self) -> int:
         """Return how many connections callers may have open."""
--- a/packages/node/src/balsamramp_node/process/sidecar.py
+++ b/packages/node/src/balsamramp_node/process/sidecar.py
@@ -16,6 +16,7 @@
 from balsamramp_core import metrics
 from balsamramp_core import settings
 from balsamramp_core.resources import caller_limits
+from balsamramp_node.inbound import body_room
 from balsamramp_node.inbound import call_organisation
 from balsamramp_node.inbound import control_server
 from balsamramp_node.inbound import pooled_target_client
@@ -217,6 +218,10 @@
             )
         )
         manager.add(self._make_metrics_server())
+        room = body_room.BodyRoom(
+            self._limits.peer_body_bytes, now, self._metrics
+        )
+        room.serve(dependencies.control)
         peer_server = stream_server.StreamServer(
             hello,
             self._listen_address("stream_port"),
@@ -228,6 +233,7 @@
             replies=replies,
             take_listener=functools.partial(self._ports.take, "stream_port"),
             decisions=decisions,
+            room=room,
         )
         self._services.service_manager.add(peer_server)
         self._services.service_manager.add(
--- a/packages/node/src/balsamramp_node/process/sidecar_services.py
+++ b/packages/node/src/balsamramp_node/process/sidecar_services.py
@@ -240,6 +240,8 @@
                 self.identity.node,
                 self.inbound_handler,
                 self._dependencies.calls,
+                self._dependencies.control,
+                self._clock,
             ),
             budget,
             lambda: len(self.membership.members()),
