Rollouts: only a node that knows all targets takes a replaced version out

Found by reading the change before it lands. A node that had just started, and got three orders in a row, could roll back the version in service, as it does not know yet that no other one is left, and tell all others. It leaves that to them now. The end of an order without a history is stored once, not at each look, which had the state told to peers again each second.

--- a/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
+++ b/packages/node/src/balsamramp_node/rollouts/rollout_controller.py
@@ -217,7 +217,8 @@
                 rollout_state.Cause.LATE.value,
                 "the history from before the restart of all nodes is lost",
             )
-            self._store_state(expired)
+            if expired != state:
+                self._store_state(expired)
 
     def decide(self, is_coordinator: abc.Callable[[str], bool]) -> None:
         """Apply the policy to the services that this node coordinates."""
@@ -444,7 +445,8 @@
         """Roll back an unfinished order that names another version now.
 
         What is known of the version holds on, and calls go back to the other
-        versions, unless there are none.
+        versions, unless there are none. A node that does not know all targets
+        yet leaves that to others.
         """
         if not isinstance(later, rollout_order.RolloutOrder):
             return
@@ -454,7 +456,7 @@
         unfinished = (PHASE.WAITING, PHASE.PROGRESSING)
         if rollout_state.phase(state) not in unfinished:
             return
-        if self._is_alone(intent):
+        if not self._presence.is_complete or self._is_alone(intent):
             return
         self._store_state(
             rollout_state.enter_phase(
--- a/packages/node/src/balsamramp_node/rollouts/version_presence.py
+++ b/packages/node/src/balsamramp_node/rollouts/version_presence.py
@@ -26,6 +26,11 @@
 class VersionPresence(abc.ABC):
     """Knows which versions of a service have targets."""
 
+    @property
+    @abc.abstractmethod
+    def is_complete(self) -> bool:
+        """Return whether the targets of all nodes are known."""
+
     @abc.abstractmethod
     def refresh(self) -> None:
         """Take note of the targets that are known now."""
@@ -69,6 +74,12 @@
         self._joined_at: dict[str, datetime.timedelta] = {}
         self._complete_at = NEVER
 
+    @property
+    def is_complete(self) -> bool:
+        if self._complete_at == NEVER:
+            return False
+        return self._clock.monotonic() - self._complete_at >= ABSENCE_TIME
+
     def refresh(self) -> None:
         now = self._clock.monotonic()
         if self._generation != self._members.generation:
@@ -87,9 +98,7 @@
         self, service: str, version: str, ignored: frozenset[str]
     ) -> bool:
         self.refresh()
-        if self._complete_at == NEVER:
-            return False
-        if self._clock.monotonic() - self._complete_at < ABSENCE_TIME:
+        if not self.is_complete:
             return False
         if version not in self._present.get(service, ()):
             return False
--- a/packages/node/tests/test_rollout_orders.py
+++ b/packages/node/tests/test_rollout_orders.py
@@ -194,6 +194,16 @@
     assert node.share("v2") == 1
 
 
+def test_end_of_an_unknown_history_is_told_once() -> None:
+    node = _Node.that_starts_with(_order("v2", 50), "v1", "v2")
+    told: list[object] = []
+    node.enter(PHASE.COMPLETED)
+    node.run(DURATION_SECONDS)
+    node.controller.listen(told.append)
+    node.run(2.0)
+    assert not told
+
+
 def test_version_of_unknown_history_yields_to_another_version() -> None:
     """Guards against a bad version that is let in by a start of all."""
     node = _Node.that_starts_with(_order("v2", 50), "v1", "v2")
@@ -248,6 +258,14 @@
     assert (node.share("v1"), node.share("v2")) == (1, 0)
 
 
+def test_node_that_knows_few_targets_takes_no_version_out() -> None:
+    """Guards against a started node that takes out the version in service."""
+    node = _Node()
+    for revision, new in enumerate(("v2", "v1", "v2"), start=50):
+        node.apply(_order(new, revision))
+    assert node.share("v1") == 1
+
+
 def test_orders_that_follow_each_other_never_take_all_versions_out() -> None:
     node = _Node("v1", "v2")
     revision = 50
--- a/packages/testing/src/balsamramp_testing/rollout_fixtures.py
+++ b/packages/testing/src/balsamramp_testing/rollout_fixtures.py
@@ -63,6 +63,10 @@
     def __init__(self) -> None:
         self.versions: set[str] = set()
 
+    @property
+    def is_complete(self) -> bool:
+        return bool(self.versions)
+
     def refresh(self) -> None:
         return None
 
