Calls: the caller is asked for between a grant of room and the sending

The question for room is a wait, and a caller may leave meanwhile: its body would have been sent on. The stated length of a body is compared in one place for requests and responses.

Evidence: test_body_is_not_sent_for_a_caller_that_left_meanwhile.

--- a/packages/node/src/balsamramp_node/outbound/call_dispatcher.py
+++ b/packages/node/src/balsamramp_node/outbound/call_dispatcher.py
@@ -11,6 +11,7 @@
 from balsamramp_node.inbound import inbound_handler
 from balsamramp_node.outbound import call_transport
 from balsamramp_node.outbound import picker
+from balsamramp_node.process import caller_presence
 from balsamramp_wire import body_messages
 from balsamramp_wire import control_transport
 from balsamramp_wire import messages
@@ -62,6 +63,7 @@
                 refusal = await self._ask_for_room(message, chosen)
                 if refusal is not None:
                     return refusal
+                await caller_presence.confirm()
                 waited = self._clock.monotonic() - began_at
                 message = attrs.evolve(
                     message, timeout=message.timeout - waited
--- a/packages/node/src/balsamramp_node/process/body_parts.py
+++ b/packages/node/src/balsamramp_node/process/body_parts.py
@@ -1,11 +1,15 @@
 """The body of a message while it is received."""
 
-__all__ = ["CHUNK_FRAMING_RATIO_MAX", "BodyParts"]
+from collections import abc
+
+__all__ = ["CHUNK_FRAMING_RATIO_MAX", "LENGTH_HEADER", "BodyParts"]
 
 # Smaller parts of a body are joined: each has the overhead of an object.
 PART_MIN_BYTES = 1024
 # Additional bytes per byte of body for the framing of chunks.
 CHUNK_FRAMING_RATIO_MAX = 16
+# Header field with the length of a body, in lower case.
+LENGTH_HEADER = b"content-length"
 
 
 class BodyParts:
@@ -28,6 +32,15 @@
         else:
             self._parts.append(data)
 
+    def has_stated_length(
+        self, headers: abc.Iterable[tuple[bytes, bytes]]
+    ) -> bool:
+        """Return whether the body has the length in ``headers``, if any."""
+        for name, value in headers:
+            if name == LENGTH_HEADER and int(value) != self._size:
+                return False
+        return True
+
     def join(self) -> bytes:
         """Return the body."""
         return b"".join(self._parts)
--- a/packages/node/src/balsamramp_node/process/http_connection.py
+++ b/packages/node/src/balsamramp_node/process/http_connection.py
@@ -90,14 +90,6 @@
     body: body_parts.BodyParts = attrs.field(factory=body_parts.BodyParts)
     headers_complete: bool = False
 
-    @property
-    def is_complete(self) -> bool:
-        """Return whether the body has the stated length, if there is one."""
-        for name, value in self.headers:
-            if name == b"content-length" and int(value) != self.body.size:
-                return False
-        return True
-
 
 class HttpConnection(asyncio.Protocol):
     """Sends requests one at a time and parses their responses.
@@ -335,7 +327,9 @@
         if not self._parser.should_keep_alive():
             self._reusable = False
         status = self._parser.get_status_code()
-        if status not in BODILESS_STATUSES and not self._partial.is_complete:
+        if status not in BODILESS_STATUSES and not (
+            self._partial.body.has_stated_length(self._partial.headers)
+        ):
             self._fail(ResponseFailure.MALFORMED)
             return
         self._complete()
--- a/packages/node/src/balsamramp_node/process/request_reader.py
+++ b/packages/node/src/balsamramp_node/process/request_reader.py
@@ -35,8 +35,7 @@
 # ": " and the end of the line.
 FIELD_FRAMING_BYTES = 4
 # Header fields that tell where a body ends.
-LENGTH_HEADER = b"content-length"
-BODY_HEADERS = (LENGTH_HEADER, b"transfer-encoding")
+BODY_HEADERS = (body_parts.LENGTH_HEADER, b"transfer-encoding")
 
 Limits = abc.Callable[[], caller_limits.CallerLimits]
 
@@ -69,14 +68,6 @@
         """Return the header fields that tell where the body ends."""
         return [item for item in self.headers if item[0] in BODY_HEADERS]
 
-    @property
-    def is_complete(self) -> bool:
-        """Return whether the body has the stated length, if there is one."""
-        for name, value in self.headers:
-            if name == LENGTH_HEADER and int(value) != self.body.size:
-                return False
-        return True
-
     @property
     def received_min_bytes(self) -> int:
         """Return how many bytes the parsed headers had at least."""
@@ -393,7 +384,7 @@
             if partial.body_headers:
                 return
             self._upgrades = True
-        if not partial.is_complete:
+        if not partial.body.has_stated_length(partial.headers):
             self._reject(http.HTTPStatus.BAD_REQUEST)
             return
         self._partial = None
--- a/packages/node/tests/test_body_room.py
+++ b/packages/node/tests/test_body_room.py
@@ -17,6 +17,7 @@
 from balsamramp_core import verdict
 from balsamramp_node.inbound import body_room
 from balsamramp_node.outbound import call_dispatcher
+from balsamramp_node.process import caller_presence
 from balsamramp_testing import rollout_fixtures
 from balsamramp_wire import body_messages
 from balsamramp_wire import messages
@@ -93,7 +94,19 @@
         return "reply"
 
 
-def _submit(peer: _Peer, size: int) -> typing.Any:
+class _Left(caller_presence.CallerPresence):
+    def may_have_left(self) -> bool:
+        return True
+
+    async def has_left(self) -> bool:
+        return True
+
+
+def _submit(
+    peer: _Peer,
+    size: int,
+    presence: caller_presence.CallerPresence | None = None,
+) -> typing.Any:
     handler: typing.Any = None
     transport: typing.Any = peer
     dispatcher = call_dispatcher.CallDispatcher(
@@ -116,7 +129,13 @@
             "other", PEER, PEER
         )
     )
-    return asyncio.run(dispatcher.submit(request, chosen))
+
+    async def main() -> typing.Any:
+        if presence is not None:
+            caller_presence.set_current(presence)
+        return await dispatcher.submit(request, chosen)
+
+    return asyncio.run(main())
 
 
 def _failure(reason: verdict.Reason) -> result.Result[typing.Any, typing.Any]:
@@ -143,6 +162,15 @@
     assert len(peer.called) == 1
 
 
+def test_body_is_not_sent_for_a_caller_that_left_meanwhile() -> None:
+    granted = body_messages.BodyRoomReply(granted=True)
+    peer = _Peer(result.Success(granted))
+    with pytest.raises(asyncio.CancelledError):
+        _submit(peer, LARGE, _Left())
+    assert len(peer.asked) == 1
+    assert not peer.called
+
+
 def test_no_question_is_asked_for_a_small_body() -> None:
     peer = _Peer(_failure(verdict.Reason.CONNECTION_LOST))
     assert _submit(peer, LARGE - 1) == "reply"
